--- /dev/null
+++ b/oakmux/constants.py
@@ -0,0 +1,133 @@
+"""Every constant of oakmux, with its unit and its reason.
+
+Limits and times of a deployment are not here: they come from the settings.
+"""
+
+# The paper's probe ratio: reservations per task (PAPER section 3.1 finds 1.8 as good).
+PROBE_RATIO = 2.0
+# Reservations that one job may hold at a time; keeps a huge array out of every queue.
+MAX_RESERVATIONS_PER_JOB = 64
+# Reservations queued at one machine (count); the rest is re-sampled.
+MAX_QUEUE_PER_MACHINE = 64
+# Seconds an unserved reservation waits before it moves to a machine with room.
+RESAMPLE_S = 0.4
+# Seconds for which a keeper holds room for an offer that nobody has answered.
+OFFER_HOLD_S = 2.0
+# Seconds for which a gang gathers offers before they are released.
+GANG_GATHER_S = 3.0
+# Seconds of random back-off after a gang released its offers, at most.
+GANG_BACKOFF_S = 2.0
+
+# Seconds that a node's lease in the state service lives; a crash is noticed after it.
+NODE_LEASE_S = 4.0
+# Seconds between renewals: three may be lost before the lease ends.
+NODE_RENEW_S = 1.0
+# Seconds to wait after our node key stands before claiming, so that peers can appear.
+CLAIM_DELAY_S = 1.5
+# Seconds without word from the state service after which we call ourselves cut off.
+STATE_STALE_S = 3.0
+# Seconds a watch stays open at the state service.
+WATCH_BLOCK_S = 0.8
+# Share of a node's state requests that reopened watches may use (fraction).
+WATCH_SHARE = 0.25
+# Items per page of a list of the state service (its own limit is 1,000).
+STATE_PAGE = 500
+# Seconds to wait for an answer of the state service.
+STATE_TIMEOUT_S = 1.5
+
+# Seconds between two ticks of the core.
+TICK_S = 0.1
+# Seconds between two passes over the fleet.
+FLEET_PASS_S = 1.0
+# Seconds between words to the peers that we live.
+ALIVE_S = 1.0
+# Seconds to wait for a peer.
+PEER_TIMEOUT_S = 2.0
+# Seconds to wait for a connection and for a worker's answer to direct orders.
+ORDERS_TIMEOUT_S = 2.0
+# Seconds to wait for the cloud.
+CLOUD_TIMEOUT_S = 5.0
+# Seconds that a connection attempt may take.
+CONNECT_TIMEOUT_S = 1.0
+# First and longest pause between failed tries, in seconds; jitter halves it at most.
+BACKOFF_FIRST_S = 0.2
+BACKOFF_MOST_S = 3.0
+
+# Bytes of a body that we read (64 KiB by the protocol), and of one from the state service,
+# whose lists hold 512 KiB and whose watches are without limit.
+MAX_BODY = 64 * 1024
+MAX_STATE_BODY = 16 * 1024 * 1024
+# Connections kept open to one address for reuse (count).
+POOL_PER_ADDR = 4
+# Sockets kept back for our own calls (fraction of the limit).
+OWN_SOCKETS_SHARE = 0.3
+# Commands that may wait in the queue before users hear 503 (count).
+MAX_QUEUE = 2000
+
+# Seconds between readings of the catalogue.
+CATALOGUE_S = 60.0
+# Tasks in one chunk of a job's record (count); bytes one binding takes there, at most.
+CHUNK_TASKS = 64
+BINDING_BYTES = 110
+# Seconds that an idle machine is kept.
+IDLE_KEEP_S = 40.0
+# Seconds between draining a machine and returning it: words to peers take far less.
+DRAIN_S = 2.0
+# A machine that boots longer than this many times the catalogue's time is returned.
+BOOT_PATIENCE = 4.0
+# Seconds for which a zone that had no capacity is not asked again.
+NO_CAPACITY_S = 12.0
+# Multiples of the workers' lease after which a silent machine is returned.
+SILENT_LEASES = 3.0
+# Lists that must lack a machine, and multiples of the list's lag they must be newer by.
+ABSENT_LISTS = 2
+ABSENT_LAGS = 3.0
+# Multiples of the list's lag between two readings of the list.
+LIST_EVERY_LAGS = 0.6
+# Failed tasks in a row after which a machine is returned.
+SICK_ERRORS = 3
+# First and longest pause in seconds before a failed task is tried again.
+RETRY_FIRST_S = 1.0
+RETRY_MOST_S = 60.0
+# Seconds a task may be on a machine without a binding before it is stopped.
+ORPHAN_S = 6.0
+# Seconds kept between the last lease and the end of a cancellation.
+CANCEL_MARGIN_S = 4.0
+# Smallest room that counts, against rounding (share of a unit).
+EPSILON = 1e-6
+# Transactions of an owner that may be on their way at a time (count).
+WRITES_IN_FLIGHT = 4
+# Reads of jobs' records that may be on their way at a time (count); each serves many polls.
+READS_IN_FLIGHT = 2
+# Seconds after which a user who can't be served yet is told to come back.
+RETRY_AFTER_S = 1
+# Users' requests that may wait for the records (count).
+MAX_WAITING = 500
+# Unstarted tasks that one pass over the fleet looks at (count).
+DEMAND_TASKS = 300
+# Machines named in one rental and in one return (the cloud's own limits).
+MAX_RENT = 50
+MAX_RETURN = 100
+# Seconds a drain notice to a peer holds unless it is repeated.
+DRAIN_NOTICE_S = 6.0
+# Seconds for which a record that a machine is gone stays after it was needed.
+GONE_KEEP_S = 30.0
+# Rental requests without an answer are repeated this often (count).
+RENT_TRIES = 5
+# Rounds in which one step carries its own consequences through (count).
+SETTLE_ROUNDS = 8
+# Seconds an operation for the state service may wait for its turn before it is given up unsent.
+STATE_QUEUE_S = 3.0
+# Share of the limits of state service and cloud that we use (fraction), against drifting clocks.
+LIMIT_SHARE = 0.9
+# Connections to the state service, the cloud, each peer and all workers (count).
+STATE_CONNECTIONS = 16
+CLOUD_CONNECTIONS = 4
+PEER_CONNECTIONS = 4
+WORKER_CONNECTIONS = 96
+# Messages that may wait for a peer (count); above it the oldest are dropped.
+PEER_OUTBOX = 4000
+# Bytes of messages' count in one request to a peer: bounds a body by number of messages.
+PEER_BATCH = 200
+# Bytes of a body from a peer.
+PEER_BODY = 4 * 1024 * 1024
--- /dev/null
+++ b/oakmux/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: all decisions, without input or output."""
--- /dev/null
+++ b/oakmux/core/controller.py
@@ -0,0 +1,267 @@
+"""The one owner of all state: commands in, effects out."""
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from oakmux import constants
+from oakmux.core.desk import Desk
+from oakmux.core.fleet import Fleet
+from oakmux.core.machines import Keeper, take_report
+from oakmux.core.membership import FLEET, Membership
+from oakmux.core.reservations import Owner
+from oakmux.core.world import World, event
+from oakmux.settings import Settings
+from oakmux.wire import MachineType, Report
+
+log = logging.getLogger("oakmux.core")
+
+
+class Controller:
+    """One controller; `step` is its only entry."""
+
+    def __init__(self, settings: Settings, rng: random.Random, wall: int) -> None:
+        self.world = World(settings, rng, wall)
+        self.membership = Membership(self.world)
+        self.keeper = Keeper(self.world, self.membership)
+        self.owner = Owner(self.world, self.keeper)
+        self.fleet = Fleet(self.world, self.keeper)
+        self.desk = Desk(self.world, self.keeper)
+        self.next_alive = 0.0
+        self.next_tick = 0.0
+        self.handlers: dict[str, Callable[..., None]] = {
+            "submit": self.desk.submit,
+            "query": self.desk.query,
+            "cancel": self.desk.cancel,
+            "health": self._health,
+            "status": self._status,
+            "report": self.keeper.report,
+            "done": self._done,
+            "snapshot": self._snapshot,
+            "watch": self._watch,
+            "catalogue": self._catalogue,
+            "peer": self._peer,
+            "peer_alive": self.keeper.peer_alive,
+            "peer_new": self._peer_new,
+            "resend": self._resend,
+        }
+        self.messages: dict[str, Callable[..., None]] = {
+            "heard": self._heard,
+            "view": self._view,
+            "reserve": self.keeper.reserve,
+            "offer": self.owner.offer,
+            "decline": self.keeper.decline,
+            "drain": self._drain,
+            "gone": self._gone,
+        }
+
+    def step(self, now: float, commands: Iterable[tuple]) -> list[tuple]:
+        """Work through a batch of commands; return the effects."""
+        world = self.world
+        world.now = max(world.now, now)
+        for command in commands:
+            try:
+                self.handlers[command[0]](*command[1:])
+            except Exception:  # one request or answer must not end the process
+                log.exception("event=command_failed kind=%s", command[0])
+        self._settle()
+        if world.now >= self.next_tick:
+            self.next_tick = world.now + constants.TICK_S
+            self.membership.tick()
+            self.owner.sample()
+            self.fleet.tick()
+            self._say_alive()
+            self._settle()
+        self.owner.flush()
+        self.desk.flush()
+        effects, world.effects = world.effects, []
+        return effects
+
+    # --- bringing all parts up to date ---
+
+    def _settle(self) -> None:
+        for _ in range(constants.SETTLE_ROUNDS):
+            self._local()
+            if not self._propagate():
+                break
+        self.keeper.tick()
+        self._local()
+        self._propagate()
+
+    def _local(self) -> None:
+        """Deliver what we send to ourselves."""
+        world = self.world
+        for _ in range(constants.SETTLE_ROUNDS):
+            mine = [e for e in world.effects if e[0] == "send" and e[1] == world.label]
+            if not mine:
+                return
+            world.effects = [e for e in world.effects
+                             if not (e[0] == "send" and e[1] == world.label)]
+            for _, _, message in mine:
+                self._message(world.label, message)
+
+    def _message(self, label: str, message: Any) -> None:
+        try:
+            handler = self.messages[message[0]]
+            if message[0] in ("heard", "view"):
+                handler(label, *message[1:])
+            else:
+                handler(*message[1:])
+        except Exception:
+            log.exception("event=message_failed peer=%s", label)
+
+    def _propagate(self) -> bool:
+        world = self.world
+        replica = world.replica
+        before = world.my_roles
+        won = self.membership.refresh_roles() if replica.loaded else []
+        if set(before) - set(world.my_roles) or won:
+            self.owner.lost()
+        if won:
+            self.owner.won()
+            if FLEET in won:
+                self.fleet.won()
+        jobs, replica.changed_jobs = replica.changed_jobs, set()
+        machines, replica.changed_machines = replica.changed_machines, set()
+        dirty, world.dirty_machines = world.dirty_machines, set()
+        for job_id in jobs:
+            job = replica.jobs.get(job_id)
+            if job is not None and job.state == "cancelled" and job_id in replica.active:
+                self.keeper.note_cancelled(job_id)
+            self.owner.changed(job_id)
+        for name in machines:
+            self.keeper.records_changed(name)
+        for name in machines | dirty:
+            self.owner.machine_changed(name)
+        for name in dirty:
+            self._tell(name, [m.label for m in world.settings.members])
+        return bool(jobs or machines or dirty)
+
+    # --- commands ---
+
+    def _done(self, op: int, *result: Any) -> None:
+        then = self.world.ops.pop(op, None)
+        if then is not None:
+            then(*result)
+
+    def _snapshot(self, rows: list, epoch: int, asked: float) -> None:
+        self.world.replica.load(rows, epoch)
+        self.world.state_heard = max(self.world.state_heard, asked)
+        event("loaded", jobs=len(self.world.replica.jobs), epoch=epoch)
+
+    def _watch(self, events: list, epoch: int, asked: float) -> None:
+        replica = self.world.replica
+        for key, value, stamp in events:
+            try:
+                replica.apply(key, value, stamp)
+            except Exception:  # a record that is not ours, or of another version
+                log.exception("event=bad_record key=%s", key)
+        replica.epoch = max(replica.epoch, epoch)
+        self.world.state_heard = max(self.world.state_heard, asked)
+        self.keeper.mesh_broken = False
+
+    def _catalogue(self, types: list[MachineType]) -> None:
+        self.world.types = {t.name: t for t in types}
+
+    def _health(self, rid: Any) -> None:
+        world = self.world
+        fresh = self.keeper.state_fresh()
+        served = any(world.now - at < constants.STATE_STALE_S
+                     for at in self.keeper.peer_fresh.values())
+        ready = world.replica.loaded and bool(world.types) and (fresh or not served)
+        world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
+
+    def _status(self, rid: Any) -> None:
+        self.world.emit("answer", rid, 200, self._summary(self.keeper.state_fresh()))
+
+    def _summary(self, ready: bool) -> tuple:
+        world = self.world
+        kept = sum(1 for m in world.machines.values() if m.keeper == world.label)
+        return "health", world.label, ready, world.term, sorted(world.my_roles), kept
+
+    # --- peers ---
+
+    def _peer(self, rid: Any, label: str, messages: list) -> None:
+        for message in messages:
+            self._message(label, message)
+        world = self.world
+        keep = world.facts.workers.cancel_s
+        recent = [j for j, at in self.keeper.cancelled.items() if world.now - at <= keep]
+        world.emit("answer", rid, 200, ("peer", world.label,
+                                        world.life if world.replica.loaded else 0,
+                                        min(world.now - world.state_heard, 1e6),
+                                        recent[-constants.MAX_WAITING:]))
+
+    def _peer_new(self, label: str) -> None:
+        """A peer started anew: tell it all that we hear."""
+        for machine in self.world.machines.values():
+            if machine.keeper == self.world.label:
+                self._tell(machine.name, [label])
+
+    def _resend(self, label: str, names: list[str]) -> None:
+        for name in names:
+            self._tell(name, [label])
+
+    def _tell(self, name: str, labels: list[str]) -> None:
+        world = self.world
+        machine = world.machines.get(name)
+        if machine is None or machine.keeper != world.label:
+            return
+        notice = None if machine.notice_at is None else max(0.0, machine.notice_at - world.now)
+        tasks = [[*task, *state] for task, state in self.keeper.shown(machine).items()]
+        message = ("view", machine.keeper_term, machine.name, machine.addr, machine.type,
+                   machine.zone, machine.spot, machine.session, machine.seq, machine.token,
+                   notice, tasks)
+        for label in labels:
+            world.emit("send", label, message)
+
+    def _view(self, label: str, term: int, name: str, addr: str, type_name: str, zone: str,
+              spot: bool, session: int, seq: int, token: int, notice: float | None,
+              tasks: list) -> None:
+        world = self.world
+        machine = world.machines.get(name)
+        if machine is not None:
+            newer = (session, seq) > machine.version
+            same = (session, seq) == machine.version and machine.keeper == label
+            if not newer and not same:
+                return
+        elif name in world.replica.gone or name in self.fleet.returned:
+            return
+        report = Report(name, addr, type_name, zone, spot, session, seq, token, notice,
+                        {(row[0], row[1]): (row[2], row[3], row[4]) for row in tasks})
+        take_report(world, report, label, term)
+
+    def _say_alive(self) -> None:
+        world = self.world
+        if world.now < self.next_alive:
+            return
+        self.next_alive = world.now + constants.ALIVE_S
+        keep = world.facts.workers.cancel_s
+        for job_id in [j for j, at in self.keeper.cancelled.items()
+                       if world.now - at > 2 * keep and j not in world.replica.active]:
+            del self.keeper.cancelled[job_id]
+        for name in [n for n, at in world.draining.items()
+                     if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S]:
+            del world.draining[name]
+        heard = [m.name for m in world.machines.values()
+                 if m.keeper == world.label and world.now - m.heard < 2 * constants.ALIVE_S
+                 + world.facts.workers.report_s]
+        for member in world.settings.members:
+            world.emit("send", member.label, ("heard", heard))
+
+    def _heard(self, label: str, heard: list[str]) -> None:
+        for name in heard:
+            machine = self.world.machines.get(name)
+            if machine is not None and machine.keeper == label:
+                machine.heard = self.world.now
+
+    def _drain(self, names: list[str]) -> None:
+        for name in names:
+            self.world.draining[name] = self.world.now
+
+    def _gone(self, names: list[str]) -> None:
+        for name in names:
+            self.world.machines.pop(name, None)
+            self.world.draining.pop(name, None)
+            self.keeper.kept.pop(name, None)
--- /dev/null
+++ b/oakmux/core/membership.py
@@ -0,0 +1,165 @@
+"""Terms, the lease that says we live, and which roles (teams, the fleet) are ours."""
+
+import hashlib
+from typing import Any
+
+from oakmux import constants
+from oakmux.core.jobs import TERM_KEY, node_key, role_key
+from oakmux.core.world import World, event
+
+FLEET = "#fleet"
+
+
+def preferred(role: str, nodes: list[str]) -> str:
+    """Return the controller that rendezvous hashing gives a role to."""
+    return max(nodes, key=lambda node: hashlib.blake2b(f"{role}|{node}".encode()).digest())
+
+
+class Membership:
+    """Keeps our term, our lease and our roles."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.lease: int | None = None
+        self.lease_since = 0.0
+        self.next_renew = 0.0
+        self.busy: set[str] = set()
+        self.raise_above = 0
+        self.want_term = True
+        self.node_written = False
+        self.next_try = 0.0
+
+    def need_term_above(self, token: int) -> None:
+        """Ask for a term above a token that a worker showed."""
+        if token >= self.world.term:
+            self.raise_above = max(self.raise_above, token)
+            self.want_term = True
+
+    def tick(self) -> None:
+        """Do what is due."""
+        world = self.world
+        if not world.replica.loaded or world.now < self.next_try:
+            return
+        if self.want_term and "term" not in self.busy:
+            self._raise_term()
+        if not world.life:
+            return
+        if self.lease is None:
+            if "lease" not in self.busy:
+                self.busy.add("lease")
+                world.call(self._granted, "grant", constants.NODE_LEASE_S)
+            return
+        if world.now >= self.next_renew and "renew" not in self.busy:
+            self.busy.add("renew")
+            self.next_renew = world.now + constants.NODE_RENEW_S
+            world.call(self._renewed, "renew", self.lease)
+        if not self.node_written and "node" not in self.busy:
+            self.busy.add("node")
+            world.call(self._node_done, "txn", [], [(node_key(world.label), world.life,
+                                                     self.lease)], 1)
+        if self.node_written and world.now - self.lease_since > constants.CLAIM_DELAY_S:
+            self._claim()
+
+    def _raise_term(self) -> None:
+        value, stamp = self.world.replica.term
+        self.busy.add("term")
+        new = max(value, self.raise_above, self.world.term) + 1
+        self.world.call(lambda status, result: self._term_done(new, status, result),
+                        "txn", [(TERM_KEY, stamp)], [(TERM_KEY, new, None)], 0)
+
+    def _term_done(self, new: int, status: int, result: Any) -> None:
+        world = self.world
+        self.busy.discard("term")
+        if status == 200:
+            world.replica.apply(TERM_KEY, new, result[0])
+            world.term = new
+            world.life = world.life or new
+            self.want_term = new <= self.raise_above
+            event("term", term=new)
+        elif status == 409:
+            world.call(self._term_read, "get", TERM_KEY, 0)
+            self.busy.add("term")
+        else:
+            # The raise may still be carried out late; its number is then simply unused.
+            self.next_try = world.now + constants.BACKOFF_FIRST_S
+
+    def _term_read(self, status: int, result: Any) -> None:
+        self.busy.discard("term")
+        if status == 200:
+            self.world.replica.apply(TERM_KEY, *result)
+
+    def _granted(self, status: int, result: Any) -> None:
+        self.busy.discard("lease")
+        if status == 200:
+            self.lease = result
+            self.lease_since = self.world.now
+            self.next_renew = self.world.now + constants.NODE_RENEW_S
+            self.node_written = False
+        else:
+            self.next_try = self.world.now + constants.BACKOFF_FIRST_S
+
+    def _renewed(self, status: int, _: Any) -> None:
+        self.busy.discard("renew")
+        if status == 404:
+            self.drop_lease("lease_ended")
+
+    def drop_lease(self, why: str) -> None:
+        """The lease is gone: our roles with it."""
+        event("lost_lease", why=why, roles=len(self.world.my_roles))
+        self.lease = None
+        self.node_written = False
+
+    def _node_done(self, status: int, _: Any) -> None:
+        self.busy.discard("node")
+        if status == 200:
+            self.node_written = True
+        elif status == 400:
+            self.drop_lease("no_such_lease")
+        else:
+            self.next_try = self.world.now + constants.BACKOFF_FIRST_S
+
+    def _claim(self) -> None:
+        world = self.world
+        nodes = sorted({*world.replica.nodes, world.label})
+        for role in [*world.teams, FLEET]:
+            held = world.replica.roles.get(role)
+            if held is not None and held[:2] == (world.label, world.life):
+                continue
+            # A key that bears our label and another life is our dead predecessor's: its late
+            # writes fail once we replace it, since they are guarded by the old key's stamp.
+            mine = held is not None and held[0] == world.label
+            if (held is not None and not mine) or role in self.busy:
+                continue
+            if not mine and preferred(role, nodes) != world.label:
+                continue
+            self.busy.add(role)
+            key = role_key(role)
+            value = [world.label, world.life]
+            world.call(lambda s, r, role=role, value=value: self._claimed(role, value, s, r),
+                       "txn", [(key, held[2] if held else 0)], [(key, value, self.lease)], 1)
+
+    def _claimed(self, role: str, value: list, status: int, result: Any) -> None:
+        self.busy.discard(role)
+        if status == 200:
+            self.world.replica.apply(role_key(role), value, result[0])
+            event("claimed", role=role, epoch=result[0])
+        elif status == 400:
+            self.drop_lease("no_such_lease")
+
+    def refresh_roles(self) -> list[str]:
+        """Bring my_roles up to date; return those won since.
+
+        A role counts only when the replica has all changes up to the claim: no write of an
+        earlier owner can come after it, so the records are then complete.
+        """
+        world = self.world
+        held = {
+            role: stamp
+            for role, (label, life, stamp) in world.replica.roles.items()
+            if label == world.label and life == world.life and world.replica.epoch >= stamp
+        }
+        won = [role for role, stamp in held.items() if world.my_roles.get(role) != stamp]
+        if held != world.my_roles:
+            event("roles", roles=",".join(sorted(held)) or "none")
+        world.my_roles = held
+        return won
--- /dev/null
+++ b/oakmux/core/reservations.py
@@ -0,0 +1,437 @@
+"""The owner's side: sampling machines, binding tasks, writing the records."""
+
+import math
+from typing import Any
+
+from oakmux import constants
+from oakmux.core import teams
+from oakmux.core.jobs import (
+    Binding,
+    Chunk,
+    Job,
+    chunk_key,
+    chunk_tasks,
+    job_key,
+    job_value,
+    role_key,
+)
+from oakmux.core.machines import Keeper, gone, has_room, room, usable
+from oakmux.core.world import Machine, World, event
+from oakmux.wire import JobSpec
+
+
+class Open:
+    """What an owner remembers of an unfinished job; nothing here outlives it."""
+
+    __slots__ = ("next_sample", "samples", "offers", "cursor", "failures", "retry_at", "avoid",
+                 "quiet_until", "zones_used")
+
+    def __init__(self) -> None:
+        self.next_sample = 0.0
+        self.samples = 0
+        self.offers: list[tuple] = []
+        self.cursor = 0
+        self.failures = 0
+        self.retry_at = 0.0
+        self.avoid: set[str] = set()
+        self.quiet_until = 0.0
+
+
+class Owner:
+    """Places the jobs of the teams that we own."""
+
+    def __init__(self, world: World, keeper: Keeper) -> None:
+        self.world = world
+        self.keeper = keeper
+        self.per_chunk = chunk_tasks(world.facts.state.value_kb)
+        self.open: dict[str, Open] = {}
+        self.work: dict[tuple[str, int], Chunk] = {}
+        self.dirty: dict[tuple[str, int], None] = {}
+        self.finish: dict[str, None] = {}
+        self.writing: set[str] = set()
+        self.write_after = 0.0
+        self.in_flight = 0
+        self.used: dict[str, tuple[float, float]] = {}
+        self.used_version: Any = None
+        self.version = 0
+
+    # --- the working copy of the records ---
+
+    def owns(self, job: Job) -> bool:
+        """Whether the job's team is ours."""
+        return job.team in self.world.my_roles
+
+    def lost(self) -> None:
+        """Drop what belongs to teams that are no longer ours."""
+        jobs = self.world.replica.jobs
+        for key in [k for k in self.work if not self.owns(jobs[k[0]])]:
+            del self.work[key]
+            self.dirty.pop(key, None)
+        for job_id in [j for j in self.open if not self.owns(jobs[j])]:
+            del self.open[job_id]
+            self.finish.pop(job_id, None)
+        self.version += 1
+
+    def won(self) -> None:
+        """Begin with the records of a team just won."""
+        for job in list(self.world.replica.active.values()):
+            if self.owns(job):
+                self.changed(job.id)
+                for chunk in job.chunks.values():
+                    self.world.dirty_machines.update(b.machine for b in chunk.bound.values())
+
+    def changed(self, job_id: str) -> None:
+        """The records of a job changed."""
+        job = self.world.replica.jobs.get(job_id)
+        if job is None or not self.owns(job):
+            return
+        self.version += 1
+        if job.final:
+            state = self.open.pop(job_id, None)
+            if state is not None:
+                self._release(state)
+            self.finish.pop(job_id, None)
+            for number in list(job.chunks):
+                if not self._chunk(job, number).bound and (job_id, number) not in self.work:
+                    self._edit(job, number)  # a finished job needs no chunks any more
+        elif job_id not in self.open:
+            self.open[job_id] = Open()
+
+    def _chunk(self, job: Job, number: int) -> Chunk:
+        return self.work.get((job.id, number)) or job.chunks.get(number) or Chunk()
+
+    def _edit(self, job: Job, number: int) -> Chunk:
+        key = (job.id, number)
+        chunk = self.work.get(key)
+        if chunk is None:
+            old = job.chunks.get(number)
+            chunk = self.work[key] = old.copy() if old is not None else Chunk()
+        self.dirty[key] = None
+        self.version += 1
+        return chunk
+
+    def _chunks(self, job: Job) -> list[Chunk]:
+        numbers = set(job.chunks)
+        numbers.update(n for j, n in self.work if j == job.id) if self.work else None
+        return [self._chunk(job, number) for number in numbers]
+
+    def _bindings(self, job: Job) -> list[Binding]:
+        return [b for chunk in self._chunks(job) for b in chunk.bound.values()]
+
+    def unstarted(self, job: Job) -> int:
+        """Count the tasks that are neither done nor bound."""
+        if job.spec is None or job.final:
+            return 0
+        return job.spec.tasks - sum(c.done.bit_count() + len(
+            [i for i in c.bound if not c.done >> (i % self.per_chunk) & 1])
+            for c in self._chunks(job))
+
+    def _next_unstarted(self, job: Job, state: Open) -> int | None:
+        assert job.spec is not None
+        for start in (state.cursor, 0):
+            index = start
+            while index < job.spec.tasks:
+                chunk = self._chunk(job, index // self.per_chunk)
+                if index not in chunk.bound and not chunk.done >> (index % self.per_chunk) & 1:
+                    state.cursor = index + 1
+                    return index
+                index += 1
+        return None
+
+    def team_use(self) -> dict[str, tuple[float, float]]:
+        """Return what our teams' tasks use: all that is bound and not proven gone."""
+        if self.used_version != (self.version, self.world.replica.bindings_version):
+            used: dict[str, tuple[float, float]] = {}
+            for job in self.world.replica.active.values():
+                if job.spec is not None and self.owns(job):
+                    count = len(self._bindings(job))
+                    cpus, gpus = used.get(job.team, (0.0, 0.0))
+                    used[job.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
+            self.used = used
+            self.used_version = (self.version, self.world.replica.bindings_version)
+        return self.used
+
+    # --- sampling ---
+
+    def sample(self) -> None:
+        """Send out reservations for jobs whose turn it is."""
+        now = self.world.now
+        for job_id, state in list(self.open.items()):
+            if now >= state.next_sample and now >= state.retry_at:
+                job = self.world.replica.jobs[job_id]
+                if job.spec is not None:
+                    self._sample_job(job, job.spec, state)
+
+    def _sample_job(self, job: Job, spec: JobSpec, state: Open) -> None:
+        world = self.world
+        if state.offers and state.offers[0][0] + constants.GANG_GATHER_S <= world.now:
+            self._release(state)
+            state.quiet_until = world.now + world.rng.uniform(0, constants.GANG_BACKOFF_S)
+        if world.now < state.quiet_until:
+            return
+        wanted = self.unstarted(job)
+        if spec.kind == "gang" and self._bindings(job):
+            wanted = 0  # a new attempt only when every task of the old one is proven gone
+        cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
+        if not wanted or teams.beyond_limit(world, job.team, cpus + spec.cpus, gpus + spec.gpus):
+            state.next_sample = world.now + constants.RESAMPLE_S
+            return
+        fitting = [m for m in world.machines.values()
+                   if usable(world, m) and world.fits(spec, m) and m.name not in state.avoid]
+        count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
+        # The first sample is the paper's; one that waits too long moves to machines with room.
+        ready = [m for m in fitting if has_room(room(world, m), spec)]
+        pool = ready or fitting
+        state.samples += 1
+        state.next_sample = world.now + constants.RESAMPLE_S * (1 if ready else 2)
+        if not pool:
+            return
+        chosen: dict[str, int] = {}
+        while count > 0:
+            for machine in world.rng.sample(pool, min(count, len(pool))):
+                chosen[machine.name] = chosen.get(machine.name, 0) + 1
+                count -= 1
+        for name, times in chosen.items():
+            world.emit("send", world.machines[name].keeper, ("reserve", name, job.id, times))
+
+    # --- offers ---
+
+    def offer(self, name: str, job_id: str, offer_id: int, session: int, term: int,
+              keeper: str) -> None:
+        """Bind a task to offered room, or decline."""
+        world = self.world
+        job = world.replica.jobs.get(job_id)
+        machine = world.machines.get(name)
+        state = self.open.get(job_id)
+        if (job is None or job.spec is None or state is None or machine is None or job.final
+                or not self.owns(job) or machine.session != session or machine.zone is None
+                or world.now < state.retry_at or not usable(world, machine)
+                or name in state.avoid or not world.fits(job.spec, machine)
+                or job_id in self.keeper.cancelled
+                or job_id in self.finish or not self._take_offer(
+                    job, job.spec, state, machine, (world.now, name, offer_id, session, term,
+                                                    keeper, machine.zone))):
+            world.emit("send", keeper, ("decline", name, offer_id))
+
+    def _take_offer(self, job: Job, spec: JobSpec, state: Open, machine: Machine,
+                    offer: tuple) -> bool:
+        gang = spec.kind == "gang"
+        bound = self._bindings(job)
+        if gang and bound:
+            return False
+        cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
+        need = spec.tasks if gang else 1
+        if teams.beyond_limit(self.world, job.team, cpus + need * spec.cpus,
+                              gpus + need * spec.gpus):
+            return False
+        if not gang:
+            if not zone_allowed(spec, [b.zone for b in bound], machine.zone):
+                return False
+            index = self._next_unstarted(job, state)
+            if index is None:
+                return False
+            self._bind(job, [index], [offer])
+            return True
+        state.offers = [o for o in state.offers
+                        if o[0] + constants.GANG_GATHER_S > self.world.now] + [offer]
+        chosen = choose_gang(spec, state.offers)
+        if chosen is not None:
+            spare = [o for o in state.offers if o not in chosen]
+            state.offers = spare
+            self._release(state)
+            self._bind(job, list(range(spec.tasks)), chosen)
+        return True
+
+    def _release(self, state: Open) -> None:
+        for offer in state.offers:
+            self.world.emit("send", offer[5], ("decline", offer[1], offer[2]))
+        state.offers = []
+
+    def _bind(self, job: Job, indexes: list[int], offers: list[tuple]) -> None:
+        attempt = 1 + max((c.last for c in self._chunks(job)), default=0)
+        for index, offer in zip(indexes, offers, strict=True):
+            _, name, _, session, term, _, zone = offer
+            chunk = self._edit(job, index // self.per_chunk)
+            chunk.last = attempt
+            chunk.bound[index] = Binding(attempt, name, session, term, zone)
+            event("bind", task=f"{job.id}/{index}", attempt=attempt, machine=name)
+
+    # --- proof that tasks are gone ---
+
+    def machine_changed(self, name: str) -> None:
+        """Go through our bindings on a machine whose news changed."""
+        world = self.world
+        bound = world.replica.by_machine.get(name)
+        if not bound:
+            return
+        machine = world.machines.get(name)
+        shown = self.keeper.shown(machine) if machine is not None else {}
+        for (job_id, index), binding in list(bound.items()):
+            job = world.replica.jobs.get(job_id)
+            if job is None or not self.owns(job):
+                continue
+            number = index // self.per_chunk
+            current = self._chunk(job, number).bound.get(index)
+            if current is None or current.attempt != binding.attempt:
+                continue
+            proof = gone(world, machine, (f"{job_id}/{index}", binding.attempt), binding, shown)
+            if proof is not None:
+                self._unbind(job, index, current, *proof)
+
+    def _unbind(self, job: Job, index: int, binding: Binding, why: str, saved: bool) -> None:
+        world = self.world
+        number, bit = divmod(index, self.per_chunk)
+        chunk = self._edit(job, number)
+        del chunk.bound[index]
+        event("unbind", task=f"{job.id}/{index}", attempt=binding.attempt,
+              machine=binding.machine, why=why, saved=int(saved))
+        state = self.open.get(job.id)
+        spec = job.spec
+        if spec is None or job.final:
+            return
+        if why == "done" and spec.kind != "service":
+            if spec.kind == "gang":  # the tasks of a gang complete together
+                for other in range(spec.tasks):
+                    part = self._edit(job, other // self.per_chunk)
+                    part.done |= 1 << other % self.per_chunk
+            else:
+                chunk.done |= 1 << bit
+            if sum(c.done.bit_count() for c in self._chunks(job)) >= spec.tasks:
+                self.finish[job.id] = None
+        elif spec.kind == "gang":
+            self._stop_rest(job, spec, binding.attempt)
+        if state is not None:
+            state.next_sample = 0.0
+            state.cursor = min(state.cursor, index)
+            if why == "error":
+                state.failures += 1
+                state.avoid.add(binding.machine)
+                if len(state.avoid) > max(1, len(world.machines) // 2):
+                    state.avoid.clear()
+                pause = min(constants.RETRY_FIRST_S * 2 ** (state.failures - 1),
+                            constants.RETRY_MOST_S)
+                state.retry_at = world.now + (pause if state.failures > 1 else 0.0)
+            elif why in ("unknown", "busy", "no_room"):
+                state.retry_at = world.now + constants.RETRY_FIRST_S
+
+    def _stop_rest(self, job: Job, spec: JobSpec, attempt: int) -> None:
+        """Stop what is left of a gang's attempt that lost a task."""
+        for index in range(spec.tasks):
+            number = index // self.per_chunk
+            binding = self._chunk(job, number).bound.get(index)
+            if binding is not None and binding.attempt == attempt and not binding.stop:
+                self._edit(job, number).bound[index] = binding._replace(stop=True)
+
+    # --- writing ---
+
+    def flush(self) -> None:
+        """Write changed chunks, many to a transaction, each job in at most one at a time."""
+        world = self.world
+        if (world.now < self.write_after or not self.dirty
+                or self.in_flight >= constants.WRITES_IN_FLIGHT):
+            return
+        guards: dict[str, int] = {}
+        writes: list[tuple] = []
+        sent: list[tuple[str, int, Chunk]] = []
+        jobs_in: dict[str, str] = {}
+        by_job: dict[str, list[int]] = {}
+        for job_id, number in self.dirty:
+            by_job.setdefault(job_id, []).append(number)
+        for job_id, numbers in by_job.items():
+            job = world.replica.jobs[job_id]
+            if job_id in self.writing or job.team not in world.my_roles:
+                continue
+            if len(writes) + len(numbers) + 1 > world.facts.state.txn_ops:
+                if writes:
+                    continue
+                numbers = numbers[: max(1, world.facts.state.txn_ops - 1)]
+            finishing = job_id in self.finish and not job.final and len(numbers) == len(
+                by_job[job_id])
+            guards[role_key(job.team)] = world.my_roles[job.team]
+            guards[job_key(job_id)] = job.stamp
+            jobs_in[job_id] = "done" if finishing else ""
+            if finishing:
+                spec = job.spec if self._bindings(job) else None
+                writes.append((job_key(job_id),
+                               job_value("done", job.team, spec, job.order, job.tasks), None))
+            for number in numbers:
+                chunk = self.work[(job_id, number)]
+                key = chunk_key(job_id, number)
+                old = job.chunks.get(number)
+                guards[key] = old.stamp if old is not None else 0
+                sent.append((job_id, number, chunk.copy()))
+                if (job.final or finishing) and not chunk.bound:
+                    if old is not None:
+                        writes.append((key,))
+                else:
+                    writes.append((key, chunk.to_value(), None))
+                del self.dirty[(job_id, number)]
+        if not sent:
+            return
+        if not writes:
+            for job_id, number, _ in sent:
+                self.work.pop((job_id, number), None)
+            return
+        self.writing.update(jobs_in)
+        self.in_flight += 1
+        world.call(lambda status, result: self._written(writes, sent, jobs_in, status, result),
+                   "txn", list(guards.items()), writes, 1)
+
+    def _written(self, writes: list[tuple], sent: list, jobs_in: dict[str, str], status: int,
+                 result: Any) -> None:
+        world = self.world
+        self.writing.difference_update(jobs_in)
+        self.in_flight -= 1
+        self.version += 1
+        if status == 200:
+            for write in writes:
+                world.replica.apply(write[0], write[1] if len(write) > 1 else None, result[0])
+            for job_id, state in jobs_in.items():
+                if state == "done":
+                    self.finish.pop(job_id, None)
+                    event("job_done", job=job_id)
+            for job_id, number, _ in sent:
+                if (job_id, number) not in self.dirty:
+                    self.work.pop((job_id, number), None)
+            return
+        # Not written, or not known to be: the same again, guarded by the newest stamps. A late
+        # twin then fails, since each successful write moves the stamps that guard it.
+        for job_id, number, _ in sent:
+            if (job_id, number) in self.work:
+                self.dirty.setdefault((job_id, number), None)
+        self.write_after = world.now + constants.BACKOFF_FIRST_S
+        if status == 409 and result is not None:
+            for key in result[1]:
+                world.call(lambda s, r, key=key: self._reread(key, s, r), "get", key, 1)
+        else:
+            event("write_unsure", status=status, jobs=len(jobs_in))
+            for write in writes:
+                world.call(lambda s, r, key=write[0]: self._reread(key, s, r), "get", write[0], 1)
+
+    def _reread(self, key: str, status: int, result: Any) -> None:
+        if status == 200:
+            self.world.replica.apply(key, *result)
+        elif status == 404 and result is not None:
+            self.world.replica.apply(key, None, result[1])
+
+
+def zone_allowed(spec: JobSpec, zones: list[str], zone: str) -> bool:
+    """Whether one more task may start in a zone, given where the job's others may be."""
+    if spec.one_zone and any(other != zone for other in zones):
+        return False
+    return not spec.spread or zones.count(zone) + 1 <= math.ceil(spec.tasks / 2)
+
+
+def choose_gang(spec: JobSpec, offers: list[tuple]) -> list[tuple] | None:
+    """Return offers for all tasks of a gang that keep its constraints, or None."""
+    groups = [offers]
+    if spec.one_zone:
+        groups = [[o for o in offers if o[6] == zone] for zone in {o[6] for o in offers}]
+    for group in groups:
+        chosen: list[tuple] = []
+        for offer in group:
+            if len(chosen) < spec.tasks and zone_allowed(spec, [o[6] for o in chosen], offer[6]):
+                chosen.append(offer)
+        if len(chosen) == spec.tasks:
+            return chosen
+    return None
--- /dev/null
+++ b/oakmux/core/world.py
@@ -0,0 +1,104 @@
+"""What the parts of the core share: settings, records, machines, time, chance and effects."""
+
+import logging
+import random
+from typing import Any
+
+from oakmux.core.jobs import Replica
+from oakmux.settings import Settings, Team
+from oakmux.wire import JobSpec, MachineType, Report
+
+log = logging.getLogger("oakmux.core")
+
+Task = tuple[str, int]
+
+
+class Machine:
+    """The newest that any controller has heard of a machine."""
+
+    __slots__ = ("name", "addr", "type", "zone", "spot", "session", "seq", "token", "notice_at",
+                 "tasks", "keeper", "keeper_term", "heard", "images", "errors", "idle_since",
+                 "first_heard")
+
+    def __init__(self, report: Report, now: float) -> None:
+        self.name = report.machine
+        self.images: set[str] = set()
+        self.errors: list[str] = []
+        self.idle_since: float | None = now
+        self.first_heard = now
+        self.notice_at: float | None = None
+        self.keeper = ""
+        self.keeper_term = 0
+        self.take(report, now)
+
+    def take(self, report: Report, now: float) -> None:
+        """Take over a newer report."""
+        self.addr = report.addr
+        self.type = report.type
+        self.zone = report.zone
+        self.spot = report.spot
+        self.session = report.session
+        self.seq = report.seq
+        self.token = report.token
+        self.notice_at = None if report.notice_s is None else now + report.notice_s
+        self.tasks: dict[Task, tuple[str, str, bool]] = report.tasks
+        self.heard = now
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return what orders the reports of a machine."""
+        return self.session, self.seq
+
+
+class World:
+    """Shared by the parts of one controller; owned by Controller.step."""
+
+    def __init__(self, settings: Settings, rng: random.Random, wall: int) -> None:
+        self.settings = settings
+        self.facts = settings.facts
+        self.label = settings.label
+        self.rng = rng
+        self.now = 0.0
+        self.wall = wall
+        self.replica = Replica()
+        self.types: dict[str, MachineType] = {}
+        self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
+        self.machines: dict[str, Machine] = {}
+        self.draining: dict[str, float] = {}
+        self.effects: list[tuple] = []
+        self.term = 0
+        self.life = 0
+        self.my_roles: dict[str, int] = {}
+        self.state_heard = -1e9
+        self.dirty_machines: set[str] = set()
+        self._op = 0
+        self.ops: dict[int, Any] = {}
+
+    def emit(self, *effect: Any) -> None:
+        """Add an effect."""
+        self.effects.append(effect)
+
+    def call(self, then: Any, *effect: Any) -> None:
+        """Add an effect whose outcome is handed to `then`."""
+        self._op += 1
+        self.ops[self._op] = then
+        self.effects.append((effect[0], self._op, *effect[1:]))
+
+    def fits_type(self, spec: JobSpec, type_name: str) -> bool:
+        """Whether a task of the job fits an empty machine of an allowed type."""
+        kind = self.types.get(type_name)
+        return (kind is not None and (spec.types is None or type_name in spec.types)
+                and spec.cpus <= kind.cpus and spec.gpus <= kind.gpus
+                and spec.memory_gb <= kind.memory_gb)
+
+    def fits(self, spec: JobSpec, machine: Machine) -> bool:
+        """Whether the job allows this machine, room and other tasks apart."""
+        return (self.fits_type(spec, machine.type)
+                and (spec.zone is None or spec.zone == machine.zone)
+                and (spec.spot or not machine.spot))
+
+
+def event(name: str, **fields: Any) -> None:
+    """Log one event at info as key=value."""
+    if log.isEnabledFor(logging.INFO):
+        log.info("event=%s %s", name, " ".join(f"{k}={v}" for k, v in fields.items()))
--- /dev/null
+++ b/oakmux/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and timers round the core."""
--- /dev/null
+++ b/oakmux/net/cloud.py
@@ -0,0 +1,96 @@
+"""The cloud: catalogue, machine list, rentals and returns, within its rate."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from oakmux import constants, wire
+from oakmux.net.http import Client, NoAnswer, NotSent
+from oakmux.net.pace import Bucket, pause
+from oakmux.settings import Settings
+
+log = logging.getLogger("oakmux.cloud")
+
+
+class Cloud:
+    """Carries out the core's calls one after another as the rate allows."""
+
+    def __init__(self, settings: Settings, put: Callable[[tuple], None]) -> None:
+        self.addr = settings.external.cloud
+        self.put = put
+        # One controller holds the fleet; the others only read the catalogue now and then.
+        self.bucket = Bucket(settings.facts.cloud.rps * constants.LIMIT_SHARE / 2)
+        self.client = Client(constants.CLOUD_CONNECTIONS)
+
+    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        loop = asyncio.get_running_loop()
+        while (wait := self.bucket.wait(loop.time(), 1)) > 0:
+            await asyncio.sleep(wait)
+        self.bucket.take(1)
+        data = b"" if body is None else wire.encode(body)
+        status, answer = await self.client.request(self.addr, method, path, data,
+                                                   constants.CLOUD_TIMEOUT_S,
+                                                   constants.MAX_STATE_BODY)
+        return status, wire.decode(answer) if answer else None
+
+    async def carry_out(self, op: int, kind: str, *args: Any) -> None:
+        """Make one call and hand its outcome to the core."""
+        try:
+            status, result = await getattr(self, f"_{kind}")(*args)
+        except NotSent:
+            status, result = 503, None
+        except (NoAnswer, wire.Malformed) as error:
+            log.info("event=cloud_no_answer kind=%s why=%s", kind, error)
+            status, result = 0, None
+        except Exception:
+            log.exception("event=cloud_failed kind=%s", kind)
+            status, result = 0, None
+        self.put(("done", op, status, result))
+
+    async def _list(self) -> tuple[int, Any]:
+        rows: list[tuple] = []
+        since = ""
+        while True:
+            path = f"{wire.PATH_MACHINES}?page={constants.STATE_PAGE}"
+            if since:
+                path += f"&since={quote(since)}"
+            status, answer = await self._call("GET", path)
+            if status != 200:
+                return status, None
+            items, more = wire.parse_machines(answer)
+            rows += items
+            if not more or not items:
+                return 200, rows
+            since = items[-1][0]
+
+    async def _rent(self, name: str, type_name: str, zone: str, spot: bool,
+                    count: int) -> tuple[int, Any]:
+        body = wire.rent_body(name, type_name, zone, spot, count)
+        status, answer = await self._call("POST", wire.PATH_MACHINES, body)
+        if status == 200:
+            return 200, wire.parse_rented(answer)
+        return status, "no capacity" if wire.is_no_capacity(answer) else None
+
+    async def _return(self, names: list[str]) -> tuple[int, Any]:
+        status, _ = await self._call("POST", wire.PATH_RETURN, wire.return_body(names))
+        return status, None
+
+    async def catalogue(self) -> None:
+        """Read the catalogue now and again for ever."""
+        tries = 0
+        while True:
+            try:
+                status, answer = await self._call("GET", wire.PATH_CATALOGUE)
+                if status == 200:
+                    self.put(("catalogue", wire.parse_catalogue(answer)))
+                    tries = 0
+                    await asyncio.sleep(constants.CATALOGUE_S)
+                    continue
+            except (NotSent, NoAnswer, wire.Malformed) as error:
+                log.info("event=catalogue_failed why=%s", error)
+            except Exception:
+                log.exception("event=catalogue_failed")
+            await pause(tries)
+            tries += 1
--- /dev/null
+++ b/oakmux/net/pace.py
@@ -0,0 +1,33 @@
+"""Pacing: token buckets and back-off, so that limits are kept and not run into."""
+
+import asyncio
+import random
+
+from oakmux import constants
+
+
+class Bucket:
+    """Tokens that refill at a rate, up to one second's worth."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = max(rate, 0.1)
+        self.burst = max(rate, 1.0)
+        self.level = self.burst
+        self.at: float | None = None
+
+    def wait(self, now: float, cost: float) -> float:
+        """Return the seconds until `cost` tokens are there (at most a full bucket's worth)."""
+        if self.at is not None:
+            self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.at = now
+        return max(0.0, (min(cost, self.burst) - self.level) / self.rate)
+
+    def take(self, cost: float) -> None:
+        """Take tokens; the level may fall below zero for a cost above the bucket."""
+        self.level -= cost
+
+
+async def pause(tries: int) -> None:
+    """Wait before another try: doubling, bounded, with jitter."""
+    longest = min(constants.BACKOFF_FIRST_S * 2 ** min(tries, 10), constants.BACKOFF_MOST_S)
+    await asyncio.sleep(longest * random.uniform(0.5, 1.0))
--- /dev/null
+++ b/oakmux/net/peers.py
@@ -0,0 +1,102 @@
+"""Messages between controllers: CBOR arrays `[tag, ...]`, many to a request."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from oakmux import constants, wire
+from oakmux.net.http import Client, NoAnswer, NotSent
+from oakmux.net.pace import pause
+
+log = logging.getLogger("oakmux.peers")
+
+PATH = "/peer"
+
+
+class Answer(msgspec.Struct, array_like=True):
+    """A peer's answer: how current its records are and what was cancelled of late."""
+
+    tag: str
+    label: str
+    life: int
+    state_age: float
+    cancelled: list[str]
+
+
+class Batch(msgspec.Struct, array_like=True):
+    """Messages of a peer."""
+
+    tag: str
+    label: str
+    messages: list[list[Any]]
+
+
+def parse_batch(body: bytes) -> Batch:
+    """Check a peer's request; raises Malformed."""
+    try:
+        return msgspec.convert(wire.decode(body), Batch)
+    except msgspec.ValidationError as error:
+        raise wire.Malformed(str(error)) from None
+
+
+class Peer:
+    """The way to one peer; what is lost of the machines' news is sent anew."""
+
+    def __init__(self, label: str, peer: str, addr: str, put: Callable[[tuple], None]) -> None:
+        self.label = label
+        self.peer = peer
+        self.addr = addr
+        self.put = put
+        self.client = Client(constants.PEER_CONNECTIONS)
+        self.outbox: list[tuple] = []
+        self.woken = asyncio.Event()
+        self.life = -1
+
+    def send(self, message: tuple) -> None:
+        """Queue a message."""
+        self.outbox.append(message)
+        if len(self.outbox) > constants.PEER_OUTBOX:
+            del self.outbox[: constants.PEER_OUTBOX // 2]
+        self.woken.set()
+
+    async def pump(self) -> None:
+        """Send batches for ever, one at a time."""
+        tries = 0
+        while True:
+            if not self.outbox:
+                self.woken.clear()
+                await self.woken.wait()
+            batch, self.outbox = (self.outbox[: constants.PEER_BATCH],
+                                  self.outbox[constants.PEER_BATCH:])
+            try:
+                await self._send(batch)
+                tries = 0
+            except (NotSent, NoAnswer, wire.Malformed) as error:
+                log.debug("event=peer_failed peer=%s why=%s", self.peer, error)
+                names = sorted({m[2] for m in batch + self.outbox if m[0] == "view"})
+                self.outbox = []
+                await pause(tries)
+                tries = min(tries + 1, 3)
+                self.put(("resend", self.peer, names))
+            except Exception:
+                log.exception("event=peer_failed peer=%s", self.peer)
+                await pause(tries)
+
+    async def _send(self, batch: list[tuple]) -> None:
+        asked = asyncio.get_running_loop().time()
+        body = wire.encode(["batch", self.label, batch])
+        status, answer = await self.client.request(
+            self.addr, "POST", PATH, body, constants.PEER_TIMEOUT_S, constants.PEER_BODY)
+        if status != 200:
+            raise NoAnswer(f"status {status}")
+        try:
+            word = msgspec.convert(wire.decode(answer), Answer)
+        except msgspec.ValidationError as error:
+            raise wire.Malformed(str(error)) from None
+        if word.life != self.life:
+            self.life = word.life
+            self.put(("peer_new", self.peer))
+        self.put(("peer_alive", self.peer, word.life, word.state_age, word.cancelled, asked))
--- /dev/null
+++ b/oakmux/net/state.py
@@ -0,0 +1,182 @@
+"""The state service: transactions, reads, leases and the watch."""
+
+import asyncio
+import heapq
+import logging
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from oakmux import constants, wire
+from oakmux.core.jobs import PREFIX
+from oakmux.net.http import Client, NoAnswer, NotSent
+from oakmux.net.pace import Bucket, pause
+from oakmux.settings import Settings
+
+log = logging.getLogger("oakmux.state")
+
+
+class State:
+    """Carries out the core's operations within our share of the limits."""
+
+    def __init__(self, settings: Settings, put: Callable[[tuple], None]) -> None:
+        self.addr = settings.external.state
+        self.put = put
+        limits = settings.facts.state
+        share = constants.LIMIT_SHARE / settings.size
+        self.requests = Bucket(limits.rps * share)
+        self.changes = Bucket(limits.write_rps * share)
+        self.client = Client(constants.STATE_CONNECTIONS)
+        self.heap: list[tuple[int, int, float, int, tuple]] = []
+        self.count = 0
+        self.woken = asyncio.Event()
+        self.watch_gap = 1.0 / (limits.rps * share * constants.WATCH_SHARE)
+        self.tasks: set[asyncio.Task] = set()
+
+    def submit(self, kind: str, op: int, *args: Any) -> None:
+        """Queue an operation: leases first, then what users wait for, then the rest."""
+        if kind == "txn":
+            priority, cost = args[2], len(args[1])
+        elif kind == "get":
+            priority, cost = args[1], 0
+        else:
+            priority, cost = -1, 0
+        if len(self.heap) >= constants.MAX_QUEUE:
+            self.put(("done", op, 503, None))
+            return
+        self.count += 1
+        now = asyncio.get_running_loop().time()
+        heapq.heappush(self.heap, (priority, self.count, now, cost, (kind, op, *args)))
+        self.woken.set()
+
+    async def pump(self) -> None:
+        """Start operations as the limits allow."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if not self.heap:
+                self.woken.clear()
+                await self.woken.wait()
+                continue
+            _, _, since, cost, op = self.heap[0]
+            now = loop.time()
+            if now - since > constants.STATE_QUEUE_S:
+                heapq.heappop(self.heap)
+                self.put(("done", op[1], 503, None))
+                continue
+            wait = max(self.requests.wait(now, 1), self.changes.wait(now, cost) if cost else 0.0)
+            if wait > 0:
+                await asyncio.sleep(wait)
+                continue
+            heapq.heappop(self.heap)
+            self.requests.take(1)
+            self.changes.take(cost)
+            task = loop.create_task(self._carry_out(op))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _carry_out(self, op: tuple) -> None:
+        kind, number, *args = op
+        try:
+            status, result = await getattr(self, f"_{kind}")(*args)
+        except NotSent:
+            status, result = 503, None
+        except (NoAnswer, wire.Malformed) as error:
+            log.info("event=state_no_answer kind=%s why=%s", kind, error)
+            status, result = 0, None
+        except Exception:
+            log.exception("event=state_failed kind=%s", kind)
+            status, result = 0, None
+        self.put(("done", number, status, result))
+
+    async def _call(self, method: str, path: str, body: Any = None,
+                    timeout: float = constants.STATE_TIMEOUT_S) -> tuple[int, Any]:
+        data = b"" if body is None else wire.encode(body)
+        status, answer = await self.client.request(self.addr, method, path, data, timeout,
+                                                   constants.MAX_STATE_BODY)
+        if status in (429, 503):
+            return 503, None
+        return status, wire.decode(answer) if answer else None
+
+    async def _txn(self, guards: list, writes: list, _: int) -> tuple[int, Any]:
+        status, answer = await self._call("POST", wire.PATH_TXN, wire.txn_body(guards, writes))
+        if status in (200, 409):
+            return status, wire.parse_txn(answer)
+        if status not in (400, 503):
+            return 0, None
+        if status == 400:
+            log.error("event=txn_refused answer=%s", answer)
+        return status, None
+
+    async def _get(self, key: str, _: int) -> tuple[int, Any]:
+        status, answer = await self._call("GET", f"{wire.PATH_KV}/{quote(key)}")
+        if status == 200:
+            return 200, wire.parse_item(answer)
+        if status == 404:
+            return 404, (None, wire.parse_txn(answer)[0])
+        return (503 if status == 503 else 0), None
+
+    async def _grant(self, life_s: float) -> tuple[int, Any]:
+        status, answer = await self._call("POST", wire.PATH_LEASES, wire.lease_body(life_s))
+        return (200, wire.parse_lease(answer)) if status == 200 else (503, None)
+
+    async def _renew(self, lease: int) -> tuple[int, Any]:
+        status, _ = await self._call("POST", f"{wire.PATH_LEASES}/{lease}/renew", {})
+        return status, None
+
+    async def _paced(self, path: str, timeout: float) -> tuple[int, Any]:
+        loop = asyncio.get_running_loop()
+        while (wait := self.requests.wait(loop.time(), 1)) > 0:
+            await asyncio.sleep(wait)
+        self.requests.take(1)
+        return await self._call("GET", path, None, timeout)
+
+    async def follow(self) -> None:
+        """Read all records, then watch them for ever."""
+        tries = 0
+        epoch: int | None = None
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                if epoch is None:
+                    epoch = await self._load()
+                asked = loop.time()
+                path = (f"{wire.PATH_WATCH}?prefix={PREFIX}&since={epoch}"
+                        f"&block_ms={int(constants.WATCH_BLOCK_S * 1000)}")
+                status, answer = await self._paced(
+                    path, constants.WATCH_BLOCK_S + constants.STATE_TIMEOUT_S)
+                if status == 200:
+                    events, epoch = wire.parse_events(answer)
+                    self.put(("watch", events, epoch, asked))
+                    tries = 0
+                    await asyncio.sleep(max(0.0, asked + self.watch_gap - loop.time()))
+                    continue
+                if status == 410:
+                    epoch = None
+                    continue
+            except (NotSent, NoAnswer, wire.Malformed) as error:
+                log.debug("event=watch_failed why=%s", error)
+            except Exception:
+                log.exception("event=watch_failed")
+            await pause(tries)
+            tries = min(tries + 1, 3)
+
+    async def _load(self) -> int:
+        """Read all records; the watch goes on from the first page's revision."""
+        rows: list[tuple[str, Any, int]] = []
+        since, first = "", None
+        asked = asyncio.get_running_loop().time()
+        while True:
+            path = f"{wire.PATH_KV}?prefix={PREFIX}&page={constants.STATE_PAGE}"
+            if since:
+                path += f"&since={quote(since)}"
+            status, answer = await self._paced(path, 2 * constants.STATE_TIMEOUT_S)
+            if status != 200:
+                raise NoAnswer(f"status {status}")
+            items, more, epoch = wire.parse_rows(answer)
+            rows += items
+            first = epoch if first is None else first
+            if not more or not items:
+                break
+            since = items[-1][0]
+        self.put(("snapshot", rows, first, asked))
+        return first
--- /dev/null
+++ b/oakmux/net/users.py
@@ -0,0 +1,109 @@
+"""What others ask of us: users, workers, health checks and peers."""
+
+import logging
+from collections.abc import Callable
+
+from oakmux import constants, wire
+from oakmux.net import peers
+from oakmux.net.http import Request
+
+log = logging.getLogger("oakmux.users")
+
+CANCEL = "/cancel"
+PATH_STATUS = "/oakmux/status"
+
+
+class Front:
+    """Turns requests into commands of the core and its answers into responses."""
+
+    def __init__(self, put: Callable[[tuple], bool]) -> None:
+        self.put = put
+
+    def refuse(self, request: Request, status: int, reason: str) -> None:
+        """Answer an error at once."""
+        request.respond(status, wire.encode({"error": reason}),
+                        constants.RETRY_AFTER_S if status == 503 else None)
+
+    def answer(self, request: Request, status: int, answer: tuple) -> None:
+        """Answer for the core."""
+        request.respond(status, wire.encode(wire.answer_body(answer)),
+                        constants.RETRY_AFTER_S if status == 503 else None)
+
+    def _queue(self, request: Request, *command: object) -> None:
+        if not self.put(command):
+            self.refuse(request, 503, "busy")
+
+    def public(self, request: Request) -> None:
+        """Serve the public address."""
+        path = request.path.partition("?")[0]
+        if path == wire.PATH_HEALTH:
+            self._route(request, "GET", lambda: self._queue(request, "health", request))
+        elif path == PATH_STATUS:
+            self._route(request, "GET", lambda: self._queue(request, "status", request))
+        elif path == wire.PATH_REPORT:
+            self._route(request, "POST", lambda: self._report(request))
+        elif path == wire.PATH_JOBS:
+            self._route(request, "POST", lambda: self._submit(request))
+        elif path.startswith(wire.PATH_JOBS + "/"):
+            rest = path[len(wire.PATH_JOBS) + 1:]
+            if rest.endswith(CANCEL):
+                self._route(request, "POST",
+                            lambda: self._job(request, "cancel", rest.removesuffix(CANCEL)))
+            else:
+                self._route(request, "GET", lambda: self._job(request, "query", rest))
+        else:
+            self.refuse(request, 404, "unknown path")
+
+    def _route(self, request: Request, method: str, serve: Callable[[], None]) -> None:
+        if request.method != method:
+            self.refuse(request, 405, "wrong method")
+        elif request.too_large:
+            self.refuse(request, 400, "body too large")
+        else:
+            serve()
+
+    def _job(self, request: Request, kind: str, job_id: str) -> None:
+        if "/" in job_id:
+            self.refuse(request, 404, "unknown path")
+        elif not wire.JOB_ID.match(job_id):
+            # Nobody can have submitted such a job.
+            self.refuse(request, 400 if kind == "cancel" else 404, "not a job id")
+        else:
+            self._queue(request, kind, request, job_id)
+
+    def _submit(self, request: Request) -> None:
+        try:
+            value = wire.decode(request.body)
+            job_id = wire.job_id_of(value)
+        except wire.Malformed as error:
+            self.refuse(request, 400, str(error))
+            return
+        spec, reason = None, ""
+        try:
+            spec = wire.parse_job(value)
+        except wire.Malformed as error:
+            reason = str(error)
+        self._queue(request, "submit", request, job_id, spec, reason)
+
+    def _report(self, request: Request) -> None:
+        try:
+            report = wire.parse_report(wire.decode(request.body))
+        except wire.Malformed as error:
+            self.refuse(request, 400, str(error))
+            return
+        self._queue(request, "report", request, report)
+
+    def internal(self, request: Request) -> None:
+        """Serve the address for peers."""
+        if request.path != peers.PATH:
+            self.refuse(request, 404, "unknown path")
+            return
+        if request.method != "POST":
+            self.refuse(request, 405, "wrong method")
+            return
+        try:
+            batch = peers.parse_batch(request.body)
+        except wire.Malformed as error:
+            self.refuse(request, 400, str(error))
+            return
+        self._queue(request, "peer", request, batch.label, batch.messages)
--- /dev/null
+++ b/oakmux/net/workers.py
@@ -0,0 +1,36 @@
+"""Direct orders to workers."""
+
+import logging
+from collections.abc import Callable
+
+from oakmux import constants, wire
+from oakmux.net.http import Client, NoAnswer, NotSent
+
+log = logging.getLogger("oakmux.workers")
+
+
+class Workers:
+    """Sends orders and hands the workers' answers to the core."""
+
+    def __init__(self, put: Callable[[tuple], None]) -> None:
+        self.put = put
+        self.client = Client(constants.WORKER_CONNECTIONS)
+
+    async def orders(self, op: int, addr: str, token: int, session: int,
+                     orders: list[dict]) -> None:
+        """Send orders: ok, refused, unsent (certainly nothing done) or lost (not known)."""
+        outcome, report = "lost", None
+        try:
+            body = wire.encode(wire.orders_body(token, session, orders))
+            status, answer = await self.client.request(addr, "POST", wire.PATH_ORDERS, body,
+                                                       constants.ORDERS_TIMEOUT_S)
+            if status in (200, 409):
+                report = wire.parse_report(wire.decode(answer))
+                outcome = "ok" if status == 200 else "refused"
+        except (NotSent, ValueError):  # ValueError: the worker gave no address to connect to
+            outcome = "unsent"
+        except (NoAnswer, wire.Malformed) as error:
+            log.info("event=orders_lost addr=%s why=%s", addr, error)
+        except Exception:
+            log.exception("event=orders_failed addr=%s", addr)
+        self.put(("done", op, outcome, report))
--- /dev/null
+++ b/oakmux/settings.py
@@ -0,0 +1,163 @@
+"""The platform's settings file, checked."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text says which field and why."""
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team with its guarantee and its limit; 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    """An aim for starting or finishing work."""
+
+    kind: str
+    lane: str | None = msgspec.field(default=None, name="class")
+    within_s: float | None = None
+    share: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    """Times of the workers, in seconds."""
+
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    """Limits of the cloud."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Resources(msgspec.Struct, frozen=True):
+    """What a controller may use."""
+
+    cores: float = 1.0
+    ram_mb: float = 256.0
+    fd_limit: int = 512
+
+
+class Facts(msgspec.Struct, frozen=True):
+    """What is known of the deployment."""
+
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    size: int = 1
+    skew_ms: float = 0.0
+    objectives: list[Objective] = []
+    resources: Resources = Resources()
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Another controller."""
+
+    label: str
+    peer_addr: str
+    area: str = ""
+
+
+class External(msgspec.Struct, frozen=True):
+    """Addresses of the platform's services."""
+
+    cloud: str
+    state: str
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """All that the platform hands over."""
+
+    label: str
+    public_addr: str
+    internal_addr: str
+    external: External
+    facts: Facts
+    area: str = ""
+    members: list[Member] = []
+
+    @property
+    def size(self) -> int:
+        """Number of controllers, ourselves included."""
+        return max(self.facts.size, len(self.members) + 1)
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    """Split `host:port`; raises ValueError."""
+    host, _, port = addr.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {addr!r}")
+    return host, int(port)
+
+
+def check(settings: Settings) -> Settings:
+    """Refuse settings that have the right form but can't work."""
+    addrs = {
+        "public_addr": settings.public_addr,
+        "internal_addr": settings.internal_addr,
+        "external.cloud": settings.external.cloud,
+        "external.state": settings.external.state,
+    }
+    addrs.update({f"members.{m.label}.peer_addr": m.peer_addr for m in settings.members})
+    for field, addr in addrs.items():
+        try:
+            split_addr(addr)
+        except ValueError as error:
+            raise SettingsError(f"{field}: {error}") from None
+    facts = settings.facts
+    positive = {
+        **{f"facts.workers.{k}": v for k, v in msgspec.structs.asdict(facts.workers).items()},
+        **{f"facts.state.{k}": v for k, v in msgspec.structs.asdict(facts.state).items()},
+        **{f"facts.cloud.{k}": v for k, v in msgspec.structs.asdict(facts.cloud).items()},
+        "facts.resources.fd_limit": facts.resources.fd_limit,
+    }
+    for field, value in positive.items():
+        if not 0 < value < 1e12:
+            raise SettingsError(f"{field}: must be above 0, not {value}")
+    if not facts.zones:
+        raise SettingsError("facts.zones: at least one zone is needed")
+    labels = [settings.label, *(m.label for m in settings.members)]
+    if len(set(labels)) != len(labels):
+        raise SettingsError("members.label: every controller needs a label of its own")
+    return settings
+
+
+def load(path: str) -> Settings:
+    """Read and check a settings file; raises SettingsError with one line."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    try:
+        return check(msgspec.convert(raw, Settings))
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
