--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -105,9 +105,8 @@
 MAX_WAITING = 500
 # Unstarted tasks that one pass over the fleet looks at (count).
 DEMAND_TASKS = 300
-# Machines named in one rental and in one return (the cloud's own limits).
+# Machines asked for in one rental (the cloud's own limit).
 MAX_RENT = 50
-MAX_RETURN = 100
 # Seconds a drain notice to a peer holds unless it is repeated.
 DRAIN_NOTICE_S = 6.0
 # Seconds for which a record that a machine is gone stays after it was needed.
@@ -131,3 +130,5 @@
 PEER_BATCH = 200
 # Bytes of a body from a peer.
 PEER_BODY = 4 * 1024 * 1024
+# Rounds over all controllers that the command line makes before it gives up (count).
+CLI_TRIES = 3
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -37,7 +37,17 @@
 }
 JOB_STATES = {"queued": "queued", "running": "running", "done": "done", "cancelled": "aborted"}
 OPS = {"start": "launch", "stop": "halt", "forget": "forget"}
-MACHINE_STATES = {"booting", "running", "failed"}
+# The words that our command line uses for a job's fields and their values.
+JOB_FIELDS = {
+    "id": "id", "class": "lane", "team": "owner", "kind": "shape", "priority": "rank",
+    "tasks": "pieces", "cpus": "vcpus", "gpus": "accelerators", "memory_gb": "memory_gb",
+    "image": "bundle", "image_gb": "size_gb", "types": "flavours", "zone": "site",
+    "one_zone": "together", "spread": "spread", "spot": "loaner", "estimate_s": "guess_s",
+    "checkpoint_s": "save_every_s", "save_s": "save_cost_s", "deadline_s": "due_s",
+}
+KIND_WORDS = {inside: platform for platform, inside in KINDS.items()}
+PRIORITY_WORDS = {"production": "production", "high": "urgent", "normal": "standard",
+                  "low": "idle"}
 
 PATH_JOBS = "/api/jobs"
 PATH_HEALTH = "/healthz"
@@ -404,3 +414,20 @@
 def is_no_capacity(value: Any) -> bool:
     """Whether a refused rental says that there are no machines."""
     return isinstance(value, dict) and value.get("error") == "no capacity"
+
+
+def job_body(job: dict) -> dict:
+    """Translate a job in the command line's words into a submission."""
+    made = {JOB_FIELDS[name]: value for name, value in job.items()}
+    made["shape"] = KIND_WORDS.get(made["shape"], made["shape"])
+    made["rank"] = PRIORITY_WORDS.get(made["rank"], made["rank"])
+    return made
+
+
+def job_state(value: Any) -> tuple[str, str, int, int]:
+    """Return (job, state, done, running) of an answer to a user."""
+    if not isinstance(value, dict):
+        return "?", "unknown", 0, 0
+    words = {platform: inside for inside, platform in JOB_STATES.items()}
+    return (str(value.get("id")), words.get(value.get("status", ""), "unknown"),
+            value.get("done", 0), value.get("running", 0))
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,244 @@
+"""Messages, settings, HTTP and the command line at their edges."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from oakmux import constants, settings, wire
+from oakmux.cli import main
+from oakmux.core.jobs import Binding, Chunk, Replica, chunk_from, chunk_key, chunk_tasks, job_key
+from oakmux.net.http import ServerProtocol
+from oakmux.net.pace import Bucket
+from oakmux.net.users import Front
+
+GOOD = {"id": "job-000412", "lane": "train", "owner": "vision", "shape": "ensemble",
+        "rank": "urgent", "pieces": 16, "vcpus": 8, "accelerators": 1.0, "memory_gb": 64.0,
+        "bundle": "img", "size_gb": 6.2, "flavours": ["g8"], "site": None, "together": True,
+        "spread": False, "loaner": True, "guess_s": 240.0, "save_every_s": 30.0,
+        "save_cost_s": 4.0, "due_s": 900.0, "colour": "unknown fields are ignored"}
+CONFIG = """
+label = "h0"
+area = "a"
+public_addr = "127.0.0.1:8080"
+internal_addr = "127.0.0.1:8081"
+[external]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[facts]
+zones = ["a"]
+[[facts.teams]]
+name = "red"
+gpus_max = 4
+[facts.workers]
+report_s = 1
+lease_s = 10
+gang_wait_s = 30
+gang_peer_s = 8
+cancel_s = 30
+[facts.state]
+rps = 100
+write_rps = 20
+value_kb = 8
+txn_ops = 12
+[facts.cloud]
+rps = 5
+list_lag_s = 5
+"""
+
+
+def test_a_good_job_is_understood():
+    job = wire.parse_job(GOOD)
+    assert (job.kind, job.priority, job.tasks, job.cpus, job.types) == (
+        "gang", 2, 16, 8.0, ["g8"])
+
+
+@pytest.mark.parametrize(("field", "value"), [
+    ("pieces", 0), ("pieces", 100_001), ("pieces", 1.5), ("pieces", True), ("vcpus", -1.0),
+    ("vcpus", float("nan")), ("memory_gb", float("inf")), ("vcpus", "8"), ("shape", "blob"),
+    ("rank", "first"), ("flavours", "g8"), ("together", 1), ("owner", ""), ("due_s", -1),
+    ("lane", None)])
+def test_a_bad_field_is_malformed(field, value):
+    with pytest.raises(wire.Malformed):
+        wire.parse_job({**GOOD, field: value})
+
+
+@pytest.mark.parametrize("job_id", ["job-", "job-1x", "JOB-1", "job-1/2", 7, None, "job-1\n"])
+def test_a_bad_id_is_malformed(job_id):
+    with pytest.raises(wire.Malformed):
+        wire.job_id_of({**GOOD, "id": job_id})
+
+
+def test_a_bad_report_is_malformed():
+    good = {"box": "n-1", "addr": "10.1.0.1:9000", "flavour": "g8", "site": "a", "loaner": True,
+            "tenure": 1, "tick": 88, "baton": 41, "warning_s": None, "pieces": [
+                {"piece": "job-1/3", "try": 2, "status": "ended", "cause": "done"}]}
+    assert wire.parse_report(good).tasks == {("job-1/3", 2): ("exited", "done", False)}
+    for field, value in (("tenure", -1), ("pieces", [{}]), ("box", ""), ("tick", "1"),
+                         ("pieces", [{"piece": "x", "try": 1, "status": "running"}])):
+        with pytest.raises(wire.Malformed):
+            wire.parse_report({**good, field: value})
+
+
+class FakeTransport:
+    def __init__(self):
+        self.data, self.closed = b"", False
+
+    def write(self, data):
+        self.data += data
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+
+def talk(data: bytes):
+    """Send bytes to the front and return (response, commands, whether it was closed)."""
+    commands = []
+    front = Front(lambda command: not commands.append(command))
+    proto = ServerProtocol(front.public, set(), 10)
+    transport = FakeTransport()
+    proto.connection_made(transport)
+    for byte in range(0, len(data), 50_000):
+        proto.data_received(data[byte:byte + 50_000])
+    return transport.data, commands, transport.closed
+
+
+def post(path: str, body: bytes, method: str = "POST") -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"garbage\r\n\r\n", 400), (post("/nowhere", b""), 404),
+    (post("/api/jobs", b"", "PUT"), 405), (post("/api/jobs", b"\xff\xff"), 400),
+    (post("/api/jobs", wire.encode([1])), 400), (post("/agent/beat", wire.encode({})), 400),
+    (post("/api/jobs", wire.encode("x" * 70_000)), 400),
+    (post("/api/jobs/job-1/cancel", b"", "GET"), 405)])
+def test_bad_requests_are_answered_and_reach_nobody(data, status):
+    answer, commands, closed = talk(data)
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+    assert commands == []
+    assert closed == data.startswith(b"garbage")
+
+
+def test_good_requests_become_commands():
+    _, commands, _ = talk(post("/api/jobs", wire.encode(GOOD)))
+    assert commands[0][0] == "submit" and commands[0][2] == "job-000412"
+    _, commands, _ = talk(post("/api/jobs/job-7/cancel", b""))
+    assert commands[0][0] == "cancel" and commands[0][2] == "job-7"
+    # A known job is answered 200 whatever else the body says, so the core must see the id.
+    _, commands, _ = talk(post("/api/jobs", wire.encode({"id": "job-5"})))
+    assert commands[0][2:4] == ("job-5", None) and commands[0][4]
+
+
+def test_settings_name_the_field_that_is_wrong(tmp_path):
+    file = tmp_path / "c.toml"
+    file.write_text(CONFIG)
+    assert settings.load(str(file)).facts.teams[0].gpus_max == 4.0
+    for old, new, field in (("rps = 100", "rps = -1", "facts.state.rps"),
+                            ("127.0.0.1:2", "nowhere", "external.state"),
+                            ("lease_s = 10", "", "lease_s"), ("[facts]", "[facts", "TOML")):
+        file.write_text(CONFIG.replace(old, new, 1))
+        with pytest.raises(settings.SettingsError, match=field):
+            settings.load(str(file))
+
+
+def test_bad_settings_end_the_process_with_one_line_and_2(tmp_path):
+    file = tmp_path / "c.toml"
+    file.write_text(CONFIG.replace("zones = [\"a\"]", "zones = []"))
+    done = subprocess.run([sys.executable, "run.py", "--config", str(file)], text=True,
+                          capture_output=True, check=False)
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "facts.zones" in done.stderr
+
+
+def test_command_line(tmp_path, monkeypatch):
+    asked = []
+
+    def answer(server, method, path, body=None):
+        asked.append((server, method, path))
+        if server == "127.0.0.1:1":
+            raise OSError("refused")
+        if path == "/healthz":
+            return 200, {"label": "h0", "term": 3, "machines": 2, "teams": ["red"]}
+        if path.endswith("job-404"):
+            return 404, {"error": "unknown job"}
+        return 200, {"id": "job-1", "status": "done", "done": 2, "running": 0}
+
+    monkeypatch.setattr("oakmux.cli.ask_one", answer)
+    ini = tmp_path / "o.ini"
+    ini.write_text("[oakmux]\nservers = 127.0.0.1:1, 127.0.0.1:2\n")
+    job = tmp_path / "job.toml"
+    job.write_text('id = "job-1"\nteam = "red"\ntasks = 2\n')
+    run = CliRunner().invoke
+    base = ["--ini", str(ini)]
+    result = run(main, [*base, "submit", "--file", str(job), "--gpus", "1"])
+    assert result.exit_code == 0 and "job-1: done" in result.output
+    assert [a[0] for a in asked] == ["127.0.0.1:1", "127.0.0.1:2"]  # the second one answered
+    assert json.loads(run(main, [*base, "--json", "status", "job-1"]).output)["done"] == 2
+    assert run(main, [*base, "wait", "job-1"]).exit_code == 0
+    assert run(main, [*base, "status", "job-404"]).exit_code == 1
+    assert run(main, [*base, "status", "nonsense"]).exit_code == 2
+    assert run(main, [*base, "submit", "--id", "job-2"]).exit_code == 2
+    assert "NOT READY" in run(main, [*base, "controllers"]).output
+    assert run(main, ["--server", "nowhere", "controllers"]).exit_code == 2
+
+
+def test_records_survive_their_encoding_and_keep_the_value_limit():
+    zone = "z" * 40
+    per = chunk_tasks(8.0)
+    bound = {i: Binding(2**40, f"n-{2**40}", 2**20, 2**40, zone)
+             for i in range(100_000 - per, 100_000)}
+    chunk = Chunk(9, 7, (1 << 63) | 5, bound)
+    value = wire.decode(wire.encode(chunk.to_value()))
+    again = chunk_from(value, 9)
+    assert (again.last, again.done, again.bound) == (chunk.last, chunk.done, chunk.bound)
+    assert len(json.dumps(value)) <= 8 * 1024
+
+
+def test_replica_drops_older_news():
+    replica = Replica()
+    bound = Chunk(0, 1, 0, {0: Binding(1, "m", 1, 1, "a")}).to_value()
+    replica.apply(job_key("job-1"), ["queued", "red", None, 1, 2], 5)
+    replica.apply(chunk_key("job-1", 0), bound, 6)
+    replica.apply(chunk_key("job-1", 0), Chunk(0, 1, 0, {}).to_value(), 4)
+    assert replica.by_machine == {"m": {("job-1", 0): Binding(1, "m", 1, 1, "a")}}
+    replica.apply(chunk_key("job-1", 0), None, 8)
+    # A late answer must not bring a deleted chunk back.
+    replica.apply(chunk_key("job-1", 0), bound, 7)
+    assert replica.by_machine == {}
+    replica.apply(job_key("job-1"), ["done", "red", None, 1, 2], 9)
+    replica.apply(job_key("job-1"), ["queued", "red", None, 1, 2], 5)
+    assert replica.jobs["job-1"].state == "done"
+
+
+def test_bucket_keeps_the_rate():
+    bucket, now, sent = Bucket(10.0), 0.0, 0
+    while now < 10.0:
+        if bucket.wait(now, 1) <= 0:
+            bucket.take(1)
+            sent += 1
+        else:
+            now += 0.01
+    assert 100 <= sent <= 111
+
+
+def test_failing_command_does_not_end_the_core():
+    from tests.fakes import Sim
+
+    sim = Sim()
+    sim.run(5)
+    sim.command("h0", ("report", None, None))
+    sim.command("h0", ("peer", lambda *a: None, "h1", [["nonsense"], [], ["view", 1]]))
+    sim.run(5)
+    assert sim.cores["h0"].world.term
+
+
+def test_constants_are_used():
+    source = "".join(p.read_text() for p in Path("oakmux").rglob("*.py"))
+    unused = [n for n in dir(constants) if n.isupper() and f"constants.{n}" not in source]
+    assert unused == []
