Sample the machines that hold the image first, then spot, then the fullest

Uniform sampling among machines with room kept both up. Now the sample is drawn in that order; chance decides between equals.

--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -472,7 +472,7 @@
         job_id = task[0].partition("/")[0]
         job = world.replica.jobs.get(job_id)
         if job is not None and job.spec is not None and (
-                state in ("running", "waiting", "saving") or why == "done"):
+                state in ("fetching", "running", "waiting", "saving") or why == "done"):
             machine.images.add(job.spec.image)
         old = before.get(task, ("", "", False))
         if state == "exited" and old[0] != "exited":
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -15,7 +15,7 @@
     job_value,
     role_key,
 )
-from oakmux.core.machines import Keeper, gone, has_room, room, usable
+from oakmux.core.machines import Keeper, Room, gone, has_room, less, room, times, usable
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
@@ -23,12 +23,11 @@
 class Open:
     """What an owner remembers of an unfinished job; nothing here outlives it."""
 
-    __slots__ = ("next_sample", "samples", "offers", "cursor", "failures", "retry_at", "avoid",
-                 "quiet_until", "zones_used")
+    __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
+                 "quiet_until")
 
     def __init__(self) -> None:
         self.next_sample = 0.0
-        self.samples = 0
         self.offers: list[tuple] = []
         self.cursor = 0
         self.failures = 0
@@ -179,20 +178,43 @@
         fitting = [m for m in world.machines.values()
                    if usable(world, m) and world.fits(spec, m) and m.name not in state.avoid]
         count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
-        # The first sample is the paper's; one that waits too long moves to machines with room.
-        ready = [m for m in fitting if has_room(room(world, m), spec)]
-        pool = ready or fitting
-        state.samples += 1
+        ready = [(m, free) for m in fitting if has_room(free := room(world, m), spec)]
         state.next_sample = world.now + constants.RESAMPLE_S * (1 if ready else 2)
-        if not pool:
-            return
+        if ready:
+            self._reserve(job, self._best(spec, ready, count))
+        elif fitting:
+            chosen: dict[str, int] = {}
+            while count > 0:
+                for machine in world.rng.sample(fitting, min(count, len(fitting))):
+                    chosen[machine.name] = chosen.get(machine.name, 0) + 1
+                    count -= 1
+            self._reserve(job, chosen)
+
+    def _best(self, spec: JobSpec, ready: list[tuple[Machine, Room]],
+              count: int) -> dict[str, int]:
+        """Choose among machines with room: image held, spot if allowed, fullest; chance decides
+        between equals."""
+        rows = []
+        for machine, free in ready:
+            kind = self.world.types[machine.type]
+            left = less(free, spec)
+            rows.append((spec.image not in machine.images, spec.spot and not machine.spot,
+                         machine.idle_since is not None,
+                         max(left[0] / kind.cpus, left[1] / (kind.gpus or 1.0)),
+                         self.world.rng.random(), machine.name, free))
+        rows.sort(key=lambda row: row[:6])
         chosen: dict[str, int] = {}
-        while count > 0:
-            for machine in world.rng.sample(pool, min(count, len(pool))):
-                chosen[machine.name] = chosen.get(machine.name, 0) + 1
-                count -= 1
-        for name, times in chosen.items():
-            world.emit("send", world.machines[name].keeper, ("reserve", name, job.id, times))
+        for row in rows:
+            if count <= 0:
+                break
+            chosen[row[5]] = min(count, times(row[6], spec))
+            count -= chosen[row[5]]
+        return chosen
+
+    def _reserve(self, job: Job, chosen: dict[str, int]) -> None:
+        for name, number in chosen.items():
+            self.world.emit("send", self.world.machines[name].keeper,
+                            ("reserve", name, job.id, number))
 
     # --- offers ---
 
