Preempt work of lower priority, or borrowed, when no machine has room

The owner asks the keepers of as many machines as tasks wait; the keeper picks victims with the least to lose, never services or gangs of several tasks.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -132,3 +132,6 @@
 PEER_BODY = 4 * 1024 * 1024
 # Rounds over all controllers that the command line makes before it gives up (count).
 CLI_TRIES = 3
+# Seconds before a job asks again for work to be stopped in its favour: a stop with its saving and
+# the offer that follows take about as long.
+PREEMPT_S = 4.0
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -278,9 +278,8 @@
         if state == "saving" and not ended:
             return
         orders.append(wire.order("stop", task[0], task[1], grace))
-        if task not in kept.stops:
-            kept.stops[task] = self.world.now
-            event("stop", task=task[0], attempt=task[1], machine=machine.name, grace=grace)
+        kept.stops.setdefault(task, self.world.now)
+        event("stop", task=task[0], attempt=task[1], machine=machine.name, grace=grace)
 
     def _unbound(self, kept: Kept, machine: Machine, orders: list[dict],
                  names: set[Task]) -> None:
@@ -344,8 +343,8 @@
 
     # --- queues and offers ---
 
-    def reserve(self, name: str, job_id: str, count: int) -> None:
-        """Queue a reservation at a machine that we keep."""
+    def reserve(self, name: str, job_id: str, count: int, preempt: bool = False) -> None:
+        """Queue a reservation at a machine that we keep; make room for it if told to."""
         kept = self.kept.get(name)
         machine = self.world.machines.get(name)
         if kept is None or machine is None or machine.keeper != self.world.label:
@@ -355,8 +354,21 @@
             known.count = max(known.count, count)
         elif len(kept.queue) < constants.MAX_QUEUE_PER_MACHINE:
             kept.queue[job_id] = Reservation(job_id, count, self.world.now)
+        if preempt:
+            self._preempt(kept, machine, job_id)
         self.poke.add(name)
 
+    def _preempt(self, kept: Kept, machine: Machine, job_id: str) -> None:
+        world = self.world
+        job = world.replica.jobs.get(job_id)
+        if (job is None or job.spec is None or job.final or kept.stops
+                or not usable(world, machine)):
+            return
+        chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept))
+        for task in chosen[1] if chosen is not None else ():
+            kept.stops[task] = world.now
+            event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
+
     def decline(self, name: str, offer_id: int) -> None:
         """The owner has no task for an offer: release the room, offer it to the next."""
         kept = self.kept.get(name)
@@ -437,6 +449,47 @@
             self.offer(name)
 
 
+def victims(world: World, machine: Machine, job: Job, spec: JobSpec,
+            used: dict[str, tuple[float, float]],
+            held: list[JobSpec] | None = None) -> tuple[float, list[Task]] | None:
+    """Return (lost work, tasks) whose end makes room for one task of a job, or None.
+
+    Only work of lower priority may go, and, for a job within its team's guarantee, work that
+    another team runs beyond its own guarantee. What has least to lose goes first.
+    """
+    cpus, gpus = used.get(job.team, (0.0, 0.0))
+    inside = teams.within_guarantee(world, job.team, cpus + spec.cpus, gpus + spec.gpus)
+    rows = []
+    for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+        other = world.replica.jobs.get(job_id)
+        task = (f"{job_id}/{index}", binding.attempt)
+        state = machine.tasks.get(task)
+        if (other is None or other.spec is None or state is None or binding.stop
+                or state[0] not in ("fetching", "waiting", "running")
+                or other.spec.kind == "service" or other.id == job.id
+                or (other.spec.kind == "gang" and other.spec.tasks > 1)):
+            continue
+        borrowed = (inside and other.team != job.team and not teams.within_guarantee(
+            world, other.team, *used.get(other.team, (0.0, 0.0))))
+        if other.spec.priority >= spec.priority and not borrowed:
+            continue
+        ran = world.now - machine.since.get(task, world.now) if state[0] == "running" else 0.0
+        lost = min(ran, other.spec.save_s) if other.spec.checkpoint_s else ran
+        rows.append((other.spec.priority, lost * max(other.spec.gpus, other.spec.cpus / 8.0),
+                     task, other.spec))
+    rows.sort(key=lambda row: row[:3])
+    free = room(world, machine, held)
+    chosen: list[Task] = []
+    total = 0.0
+    for _, lost, task, other_spec in rows:
+        if has_room(free, spec):
+            break
+        free = less(free, other_spec, -1)
+        chosen.append(task)
+        total += lost
+    return (total, chosen) if chosen and has_room(free, spec) else None
+
+
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
     """Return the order in a queue: guaranteed work and priority first, fair between teams."""
     cpus, gpus = used.get(job.team, (0.0, 0.0))
@@ -475,14 +528,17 @@
                 state in ("fetching", "running", "waiting", "saving") or why == "done"):
             machine.images.add(job.spec.image)
         old = before.get(task, ("", "", False))
+        if state == "running" and old[0] != "running" and machine.keeper == world.label:
+            event("running", task=task[0], attempt=task[1], machine=machine.name)
         if state == "exited" and old[0] != "exited":
             event("exited", task=task[0], attempt=task[1], machine=machine.name, why=why)
             if why == "done":
                 machine.errors.clear()
             elif why == "error" and job_id not in machine.errors:
                 machine.errors.append(job_id)
-    live = any(state[0] != "exited" for state in machine.tasks.values())
-    if live:
+    machine.since = {task: machine.since.get(task, world.now)
+                     for task, state in machine.tasks.items() if state[0] != "exited"}
+    if machine.since:
         machine.idle_since = None
     elif machine.idle_since is None:
         machine.idle_since = world.now
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -15,7 +15,7 @@
     job_value,
     role_key,
 )
-from oakmux.core.machines import Keeper, Room, gone, has_room, less, room, times, usable
+from oakmux.core.machines import Keeper, Room, gone, has_room, less, room, times, usable, victims
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
@@ -24,7 +24,7 @@
     """What an owner remembers of an unfinished job; nothing here outlives it."""
 
     __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
-                 "quiet_until")
+                 "quiet_until", "preempt_at")
 
     def __init__(self) -> None:
         self.next_sample = 0.0
@@ -34,6 +34,7 @@
         self.retry_at = 0.0
         self.avoid: set[str] = set()
         self.quiet_until = 0.0
+        self.preempt_at = 0.0
 
 
 class Owner:
@@ -183,6 +184,7 @@
         if ready:
             self._reserve(job, self._best(spec, ready, count))
         elif fitting:
+            self._make_room(job, spec, state, fitting, wanted)
             chosen: dict[str, int] = {}
             while count > 0:
                 for machine in world.rng.sample(fitting, min(count, len(fitting))):
@@ -190,6 +192,29 @@
                     count -= 1
             self._reserve(job, chosen)
 
+    def _make_room(self, job: Job, spec: JobSpec, state: Open, fitting: list[Machine],
+                   wanted: int) -> None:
+        """Ask the keepers of as many machines as tasks wait to stop work of less right."""
+        world = self.world
+        if world.now < state.preempt_at or (spec.kind == "gang" and spec.tasks > 1):
+            return
+        used = teams.usage(world)
+        bound = [b.zone for b in self._bindings(job)]
+        rows = []
+        for machine in fitting:
+            if not zone_allowed(spec, bound, machine.zone):
+                continue
+            found = victims(world, machine, job, spec, used)
+            if found is not None:
+                fetch = 0.0
+                if spec.image not in machine.images:
+                    fetch = spec.image_gb / (world.types[machine.type].fetch_gb_per_s or 1.0)
+                rows.append((found[0] + fetch, world.rng.random(), machine))
+        rows.sort(key=lambda row: row[:2])
+        for _, _, machine in rows[:wanted]:
+            state.preempt_at = world.now + constants.PREEMPT_S
+            world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
+
     def _best(self, spec: JobSpec, ready: list[tuple[Machine, Room]],
               count: int) -> dict[str, int]:
         """Choose among machines with room: image held, spot if allowed, fullest; chance decides
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -18,7 +18,7 @@
 
     __slots__ = ("name", "addr", "type", "zone", "spot", "session", "seq", "token", "notice_at",
                  "tasks", "keeper", "keeper_term", "heard", "images", "errors", "idle_since",
-                 "first_heard")
+                 "first_heard", "since")
 
     def __init__(self, report: Report, now: float) -> None:
         self.name = report.machine
@@ -26,6 +26,7 @@
         self.errors: list[str] = []
         self.idle_since: float | None = now
         self.first_heard = now
+        self.since: dict[Task, float] = {}
         self.notice_at: float | None = None
         self.keeper = ""
         self.keeper_term = 0
