--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -59,7 +59,8 @@
         def done(status: int, result: Any) -> None:
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
-                event("accepted", job=job_id, lane=spec.lane, team=spec.team, kind=spec.kind, tasks=spec.tasks)
+                event("accepted", job=job_id, lane=spec.lane, team=spec.team, kind=spec.kind,
+                      tasks=spec.tasks)
                 world.emit("answer", rid, 201, ("job", job_id, "queued", 0, 0))
             elif status == 409:
                 self._get(rid, job_id, lambda job: self._known(rid, job, "", 503))
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -473,8 +473,9 @@
             world, other.team, *used.get(other.team, (0.0, 0.0))))
         if other.spec.priority >= spec.priority and not borrowed:
             continue
-        ran = world.now - machine.since.get(task, world.now) if state[0] == "running" else 0.0
-        lost = min(ran, other.spec.save_s) if other.spec.checkpoint_s else ran
+        lost = world.now - machine.since.get(task, world.now)
+        if other.spec.checkpoint_s and state[0] == "running":
+            lost = min(lost, other.spec.save_s)
         rows.append((other.spec.priority, lost * max(other.spec.gpus, other.spec.cpus / 8.0),
                      task, other.spec))
     rows.sort(key=lambda row: row[:3])
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -182,9 +182,15 @@
         ready = [(m, free) for m in fitting if has_room(free := room(world, m), spec)]
         state.next_sample = world.now + constants.RESAMPLE_S * (1 if ready else 2)
         if ready:
-            self._reserve(job, self._best(spec, ready, count))
+            # A fetch blocks its place as well: stopping young work where the image is costs less.
+            holding = [m for m in fitting if spec.image in m.images]
+            if not any(spec.image in m.images for m, _ in ready) and self._make_room(
+                    job, spec, state, holding, wanted, fetch_s(world, spec, ready[0][0])):
+                state.next_sample = world.now + constants.PREEMPT_S
+            else:
+                self._reserve(job, self._best(spec, ready, count))
         elif fitting:
-            self._make_room(job, spec, state, fitting, wanted)
+            self._make_room(job, spec, state, fitting, wanted, math.inf)
             chosen: dict[str, int] = {}
             while count > 0:
                 for machine in world.rng.sample(fitting, min(count, len(fitting))):
@@ -193,11 +199,12 @@
             self._reserve(job, chosen)
 
     def _make_room(self, job: Job, spec: JobSpec, state: Open, fitting: list[Machine],
-                   wanted: int) -> None:
-        """Ask the keepers of as many machines as tasks wait to stop work of less right."""
+                   wanted: int, most: float) -> int:
+        """Ask the keepers of as many machines as tasks wait to stop work of less right, where
+        that costs less than `most` seconds; return how many were asked."""
         world = self.world
         if world.now < state.preempt_at or (spec.kind == "gang" and spec.tasks > 1):
-            return
+            return 0
         used = teams.usage(world)
         bound = [b.zone for b in self._bindings(job)]
         rows = []
@@ -206,14 +213,14 @@
                 continue
             found = victims(world, machine, job, spec, used)
             if found is not None:
-                fetch = 0.0
-                if spec.image not in machine.images:
-                    fetch = spec.image_gb / (world.types[machine.type].fetch_gb_per_s or 1.0)
-                rows.append((found[0] + fetch, world.rng.random(), machine))
+                cost = found[0] + fetch_s(world, spec, machine)
+                if cost < most:
+                    rows.append((cost, world.rng.random(), machine))
         rows.sort(key=lambda row: row[:2])
         for _, _, machine in rows[:wanted]:
             state.preempt_at = world.now + constants.PREEMPT_S
             world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
+        return len(rows[:wanted])
 
     def _best(self, spec: JobSpec, ready: list[tuple[Machine, Room]],
               count: int) -> dict[str, int]:
@@ -462,6 +469,13 @@
             self.world.replica.apply(key, None, result[1])
 
 
+def fetch_s(world: World, spec: JobSpec, machine: Machine) -> float:
+    """Return the seconds until a machine has the job's image, as far as we know."""
+    if spec.image in machine.images:
+        return 0.0
+    return spec.image_gb / (world.types[machine.type].fetch_gb_per_s or 1.0)
+
+
 def zone_allowed(spec: JobSpec, zones: list[str], zone: str) -> bool:
     """Whether one more task may start in a zone, given where the job's others may be."""
     if spec.one_zone and any(other != zone for other in zones):
