--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -23,7 +23,7 @@
 # Seconds between renewals: three may be lost before the lease ends.
 NODE_RENEW_S = 1.0
 # Seconds to wait after our node key stands before claiming, so that peers can appear.
-CLAIM_DELAY_S = 1.5
+CLAIM_DELAY_S = 0.6
 # Seconds without word from the state service after which we call ourselves cut off.
 STATE_STALE_S = 3.0
 # Seconds a watch stays open at the state service.
@@ -135,3 +135,7 @@
 # Seconds before a job asks again for work to be stopped in its favour: a stop with its saving and
 # the offer that follows take about as long.
 PREEMPT_S = 4.0
+# Share of the cloud's rate that one controller uses (fraction): the holder of the fleet needs most
+# of it, the others read the catalogue. The cloud allows bursts of two seconds' worth.
+CLOUD_SHARE = 0.75
+CLOUD_BURST_S = 1.6
--- a/oakmux/net/cloud.py
+++ b/oakmux/net/cloud.py
@@ -21,14 +21,17 @@
         self.addr = settings.external.cloud
         self.put = put
         # One controller holds the fleet; the others only read the catalogue now and then.
-        self.bucket = Bucket(settings.facts.cloud.rps * constants.LIMIT_SHARE / 2)
+        self.bucket = Bucket(settings.facts.cloud.rps * constants.CLOUD_SHARE,
+                             constants.CLOUD_BURST_S)
+        self.turn = asyncio.Lock()
         self.client = Client(constants.CLOUD_CONNECTIONS)
 
     async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         loop = asyncio.get_running_loop()
-        while (wait := self.bucket.wait(loop.time(), 1)) > 0:
-            await asyncio.sleep(wait)
-        self.bucket.take(1)
+        async with self.turn:  # first come, first served: the most urgent rentals come first
+            while (wait := self.bucket.wait(loop.time(), 1)) > 0:
+                await asyncio.sleep(wait)
+            self.bucket.take(1)
         data = b"" if body is None else wire.encode(body)
         status, answer = await self.client.request(self.addr, method, path, data,
                                                    constants.CLOUD_TIMEOUT_S,
--- a/oakmux/net/pace.py
+++ b/oakmux/net/pace.py
@@ -7,11 +7,11 @@
 
 
 class Bucket:
-    """Tokens that refill at a rate, up to one second's worth."""
+    """Tokens that refill at a rate, up to `seconds` worth of it."""
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, seconds: float = 1.0) -> None:
         self.rate = max(rate, 0.1)
-        self.burst = max(rate, 1.0)
+        self.burst = max(rate * seconds, 1.0)
         self.level = self.burst
         self.at: float | None = None
 
