Move lone services together so that their machines can be returned

Cause: services run for many minutes and stayed alone on machines of four GPUs; nothing ended there but them, so the machines were never empty. The fleet now drains the emptiest machine when other machines in use hold the images and have room for all its services, one machine at a time.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -139,3 +139,7 @@
 # of it, the others read the catalogue. The cloud allows bursts of two seconds' worth.
 CLOUD_SHARE = 0.75
 CLOUD_BURST_S = 1.6
+# Free share of a machine from which its services may be moved together with others (fraction).
+MOVE_FREE = 0.5
+# Seconds that a move may take before the machine is used again.
+MOVE_S = 10.0
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -52,6 +52,7 @@
             "reserve": self.keeper.reserve,
             "offer": self.owner.offer,
             "decline": self.keeper.decline,
+            "move": self.keeper.move,
             "drain": self._drain,
             "gone": self._gone,
         }
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -8,7 +8,7 @@
 from oakmux.core.machines import Keeper, has_room, less, rank, room, usable
 from oakmux.core.membership import FLEET
 from oakmux.core.reservations import zone_allowed
-from oakmux.core.world import World, event
+from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
 
@@ -60,8 +60,10 @@
         self.listing = False
         self.next_list = 0.0
         self.next_pass = 0.0
+        self.unplaced = False
         self.cloud_after = 0.0
         self.gone_written: dict[str, float] = {}
+        self.moving: dict[str, float] = {}
 
     def won(self) -> None:
         """Begin to hold the role."""
@@ -85,6 +87,8 @@
             self.next_pass = world.now + constants.FLEET_PASS_S
             self._records()
             slots = self._demand()
+            if not self.unplaced:
+                self._consolidate(slots)
             self._idle(slots)
             self._return_bad()
 
@@ -211,6 +215,7 @@
                          and job.id not in self.keeper.cancelled), key=lambda row: row[:2])
         rent: dict[tuple[str, str, bool], int] = {}
         left = constants.DEMAND_TASKS
+        self.unplaced = False
         for _, _, spec, job in ranked:
             bound = [b for chunk in job.chunks.values() for b in chunk.bound.values()]
             open_tasks = job.tasks - job.done_count() - len(bound)
@@ -221,7 +226,9 @@
                     break
                 slot = self._place(job, spec, zones, slots, rent)
                 if slot is None:
+                    self.unplaced = True
                     break
+                self.unplaced = self.unplaced or not slot.name
                 slot.free = less(slot.free, spec)
                 slot.used = True
                 zones.append(slot.zone)
@@ -317,8 +324,11 @@
             drained = world.draining.get(name)
             if drained is not None:
                 if not self._empty(name):
-                    if usable_but_drained(len(machine.errors)):
+                    # Work came before the drain was known everywhere, or a move did not end.
+                    if (len(machine.errors) < constants.SICK_ERRORS
+                            and self.moving.get(name, 0.0) < world.now):
                         del world.draining[name]
+                        self.moving.pop(name, None)
                 elif world.now - drained >= constants.DRAIN_S:
                     self._return([name], "idle")
             elif (machine.idle_since is not None and self._empty(name) and name not in needed
@@ -330,6 +340,62 @@
             for label in self.peers()[1:]:
                 world.emit("send", label, ("drain", names))
 
+    def _consolidate(self, slots: list[Slot]) -> None:
+        """Move the services off the emptiest machine when others have room and their images."""
+        world = self.world
+        if any(until > world.now and name in world.machines
+               for name, until in self.moving.items()):
+            return
+        self.moving = {n: t for n, t in self.moving.items() if n in world.draining}
+        others = [s for s in slots if s.name in world.machines]
+        best = None
+        for slot in others:
+            machine = world.machines[slot.name]
+            kind = world.types[slot.type]
+            if (machine.idle_since is not None or slot.used or slot.name in world.draining
+                    or world.now - machine.first_heard < constants.IDLE_KEEP_S):
+                continue
+            left = slot.free[1] / kind.gpus if kind.gpus else slot.free[0] / kind.cpus
+            if left >= constants.MOVE_FREE and (best is None or left > best[0]):
+                moves = self._moves(machine, [s for s in others if s is not slot])
+                if moves:
+                    best = (left, slot.name, moves)
+        if best is None:
+            return
+        _, name, moves = best
+        world.draining[name] = world.now
+        self.moving[name] = world.now + constants.MOVE_S
+        event("move", machine=name, tasks=len(moves))
+        for task, attempt in moves:
+            world.emit("send", world.machines[name].keeper, ("move", name, task, attempt))
+
+    def _moves(self, machine: Machine, others: list[Slot]) -> list[tuple[str, int]] | None:
+        """Return the services to move off a machine, or None if that can't be done at once."""
+        world = self.world
+        free = {slot.name: slot.free for slot in others}
+        moves = []
+        for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+            job = world.replica.jobs.get(job_id)
+            task = (f"{job_id}/{index}", binding.attempt)
+            if (job is None or job.spec is None or job.spec.kind != "service"
+                    or machine.tasks.get(task, ("",))[0] != "running"
+                    or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S):
+                return None
+            spec = job.spec
+            zones = [b.zone for chunk in job.chunks.values() for b in chunk.bound.values()]
+            zones.remove(binding.zone)
+            for slot in others:
+                other = world.machines[slot.name]
+                if (other.idle_since is None and spec.image in other.images
+                        and has_room(free[slot.name], spec) and world.fits(spec, other)
+                        and zone_allowed(spec, zones, slot.zone)):
+                    free[slot.name] = less(free[slot.name], spec)
+                    moves.append(task)
+                    break
+            else:
+                return None
+        return moves
+
     def _return_bad(self) -> None:
         """Return machines that never boot, fell silent or fail all that they run."""
         world = self.world
@@ -376,7 +442,3 @@
         else:
             self.cloud_after = self.world.now + constants.BACKOFF_MOST_S
 
-
-def usable_but_drained(errors: int) -> bool:
-    """Whether a drained machine that got work again may go on."""
-    return errors < constants.SICK_ERRORS
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -369,6 +369,14 @@
             kept.stops[task] = world.now
             event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
 
+    def move(self, name: str, task: str, attempt: int) -> None:
+        """Stop a service so that its owner starts it on another machine."""
+        kept = self.kept.get(name)
+        machine = self.world.machines.get(name)
+        if kept is not None and machine is not None and (task, attempt) in machine.tasks:
+            kept.stops[(task, attempt)] = self.world.now
+            self.poke.add(name)
+
     def decline(self, name: str, offer_id: int) -> None:
         """The owner has no task for an offer: release the room, offer it to the next."""
         kept = self.kept.get(name)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -276,3 +276,15 @@
     with pytest.raises(AssertionError, match="ran_twice|quota|wrong_place"):
         for seed in range(1, 12):
             troubled(seed)
+
+
+def test_services_move_together_so_that_machines_can_be_returned():
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, estimate_s=120.0))  # keeps two machines full
+    sim.submit("job-2", spec("array", 6, "blue", estimate_s=30.0))
+    sim.run(15)
+    for number in range(3, 6):
+        sim.submit(f"job-{number}", spec("service", 1, "blue"))
+    sim.run(300)
+    assert sum(1 for _, task, _ in sim.live() if task.endswith("/0")) == 3
+    assert len([w for w in sim.workers.values() if not w.dead]) == 1
