--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -143,3 +143,11 @@
 MOVE_FREE = 0.5
 # Seconds that a move may take before the machine is used again.
 MOVE_S = 10.0
+# Seconds of lost work that a victim's priority adds for each level above idle.
+VICTIM_RANK_S = 10.0
+# Seconds after which a start counts even if the task is stopped (PROTOCOL, how aims are counted).
+START_COUNTS_S = 30.0
+# Seconds of lost work that a met aim for starting is taken to be worth.
+AIM_WORTH_S = 40.0
+# A fetch may take this many times its nominal time (PROTOCOL: give or take a third).
+FETCH_SPREAD = 1.34
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -482,10 +482,12 @@
         if other.spec.priority >= spec.priority and not borrowed:
             continue
         lost = world.now - machine.since.get(task, world.now)
+        young = lost < constants.START_COUNTS_S
         if other.spec.checkpoint_s and state[0] == "running":
             lost = min(lost, other.spec.save_s)
-        rows.append((other.spec.priority, lost * max(other.spec.gpus, other.spec.cpus / 8.0),
-                     task, other.spec))
+        # What is urgent itself has to start again too, and a start undone so soon was no start.
+        lost += other.spec.priority * constants.VICTIM_RANK_S * (2 if young else 1)
+        rows.append((other.spec.priority, lost, task, other.spec))
     rows.sort(key=lambda row: row[:3])
     free = room(world, machine, held)
     chosen: list[Task] = []
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -185,7 +185,7 @@
             # A fetch blocks its place as well: stopping young work where the image is costs less.
             holding = [m for m in fitting if spec.image in m.images]
             if not any(spec.image in m.images for m, _ in ready) and self._make_room(
-                    job, spec, state, holding, wanted, fetch_s(world, spec, ready[0][0])):
+                    job, spec, state, holding, wanted, self._worth_s(spec, ready[0][0])):
                 state.next_sample = world.now + constants.PREEMPT_S
             else:
                 self._reserve(job, self._best(spec, ready, count))
@@ -222,6 +222,15 @@
             world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
         return len(rows[:wanted])
 
+    def _worth_s(self, spec: JobSpec, machine: Machine) -> float:
+        """Return the lost work that is worth sparing a job the fetch on a machine: the fetch, and
+        more if only without it an aim for starting this class can be met."""
+        fetch = fetch_s(self.world, spec, machine)
+        slow = fetch * constants.FETCH_SPREAD
+        if any(within < slow for within in self.world.wait_aims.get(spec.lane, ())):
+            return fetch + constants.AIM_WORTH_S
+        return fetch
+
     def _best(self, spec: JobSpec, ready: list[tuple[Machine, Room]],
               count: int) -> dict[str, int]:
         """Choose among machines with room: image held, spot if allowed, fullest; chance decides
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -64,6 +64,10 @@
         self.replica = Replica()
         self.types: dict[str, MachineType] = {}
         self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
+        self.wait_aims: dict[str, list[float]] = {}
+        for aim in settings.facts.objectives:
+            if aim.kind == "wait" and aim.lane and aim.within_s is not None:
+                self.wait_aims.setdefault(aim.lane, []).append(aim.within_s)
         self.machines: dict[str, Machine] = {}
         self.draining: dict[str, float] = {}
         self.effects: list[tuple] = []
