--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -153,3 +153,5 @@
 FETCH_SPREAD = 1.34
 # Seconds for which offers to a job are gathered before the best are taken; peers answer sooner.
 GATHER_S = 0.04
+# Priority from which a start is urgent (levels 0 idle to 3 production).
+URGENT = 2
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -252,10 +252,13 @@
         return chosen
 
     def _preference(self, spec: JobSpec, machine: Machine, free: Room) -> tuple:
-        """Return what orders machines for a task: image held, spot if allowed, fullest."""
+        """Return what orders machines for a task: image held, for urgent work no other fetch
+        under way (they would share the rate), spot if allowed, fullest."""
         kind = self.world.types[machine.type]
         left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
-        return (spec.image not in machine.images, spec.spot and not machine.spot,
+        missing = spec.image not in machine.images
+        fetching = missing and spec.priority >= constants.URGENT and any(s[0] == "fetching" for s in machine.tasks.values())
+        return (missing, fetching, spec.spot and not machine.spot,
                 machine.idle_since is not None, left)
 
     def _reserve(self, job: Job, chosen: dict[str, int]) -> None:
