Record the catalogue, so that a restart during a cloud outage goes on; fix moves of one job

Cause 2, found by a story: two tasks of one service moved at once did not see where the other went, so a spread service could lose a replica until a machine was rented.

--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -148,6 +148,7 @@
 
     def _snapshot(self, rows: list, epoch: int, asked: float) -> None:
         self.world.replica.load(rows, epoch)
+        self._recorded_types()
         self.world.state_heard = max(self.world.state_heard, asked)
         event("loaded", jobs=len(self.world.replica.jobs), epoch=epoch)
 
@@ -159,9 +160,15 @@
             except Exception:  # a record that is not ours, or of another version
                 log.exception("event=bad_record key=%s", key)
         replica.epoch = max(replica.epoch, epoch)
+        self._recorded_types()
         self.world.state_heard = max(self.world.state_heard, asked)
         self.keeper.mesh_broken = False
 
+    def _recorded_types(self) -> None:
+        """Until the cloud answers, the catalogue in the records has to do."""
+        if not self.world.types:
+            self.world.types = dict(self.world.replica.types)
+
     def _catalogue(self, types: list[MachineType]) -> None:
         self.world.types = {t.name: t for t in types}
 
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -2,9 +2,11 @@
 
 from typing import Any
 
+import msgspec
+
 from oakmux import constants
 from oakmux.core import teams
-from oakmux.core.jobs import Job, gone_key
+from oakmux.core.jobs import TYPES_KEY, Job, gone_key
 from oakmux.core.machines import Keeper, has_room, less, rank, room, usable
 from oakmux.core.membership import FLEET
 from oakmux.core.reservations import zone_allowed
@@ -153,6 +155,9 @@
         """Write which machines are gone while bindings refer to them; drop old such records."""
         world = self.world
         writes: list[tuple] = []
+        if set(world.types) != set(world.replica.types):
+            writes.append((TYPES_KEY, [list(msgspec.to_builtins(kind))
+                                       for kind in world.types.values()], None))
         most = max(1, world.facts.state.txn_ops // 2)
         for name in world.replica.by_machine:
             if (name in self.returned and name not in world.replica.gone
@@ -373,6 +378,8 @@
         """Return the services to move off a machine, or None if that can't be done at once."""
         world = self.world
         free = {slot.name: slot.free for slot in others}
+        # Two tasks of one job may move at once: each must see where the other goes.
+        zones_of: dict[str, list[str]] = {}
         moves = []
         for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
             job = world.replica.jobs.get(job_id)
@@ -382,7 +389,8 @@
                     or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S):
                 return None
             spec = job.spec
-            zones = [b.zone for chunk in job.chunks.values() for b in chunk.bound.values()]
+            zones = zones_of.setdefault(job_id, [b.zone for chunk in job.chunks.values()
+                                                 for b in chunk.bound.values()])
             zones.remove(binding.zone)
             for slot in others:
                 other = world.machines[slot.name]
@@ -390,6 +398,7 @@
                         and has_room(free[slot.name], spec) and world.fits(spec, other)
                         and zone_allowed(spec, zones, slot.zone)):
                     free[slot.name] = less(free[slot.name], spec)
+                    zones.append(slot.zone)
                     moves.append(task)
                     break
             else:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -1,7 +1,8 @@
 """Records of jobs, as the state service holds them, and a replica of all of them.
 
 Keys: j/<job> (state, team, description), t/<job>/<chunk> (bindings and completed tasks),
-own/<role> (who owns a team or the fleet), n/<controller>, gone/<machine>, term.
+own/<role> (who owns a team or the fleet), n/<controller>, gone/<machine>, term, types (the
+cloud's catalogue, so that a controller that starts while the cloud is out knows it).
 """
 
 from typing import Any, NamedTuple
@@ -9,7 +10,7 @@
 import msgspec
 
 from oakmux import constants
-from oakmux.wire import JobSpec
+from oakmux.wire import JobSpec, MachineType
 
 PREFIX = "ox/"
 
@@ -118,6 +119,7 @@
 
 
 TERM_KEY = PREFIX + "term"
+TYPES_KEY = PREFIX + "types"
 
 
 class Replica:
@@ -132,6 +134,7 @@
         self.nodes: dict[str, int] = {}
         self.gone: dict[str, int] = {}
         self.term = (0, 0)
+        self.types: dict[str, MachineType] = {}
         self.by_machine: dict[str, dict[tuple[str, int], Binding]] = {}
         self.loose: dict[str, dict[int, Chunk]] = {}
         self.removed: dict[str, int] = {}
@@ -182,6 +185,8 @@
             else:
                 self.gone[rest] = stamp
                 self.changed_machines.add(rest)
+        elif kind == "types" and value is not None:
+            self.types = {row[0]: msgspec.convert(row, MachineType) for row in value}
         elif kind == "term" and value is not None and stamp > self.term[1]:
             self.term = (value, stamp)
 
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -257,7 +257,8 @@
         kind = self.world.types[machine.type]
         left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
         missing = spec.image not in machine.images
-        fetching = missing and spec.priority >= constants.URGENT and any(s[0] == "fetching" for s in machine.tasks.values())
+        fetching = missing and spec.priority >= constants.URGENT and any(
+            state[0] == "fetching" for state in machine.tasks.values())
         return (missing, fetching, spec.spot and not machine.spot,
                 machine.idle_since is not None, left)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -237,8 +237,7 @@
         self.completed: set[str] = set()
         self.starts = 0
         self.start_log: list[tuple[float, str, int, str]] = []
-        for label in self.labels:
-            self.boot(label)
+        self.boot_all()
         self.list_machines()
 
     # --- time and network ---
@@ -292,13 +291,18 @@
 
     # --- controllers ---
 
+    def boot_all(self) -> None:
+        for label in self.labels:
+            self.boot(label)
+
     def boot(self, label: str) -> None:
         self.lives[label] += 1
         life = self.lives[label]
         core = Controller(settings_for(label, len(self.labels)),
                           random.Random(self.rng.random()), 0)
         self.cores[label] = core
-        self.command(label, ("catalogue", [TYPE]))
+        if not self.cloud_down:
+            self.command(label, ("catalogue", [TYPE]))
         self.follow(label, life, None)
         self.tick(label, life)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -288,3 +288,18 @@
     sim.run(300)
     assert sum(1 for _, task, _ in sim.live() if task.endswith("/0")) == 3
     assert len([w for w in sim.workers.values() if not w.dead]) == 1
+
+
+def test_restart_while_the_cloud_is_out_goes_on_with_the_recorded_catalogue():
+    sim = quiet()
+    sim.submit("job-1", spec("array", 2, estimate_s=1.0))
+    sim.run(12)
+    sim.cloud_down = True
+    for label in sim.labels:
+        sim.crash(label, 2.0)
+    sim.run(8)
+    sim.submit("job-2", spec("array", 2, estimate_s=1.0))
+    sim.run(10)
+    sim.query("job-2")
+    sim.run(1)
+    assert sim.told["job-2"] == "done"
