Bound the work of a tick: team use from what is bound, a limited number of samplings

Cause: with 2,000 jobs waiting, a controller spent more than a core: team use went over all jobs at every offer, and every waiting job sampled machines every 0.4 s.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -155,3 +155,5 @@
 GATHER_S = 0.04
 # Priority from which a start is urgent (levels 0 idle to 3 production).
 URGENT = 2
+# Jobs that an owner samples machines for in one tick, at most (count).
+SAMPLES_PER_TICK = 40
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -213,7 +213,7 @@
         """Place unstarted tasks on what is there or coming; rent for the rest."""
         world = self.world
         slots = self._slots()
-        used = teams.usage(world)
+        used = dict(teams.usage(world))
         ranked = sorted(((rank(world, job, job.spec, used), job.order, job.spec, job)
                          for job in world.replica.active.values()
                          if job.spec is not None and not job.final
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -205,6 +205,7 @@
         else:
             job.state, job.stamp, job.spec = state, stamp, spec
         self.changed_jobs.add(job_id)
+        self.bindings_version += 1
         self._index(job)
         if job.final:
             self.changed_machines.update(
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -1,5 +1,6 @@
 """The owner's side: sampling machines, binding tasks, writing the records."""
 
+import heapq
 import math
 from typing import Any
 
@@ -142,11 +143,12 @@
         """Return what our teams' tasks use: all that is bound and not proven gone."""
         if self.used_version != (self.version, self.world.replica.bindings_version):
             used: dict[str, tuple[float, float]] = {}
-            for job in self.world.replica.active.values():
-                if job.spec is not None and self.owns(job):
-                    count = len(self._bindings(job))
-                    cpus, gpus = used.get(job.team, (0.0, 0.0))
-                    used[job.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
+            jobs = self.world.replica.jobs
+            names = {job_id for bound in self.world.replica.by_machine.values()
+                     for job_id, _ in bound}
+            for job_id in names.union(job_id for job_id, _ in self.work):
+                if self.owns(jobs[job_id]):
+                    teams.add(used, jobs[job_id], len(self._bindings(jobs[job_id])))
             self.used = used
             self.used_version = (self.version, self.world.replica.bindings_version)
         return self.used
@@ -156,6 +158,7 @@
     def sample(self) -> None:
         """Send out reservations for jobs whose turn it is."""
         now = self.world.now
+        due = []
         for job_id, state in list(self.open.items()):
             job = self.world.replica.jobs[job_id]
             if job.spec is None:
@@ -164,7 +167,13 @@
                     and now - state.offers[0][0] >= constants.GATHER_S):
                 self._choose(job, job.spec, state)
             if now >= state.next_sample and now >= state.retry_at:
-                self._sample_job(job, job.spec, state)
+                due.append((-job.spec.priority, state.next_sample, job.order, job_id))
+        # With thousands of jobs waiting, those of higher priority and those that waited longest
+        # go first; the work of one tick stays bounded.
+        for _, _, _, job_id in heapq.nsmallest(constants.SAMPLES_PER_TICK, due):
+            job = self.world.replica.jobs[job_id]
+            if job.spec is not None:
+                self._sample_job(job, job.spec, self.open[job_id])
 
     def _sample_job(self, job: Job, spec: JobSpec, state: Open) -> None:
         world = self.world
--- a/oakmux/core/teams.py
+++ b/oakmux/core/teams.py
@@ -1,6 +1,7 @@
 """Limits and guarantees of teams."""
 
 from oakmux import constants
+from oakmux.core.jobs import Job
 from oakmux.core.world import World
 from oakmux.wire import JobSpec
 
@@ -30,16 +31,25 @@
 
 
 def usage(world: World) -> dict[str, tuple[float, float]]:
-    """Return what the records say each team's tasks use: {team: (cpus, gpus)}."""
-    used: dict[str, tuple[float, float]] = {}
-    for job in world.replica.active.values():
-        if job.spec is None:
-            continue
-        count = sum(len(chunk.bound) for chunk in job.chunks.values())
-        if count:
-            cpus, gpus = used.get(job.team, (0.0, 0.0))
-            used[job.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
-    return used
+    """Return what the records say each team's tasks use: {team: (cpus, gpus)}; not to be changed.
+
+    It goes over what is bound, not over all jobs, and only when a binding has changed.
+    """
+    replica = world.replica
+    if world.used_version != replica.bindings_version:
+        used: dict[str, tuple[float, float]] = {}
+        for bound in replica.by_machine.values():
+            for job_id, _ in bound:
+                add(used, replica.jobs.get(job_id), 1)
+        world.used, world.used_version = used, replica.bindings_version
+    return world.used
+
+
+def add(used: dict[str, tuple[float, float]], job: Job | None, count: int) -> None:
+    """Add `count` tasks of a job to its team's use."""
+    if job is not None and job.spec is not None:
+        cpus, gpus = used.get(job.team, (0.0, 0.0))
+        used[job.team] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
 
 
 def within_guarantee(world: World, team: str, cpus: float, gpus: float) -> bool:
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -69,6 +69,8 @@
             if aim.kind == "wait" and aim.lane and aim.within_s is not None:
                 self.wait_aims.setdefault(aim.lane, []).append(aim.within_s)
         self.machines: dict[str, Machine] = {}
+        self.used: dict[str, tuple[float, float]] = {}
+        self.used_version = -1
         self.draining: dict[str, float] = {}
         self.effects: list[tuple] = []
         self.term = 0
