--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -70,7 +70,7 @@
 CHUNK_TASKS = 64
 BINDING_BYTES = 110
 # Seconds that an idle machine is kept.
-IDLE_KEEP_S = 10.0
+IDLE_KEEP_S = 20.0
 # Seconds between draining a machine and returning it: words to peers take far less.
 DRAIN_S = 2.0
 # A machine that boots longer than this many times the catalogue's time is returned.
