--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -204,9 +204,7 @@
             else:
                 self._reserve(job, self._best(spec, ready, count))
         elif fitting:
-            kind = world.types[fitting[0].type]
-            self._make_room(job, spec, state, fitting, wanted, kind.boot_s + spec.image_gb
-                            / (kind.fetch_gb_per_s or 1.0) + constants.AIM_WORTH_S)
+            self._make_room(job, spec, state, fitting, wanted, math.inf)
             chosen: dict[str, int] = {}
             while count > 0:
                 for machine in world.rng.sample(fitting, min(count, len(fitting))):
