--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -148,7 +148,7 @@
 # Seconds after which a start counts even if the task is stopped (PROTOCOL, how aims are counted).
 START_COUNTS_S = 30.0
 # Seconds of lost work that a met aim for starting is taken to be worth.
-AIM_WORTH_S = 40.0
+AIM_WORTH_S = 90.0
 # A fetch may take this many times its nominal time (PROTOCOL: give or take a third).
 FETCH_SPREAD = 1.34
 # Seconds for which offers to a job are gathered before the best are taken; peers answer sooner.
