--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -190,8 +190,12 @@
         if not wanted or teams.beyond_limit(world, job.team, cpus + spec.cpus, gpus + spec.gpus):
             state.next_sample = world.now + constants.RESAMPLE_S
             return
+        # Room in a zone that the job's other tasks rule out must not hide that room has to be
+        # made in another: a spread service once waited 50 s for its second replica so.
+        zones = [b.zone for b in self._bindings(job)]
         fitting = [m for m in world.machines.values()
-                   if usable(world, m) and world.fits(spec, m) and m.name not in state.avoid]
+                   if usable(world, m) and world.fits(spec, m) and m.name not in state.avoid
+                   and (not zones or zone_allowed(spec, zones, m.zone))]
         count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
         ready = [(m, free) for m in fitting if has_room(free := room(world, m), spec)]
         state.next_sample = world.now + constants.RESAMPLE_S * (1 if ready else 2)
@@ -220,11 +224,8 @@
         if world.now < state.preempt_at or (spec.kind == "gang" and spec.tasks > 1):
             return 0
         used = teams.usage(world)
-        bound = [b.zone for b in self._bindings(job)]
         rows = []
         for machine in fitting:
-            if not zone_allowed(spec, bound, machine.zone):
-                continue
             found = victims(world, machine, job, spec, used)
             if found is not None:
                 cost = found[0] + fetch_s(world, spec, machine)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -303,3 +303,19 @@
     sim.query("job-2")
     sim.run(1)
     assert sim.told["job-2"] == "done"
+
+
+def test_room_in_a_forbidden_zone_does_not_hide_that_room_must_be_made_elsewhere():
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, "red", estimate_s=400.0, zone="a"))
+    sim.run(15)
+    sim.submit("job-2", spec("array", 4, "blue", estimate_s=400.0, zone="b"))
+    sim.run(15)
+    sim.submit("job-3", spec("array", 1, "blue", estimate_s=400.0, zone="c"))
+    sim.run(15)
+    for core in sim.cores.values():  # no more machines, so that only preemption helps
+        core.fleet._rent = lambda *a: None
+    sim.submit("job-4", spec("service", 2, "blue", spread=True, priority=3))
+    sim.run(15)
+    zones = {w.zone for w, task, _ in sim.live() if task.startswith("job-4/")}
+    assert len(zones) == 2
