--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -143,7 +143,7 @@
 MOVE_FREE = 0.5
 # Seconds that a move may take before the machine is used again.
 MOVE_S = 10.0
-# Seconds of lost work that a victim's priority adds for each level above idle.
+# Seconds of lost work that a victim counts for by its priority, times its level (0 to 3) squared.
 VICTIM_RANK_S = 10.0
 # Seconds after which a start counts even if the task is stopped (PROTOCOL, how aims are counted).
 START_COUNTS_S = 30.0
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -486,7 +486,7 @@
         if other.spec.checkpoint_s and state[0] == "running":
             lost = min(lost, other.spec.save_s)
         # What is urgent itself has to start again too, and a start undone so soon was no start.
-        lost += other.spec.priority * constants.VICTIM_RANK_S * (2 if young else 1)
+        lost += other.spec.priority ** 2 * constants.VICTIM_RANK_S * (2 if young else 1)
         rows.append((other.spec.priority, lost, task, other.spec))
     rows.sort(key=lambda row: row[:3])
     free = room(world, machine, held)
