Save tasks with checkpoints before a spot machine is taken; tidy the command line

Cause: a single-task gang on a spot machine that was about to be taken ran on and lost what it had done since its last checkpoint. The keeper now stops it as late as two reports and the saving allow.

--- a/oakmux/cli.py
+++ b/oakmux/cli.py
@@ -218,13 +218,13 @@
     context.show(answer, line(answer))
 
 
-def look(context: Context, job_id: str) -> dict:
-    """Return a job's state or end."""
+def ask_job(context: Context, job_id: str, method: str = "GET", action: str = "") -> dict:
+    """Ask about a job, or act on it; end unless the answer is its state."""
     if not wire.JOB_ID.match(job_id):
         fail(f"not a job id: {job_id}", EXIT_BAD)
-    status, answer = ask(context, "GET", f"{wire.PATH_JOBS}/{job_id}")
-    if status != 200:
-        fail(f"{job_id}: {reason(answer)} ({status})", EXIT_FAILED)
+    code, answer = ask(context, method, f"{wire.PATH_JOBS}/{job_id}{action}")
+    if code != 200:
+        fail(f"{job_id}: {reason(answer)} ({code})", EXIT_FAILED)
     return answer
 
 
@@ -233,7 +233,7 @@
 @click.pass_obj
 def status(context: Context, job_id: str) -> None:
     """Show the state of JOB_ID."""
-    answer = look(context, job_id)
+    answer = ask_job(context, job_id)
     context.show(answer, line(answer))
 
 
@@ -242,11 +242,7 @@
 @click.pass_obj
 def cancel(context: Context, job_id: str) -> None:
     """Cancel JOB_ID."""
-    if not wire.JOB_ID.match(job_id):
-        fail(f"not a job id: {job_id}", EXIT_BAD)
-    code, answer = ask(context, "POST", f"{wire.PATH_JOBS}/{job_id}/cancel")
-    if code != 200:
-        fail(f"{job_id}: {reason(answer)} ({code})", EXIT_FAILED)
+    answer = ask_job(context, job_id, "POST", wire.CANCEL)
     context.show(answer, line(answer))
 
 
@@ -259,7 +255,7 @@
     """Wait until JOB_ID is done (exit 0) or cancelled (exit 1)."""
     end = None if timeout is None else time.monotonic() + timeout
     while True:
-        answer = look(context, job_id)
+        answer = ask_job(context, job_id)
         state = wire.job_state(answer)[1]
         if state in ("done", "cancelled"):
             context.show(answer, line(answer))
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -251,6 +251,8 @@
             ended = job.final or job_id in self.cancelled
             state = machine.tasks.get(task)
             if state is not None:
+                if self._must_save(machine, job, state[0]):
+                    kept.stops.setdefault(task, world.now)
                 if state[0] != "exited" and (ended or binding.stop or task in kept.stops):
                     self._stop(kept, machine, orders, task, state[0], job, ended)
                 continue
@@ -272,6 +274,18 @@
             self._unbound(kept, machine, orders, names)
         return orders, starts
 
+    def _must_save(self, machine: Machine, job: Job, state: str) -> bool:
+        """Whether a task has to save now, since the cloud is about to take its machine.
+
+        The tasks of a larger gang would have to be stopped together; they are left alone.
+        """
+        spec = job.spec
+        if (machine.notice_at is None or spec is None or not spec.checkpoint_s
+                or state != "running" or spec.tasks > 1):
+            return False
+        times_ = self.world.facts.workers
+        return machine.notice_at - self.world.now <= spec.save_s + 2 * times_.report_s
+
     def _stop(self, kept: Kept, machine: Machine, orders: list[dict], task: Task, state: str,
               job: Job, ended: bool) -> None:
         grace = 0.0 if ended or job.spec is None else job.spec.save_s
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -113,7 +113,7 @@
 
     def _chunks(self, job: Job) -> list[Chunk]:
         numbers = set(job.chunks)
-        numbers.update(n for j, n in self.work if j == job.id) if self.work else None
+        numbers.update(number for job_id, number in self.work if job_id == job.id)
         return [self._chunk(job, number) for number in numbers]
 
     def _bindings(self, job: Job) -> list[Binding]:
--- a/oakmux/net/users.py
+++ b/oakmux/net/users.py
@@ -9,7 +9,6 @@
 
 log = logging.getLogger("oakmux.users")
 
-CANCEL = "/cancel"
 PATH_STATUS = "/oakmux/status"
 
 
@@ -46,9 +45,9 @@
             self._route(request, "POST", lambda: self._submit(request))
         elif path.startswith(wire.PATH_JOBS + "/"):
             rest = path[len(wire.PATH_JOBS) + 1:]
-            if rest.endswith(CANCEL):
+            if rest.endswith(wire.CANCEL):
                 self._route(request, "POST",
-                            lambda: self._job(request, "cancel", rest.removesuffix(CANCEL)))
+                            lambda: self._job(request, "cancel", rest.removesuffix(wire.CANCEL)))
             else:
                 self._route(request, "GET", lambda: self._job(request, "query", rest))
         else:
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -50,6 +50,7 @@
                   "low": "idle"}
 
 PATH_JOBS = "/api/jobs"
+CANCEL = "/cancel"
 PATH_HEALTH = "/healthz"
 PATH_REPORT = "/agent/beat"
 PATH_ORDERS = "/orders"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -132,6 +132,7 @@
         self.lease_from = sim.now
         self.dead = False
         self.sick = False
+        self.taken_at: float | None = None
         self.waiting = 0
         self.up = False
 
@@ -145,7 +146,16 @@
         self.advance()
         self.seq += 1
         return Report(self.name, self.name, "big", self.zone, self.spot, self.session, self.seq,
-                      self.token, None, {k: (v[0], v[1], False) for k, v in self.tasks.items()})
+                      self.token, self.notice_s(),
+                      {k: (v[0], v[1], False) for k, v in self.tasks.items()})
+
+    def notice_s(self) -> float | None:
+        return None if self.taken_at is None else max(0.0, self.taken_at - self.sim.now)
+
+    def take(self, seconds: float) -> None:
+        """The cloud takes the machine back after a notice."""
+        self.taken_at = self.sim.now + seconds
+        self.sim.after(seconds, lambda: self.sim.kill(self.name))
 
     def advance(self) -> None:
         now = self.sim.now
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -319,3 +319,19 @@
     sim.run(15)
     zones = {w.zone for w, task, _ in sim.live() if task.startswith("job-4/")}
     assert len(zones) == 2
+
+
+def test_task_with_checkpoints_saves_before_a_spot_machine_is_taken():
+    sim = quiet()
+    sim.submit("job-1", spec("gang", 1, spot=True, checkpoint_s=30.0, save_s=1.0,
+                             estimate_s=60.0))
+    sim.run(20)
+    worker = sim.live()[0][0]
+    assert worker.spot
+    worker.take(10.0)
+    sim.run(9.5)
+    assert worker.name not in {w.name for w, _, _ in sim.live()}  # stopped while it could save
+    sim.run(120)
+    sim.query("job-1")
+    sim.run(1)
+    assert sim.told["job-1"] == "done"
