--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -77,10 +77,8 @@
 BOOT_PATIENCE = 4.0
 # Seconds for which a zone that had no capacity is not asked again.
 NO_CAPACITY_S = 12.0
-# Multiples of the workers' lease after which a silent machine is returned: an empty one, and one
-# whose tasks can't start elsewhere before it is.
+# Multiples of the workers' lease after which a silent machine is returned.
 SILENT_LEASES = 3.0
-SILENT_LEASES_BOUND = 1.6
 # Lists that must lack a machine, and multiples of the list's lag they must be newer by.
 ABSENT_LISTS = 2
 ABSENT_LAGS = 3.0
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -427,9 +427,6 @@
                             and machine.keeper != world.label
                             and world.now - self.keeper.peer_heard.get(machine.keeper, -1e9)
                             > constants.ALIVE_S * 3)
-            if name in world.replica.by_machine:
-                # Its tasks ended with its lease, but only its return proves that.
-                quiet *= constants.SILENT_LEASES / constants.SILENT_LEASES_BOUND
             if quiet > silent * (2 if keeper_hears else 1):
                 self._return([name], "silent")
             elif len(machine.errors) >= constants.SICK_ERRORS:
