--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -556,7 +556,8 @@
         if state == "running" and old[0] != "running" and machine.keeper == world.label:
             event("running", task=task[0], attempt=task[1], machine=machine.name)
         if state == "exited" and old[0] != "exited":
-            event("exited", task=task[0], attempt=task[1], machine=machine.name, why=why)
+            if machine.keeper == world.label:
+                event("exited", task=task[0], attempt=task[1], machine=machine.name, why=why)
             if why == "done":
                 machine.errors.clear()
             elif why == "error" and job_id not in machine.errors:
