--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -222,7 +222,7 @@
         left = constants.DEMAND_TASKS
         self.unplaced = False
         for _, _, spec, job in ranked:
-            bound = [b for chunk in job.chunks.values() for b in chunk.bound.values()]
+            bound = job.bindings()
             open_tasks = job.tasks - job.done_count() - len(bound)
             zones = [b.zone for b in bound]
             while open_tasks > 0 and left > 0:
@@ -389,8 +389,7 @@
                     or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S):
                 return None
             spec = job.spec
-            zones = zones_of.setdefault(job_id, [b.zone for chunk in job.chunks.values()
-                                                 for b in chunk.bound.values()])
+            zones = zones_of.setdefault(job_id, [b.zone for b in job.bindings()])
             zones.remove(binding.zone)
             for slot in others:
                 other = world.machines[slot.name]
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -76,6 +76,10 @@
         """Whether the state can't change any more."""
         return self.state != "queued"
 
+    def bindings(self) -> list[Binding]:
+        """Return all that the records say is bound."""
+        return [b for chunk in self.chunks.values() for b in chunk.bound.values()]
+
     def done_count(self) -> int:
         """Count completed tasks."""
         if self.state == "done":
@@ -208,8 +212,7 @@
         self.bindings_version += 1
         self._index(job)
         if job.final:
-            self.changed_machines.update(
-                b.machine for c in job.chunks.values() for b in c.bound.values())
+            self.changed_machines.update(b.machine for b in job.bindings())
 
     def _index(self, job: Job) -> None:
         if job.final and not any(chunk.bound for chunk in job.chunks.values()):
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -163,7 +163,7 @@
     def _poke_job(self, job_id: str) -> None:
         job = self.world.replica.jobs.get(job_id)
         if job is not None:
-            self.poke.update(b.machine for c in job.chunks.values() for b in c.bound.values())
+            self.poke.update(b.machine for b in job.bindings())
 
     # --- reports ---
 
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -78,8 +78,7 @@
         for job in list(self.world.replica.active.values()):
             if self.owns(job):
                 self.changed(job.id)
-                for chunk in job.chunks.values():
-                    self.world.dirty_machines.update(b.machine for b in chunk.bound.values())
+                self.world.dirty_machines.update(b.machine for b in job.bindings())
 
     def changed(self, job_id: str) -> None:
         """The records of a job changed."""
@@ -154,6 +153,12 @@
             self.used_version = (self.version, self.world.replica.bindings_version)
         return self.used
 
+    def _beyond_limit(self, job: Job, spec: JobSpec, tasks: int = 1) -> bool:
+        """Whether that many more tasks of a job would break its team's limit."""
+        cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
+        return teams.beyond_limit(self.world, job.team, cpus + tasks * spec.cpus,
+                                  gpus + tasks * spec.gpus)
+
     # --- sampling ---
 
     def sample(self) -> None:
@@ -185,15 +190,14 @@
         if world.now < state.quiet_until:
             return
         wanted = self.unstarted(job)
-        if spec.kind == "gang" and self._bindings(job):
+        zones = [b.zone for b in self._bindings(job)]
+        if spec.kind == "gang" and zones:
             wanted = 0  # a new attempt only when every task of the old one is proven gone
-        cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
-        if not wanted or teams.beyond_limit(world, job.team, cpus + spec.cpus, gpus + spec.gpus):
+        if not wanted or self._beyond_limit(job, spec):
             state.next_sample = world.now + constants.RESAMPLE_S
             return
         # Room in a zone that the job's other tasks rule out must not hide that room has to be
         # made in another: a spread service once waited 50 s for its second replica so.
-        zones = [b.zone for b in self._bindings(job)]
         fitting = [m for m in world.machines.values()
                    if usable(world, m) and world.fits(spec, m) and m.name not in state.avoid
                    and (not zones or zone_allowed(spec, zones, m.zone))]
@@ -303,10 +307,7 @@
         bound = self._bindings(job)
         if gang and bound:
             return False
-        cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
-        need = spec.tasks if gang else 1
-        if teams.beyond_limit(self.world, job.team, cpus + need * spec.cpus,
-                              gpus + need * spec.gpus):
+        if self._beyond_limit(job, spec, spec.tasks if gang else 1):
             return False
         if not gang:
             if (not zone_allowed(spec, [b.zone for b in bound], machine.zone)
@@ -333,10 +334,9 @@
         offers.sort(key=lambda row: (row[0], row[1][1]))
         for _, offer in offers:
             zones = [b.zone for b in self._bindings(job)]
-            cpus, gpus = self.team_use().get(job.team, (0.0, 0.0))
             if not zone_allowed(spec, zones, offer[6]):
                 continue
-            if teams.beyond_limit(self.world, job.team, cpus + spec.cpus, gpus + spec.gpus):
+            if self._beyond_limit(job, spec):
                 break
             index = self._next_unstarted(job, state)
             if index is None:
