--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -74,6 +74,16 @@
 # Tasks in one chunk of a job's record (count); bytes one binding takes there, at most.
 CHUNK_TASKS = 64
 BINDING_BYTES = 110
+# Bytes that one more binding takes in format 2 besides the names of machine and zone: numbers of
+# at most so many digits, quotes, commas and brackets.
+BINDING_MORE_BYTES = 48
+# Bytes of a value's limit that we leave unused, should the service count a few more than we do.
+VALUE_SLACK_BYTES = 24
+# Characters of an answer that a log line may hold.
+LOG_TEXT = 120
+# Seconds after which the owner's controller writes that a job is cancelled with one that it needs,
+# if the controller that took the cancellation has not; and between its tries.
+DOOM_S = 1.0
 # Seconds that an idle machine is kept.
 IDLE_KEEP_S = 20.0
 # Seconds between draining a machine and returning it: words to peers take far less.
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -30,6 +30,7 @@
         self.desk = Desk(self.world, self.keeper)
         self.next_alive = 0.0
         self.next_tick = 0.0
+        self.format = self.world.replica.format
         self.handlers: dict[str, Callable[..., None]] = {
             "submit": self.desk.submit,
             "query": self.desk.query,
@@ -124,6 +125,14 @@
             self.owner.won()
             if FLEET in won:
                 self.fleet.won()
+        if replica.format != self.format:
+            self.format = replica.format
+            event("format", format=self.format)
+            self.owner.switched()
+        freed, replica.freed = replica.freed, []
+        for job_id in freed:  # age and the aims for starting count from now
+            replica.jobs[job_id].since = world.wall + int(world.now * 1000)
+            event("ready", job=job_id)
         jobs, replica.changed_jobs = replica.changed_jobs, set()
         machines, replica.changed_machines = replica.changed_machines, set()
         dirty, world.dirty_machines = world.dirty_machines, set()
@@ -156,10 +165,7 @@
     def _watch(self, events: list, epoch: int, asked: float) -> None:
         replica = self.world.replica
         for key, value, stamp in events:
-            try:
-                replica.apply(key, value, stamp)
-            except Exception:  # a record that is not ours, or of another version
-                log.exception("event=bad_record key=%s", key)
+            replica.apply(key, value, stamp)
         replica.epoch = max(replica.epoch, epoch)
         self._recorded_types()
         self.world.state_heard = max(self.world.state_heard, asked)
@@ -180,7 +186,8 @@
         fresh = self.keeper.state_fresh()
         served = any(world.now - at < constants.STATE_STALE_S
                      for at in self.keeper.peer_fresh.values())
-        ready = world.replica.loaded and bool(world.types) and (fresh or not served)
+        ready = (world.replica.loaded and not world.replica.foreign and bool(world.types)
+                 and (fresh or not served))
         world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
 
     def _status(self, rid: Any) -> None:
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -1,11 +1,12 @@
 """Users' requests: accept, show and cancel jobs, always from current records."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
 from oakmux import constants
 from oakmux.core import teams
-from oakmux.core.jobs import Job, job_key, job_value
+from oakmux.core.jobs import Job, job_key, job_value, value_bytes
 from oakmux.core.machines import Keeper
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
@@ -21,6 +22,14 @@
         self.keeper = keeper
         self.waiting: list[tuple[Any, str, Then]] = []
         self.reading = 0
+        # Reads that have to see all changes up to a revision: (revision, until, request, ...).
+        self.behind: list[tuple[int, float, Any, str, Then]] = []
+        # When to write that a job is cancelled with one that it needs.
+        self.doom_at: dict[str, float] = {}
+        self.dooming = False
+        limits = world.facts.state.least
+        self.most_writes, self.most_guards = limits.txn_ops, 4 * limits.txn_ops
+        self.value_limit = int(limits.value_kb * 1024) - constants.VALUE_SLACK_BYTES
 
     def unavailable(self, rid: Any, why: str) -> None:
         """Tell a user to come back."""
@@ -28,8 +37,7 @@
 
     def submit(self, rid: Any, job_id: str, spec: JobSpec | None, reason: str) -> None:
         """Accept a job, once."""
-        if not self.world.replica.loaded:
-            self.unavailable(rid, "starting")
+        if not self.readable(rid):
             return
         job = self.world.replica.jobs.get(job_id)
         if job is not None and job.final:
@@ -39,12 +47,60 @@
         elif not self.world.types:
             self.unavailable(rid, "machine types are not known yet")
         else:
-            never = teams.never_fits(self.world, spec)
+            never = (teams.never_fits(self.world, spec) or self._wrong_needs(job_id, spec)
+                     or self._too_large(job_id, spec))
             if never is not None:
                 self._read(rid, job_id, lambda now: self._known(rid, now, never, 422))
+            elif spec.waits_on and self.world.replica.format < 2:
+                self.unavailable(rid, "an upgrade is under way: waits_on can't be recorded yet")
+            elif self._unknown_needs(spec):
+                # Accepted elsewhere a moment ago, or never: only current records tell.
+                self._read(rid, job_id, lambda now: self._named(rid, job_id, spec, now))
             else:
                 self._create(rid, job_id, spec)
 
+    def readable(self, rid: Any) -> bool:
+        """Whether we have records to answer from; tells the user to come back if not."""
+        replica = self.world.replica
+        if not replica.loaded or replica.foreign:
+            self.unavailable(rid, "starting")
+            return False
+        return True
+
+    def _wrong_needs(self, job_id: str, spec: JobSpec) -> str | None:
+        """Return why a job can't wait on those that it names, as far as that never changes."""
+        if job_id in spec.waits_on:
+            return "waits_on: the job itself"
+        jobs = self.world.replica.jobs
+        for name in spec.waits_on:
+            if name in jobs and jobs[name].service:
+                return f"waits_on: {name} is a service"
+        return None
+
+    def _too_large(self, job_id: str, spec: JobSpec) -> str | None:
+        size = value_bytes(job_value("queued", spec.team, spec, self._order(), spec.tasks))
+        if size <= self.value_limit:
+            return None
+        return f"description of {size} bytes: a record holds {self.value_limit}"
+
+    def _unknown_needs(self, spec: JobSpec) -> list[str]:
+        return [name for name in spec.waits_on if name not in self.world.replica.jobs]
+
+    def _named(self, rid: Any, job_id: str, spec: JobSpec, job: Job | None) -> None:
+        """Go on with a submission: the records are now current."""
+        unknown = self._unknown_needs(spec)
+        never = self._wrong_needs(job_id, spec)
+        if job is not None:
+            self._show(rid, job)
+        elif unknown or never:
+            self.world.emit("answer", rid, 422, (
+                "error", never or f"waits_on: {unknown[0]} was never accepted"))
+        else:
+            self._create(rid, job_id, spec)
+
+    def _order(self) -> int:
+        return self.world.wall + int(self.world.now * 1000)
+
     def _known(self, rid: Any, job: Job | None, reason: str, status: int = 400) -> None:
         if job is not None:
             self._show(rid, job)
@@ -53,15 +109,19 @@
 
     def _create(self, rid: Any, job_id: str, spec: JobSpec) -> None:
         world = self.world
-        order = world.wall + int(world.now * 1000)
-        value = job_value("queued", spec.team, spec, order, spec.tasks)
+        # A job that needs a cancelled one is accepted, and cancelled with it.
+        doomed = any(world.replica.jobs[name].state == "cancelled" or name in world.replica.doomed
+                     for name in spec.waits_on)
+        state = "cancelled" if doomed else "queued"
+        value = job_value(state, spec.team, spec, self._order(), spec.tasks)
 
         def done(status: int, result: Any) -> None:
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
                 event("accepted", job=job_id, lane=spec.lane, team=spec.team, kind=spec.kind,
-                      tasks=spec.tasks)
-                world.emit("answer", rid, 201, ("job", job_id, "queued", 0, 0))
+                      tasks=spec.tasks, state=state,
+                      **({"waits_on": ",".join(spec.waits_on)} if spec.waits_on else {}))
+                world.emit("answer", rid, 201, ("job", job_id, state, 0, 0))
             elif status == 409:
                 self._get(rid, job_id, lambda job: self._known(rid, job, "", 503))
             else:
@@ -81,9 +141,7 @@
         job = self.world.replica.jobs.get(job_id)
         if job is not None and job.final:
             self._show(rid, job)
-        elif not self.world.replica.loaded:
-            self.unavailable(rid, "starting")
-        else:
+        elif self.readable(rid):
             self._read(rid, job_id, then)
 
     def _cancel(self, rid: Any, job_id: str, job: Job | None) -> None:
@@ -97,6 +155,7 @@
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
                 event("cancelled", job=job_id)
+                self._doom()
                 world.emit("answer", rid, 200, ("job", job_id, "cancelled", 0, 0))
             elif status == 409:
                 self._get(rid, job_id, lambda now: self._cancel(rid, job_id, now))
@@ -106,7 +165,48 @@
         world.call(done, "txn", [(job_key(job_id), job.stamp)],
                    [(job_key(job_id), value, None)], 0)
 
+    def _doom(self) -> None:
+        """We cancelled a job: write at once that those are cancelled that need it."""
+        for name in self.world.replica.doomed:
+            self.doom_at[name] = min(self.world.now, self.doom_at.get(name, math.inf))
+
+    def _write_doomed(self) -> None:
+        """Write down that jobs are cancelled with one that they need, many to a transaction.
+
+        Whoever asks is told so anyway; the owner's controller sees to it if the one that took
+        the cancellation did not.
+        """
+        world = self.world
+        doomed = world.replica.doomed
+        for name in doomed:
+            if world.replica.jobs[name].team in world.my_roles:
+                self.doom_at.setdefault(name, world.now + constants.DOOM_S)
+        for name in [name for name in self.doom_at if name not in doomed]:
+            del self.doom_at[name]
+        due = [name for name, at in self.doom_at.items() if at <= world.now][: self.most_writes]
+        if not due or self.dooming:
+            return
+        self.dooming = True
+        guards, writes = [], []
+        for name in due:
+            job = world.replica.jobs[name]
+            self.doom_at[name] = world.now + constants.DOOM_S
+            guards.append((job_key(name), job.stamp))
+            writes.append((job_key(name), job_value("cancelled", job.team, job.spec, job.order,
+                                                    job.tasks), None))
+        world.call(lambda s, r: self._doomed(writes, s, r), "txn", guards, writes, 1)
+
+    def _doomed(self, writes: list[tuple], status: int, result: Any) -> None:
+        self.dooming = False
+        if status == 200:  # else the watch brings what changed, or we try again
+            for key, value, _ in writes:
+                self.world.replica.apply(key, value, result[0])
+                event("cancelled", job=key.rpartition("/")[2], why="needs_cancelled")
+
     def _show(self, rid: Any, job: Job) -> None:
+        if job.id in self.world.replica.doomed:
+            self._cancel(rid, job.id, job)  # written before it is said
+            return
         running = 0
         if not job.final:
             for chunk in job.chunks.values():
@@ -116,7 +216,9 @@
                     if machine is not None and machine.tasks.get(task, ("",))[0] == "running":
                         running += 1
         state = "running" if running else job.state
-        self.world.emit("answer", rid, 200, ("job", job.id, state, job.done_count(), running))
+        waits_on = [sorted(job.unmet)] if job.unmet else []
+        self.world.emit("answer", rid, 200,
+                        ("job", job.id, state, job.done_count(), running, *waits_on))
 
     def _read(self, rid: Any, job_id: str, then: Then) -> None:
         if len(self.waiting) >= constants.MAX_WAITING:
@@ -127,8 +229,12 @@
     def flush(self) -> None:
         """Check the versions that we know of all waiting jobs in one transaction."""
         world = self.world
+        if self.behind:
+            self._catch_up()
+        if world.replica.doomed or self.doom_at:
+            self._write_doomed()
         while self.waiting and self.reading < constants.READS_IN_FLIGHT:
-            most = 4 * world.facts.state.txn_ops
+            most = self.most_guards
             batch, self.waiting = self.waiting[:most], self.waiting[most:]
             known = {}
             for _, job_id, _ in batch:
@@ -145,9 +251,36 @@
             if status not in (200, 409):
                 self.unavailable(rid, "no current records")
             elif job_key(job_id) in failed:
-                self._get(rid, job_id, then)
+                self._get(rid, job_id, self._after_get(result[0], rid, job_id, then))
             else:
-                then(self.world.replica.jobs.get(job_id))
+                self._settled(result[0], rid, job_id, then)
+
+    def _after_get(self, epoch: int, rid: Any, job_id: str, then: Then) -> Then:
+        return lambda _: self._settled(epoch, rid, job_id, then)
+
+    def _settled(self, epoch: int, rid: Any, job_id: str, then: Then) -> None:
+        """A job's own record is current. What depends on other jobs' records is said only once
+        we have all changes up to that revision: a job may be cancelled with one far before it
+        (R orphaned, went_back), a name unknown here may have been accepted elsewhere."""
+        job = self.world.replica.jobs.get(job_id)
+        if (job is None or not (job.ready or job.final)) and self.world.replica.epoch < epoch:
+            self.behind.append((epoch, self.world.now + constants.STATE_TIMEOUT_S, rid, job_id,
+                                then))
+        else:
+            then(job)
+
+    def _catch_up(self) -> None:
+        """Go on with reads whose revision the watch has reached."""
+        world = self.world
+        waiting, self.behind = self.behind, []
+        for row in waiting:
+            epoch, until, rid, job_id, then = row
+            if world.replica.epoch >= epoch:
+                then(world.replica.jobs.get(job_id))
+            elif world.now > until:
+                self.unavailable(rid, "no current records")
+            else:
+                self.behind.append(row)
 
     def _get(self, rid: Any, job_id: str, then: Then) -> None:
         def done(status: int, result: Any) -> None:
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -7,10 +7,10 @@
 
 from oakmux import constants
 from oakmux.core import teams
-from oakmux.core.jobs import TYPES_KEY, gone_key
+from oakmux.core.jobs import TYPES_KEY, gone_key, value_bytes
 from oakmux.core.machines import Keeper, full, has_room, less, rank, room, times, usable
 from oakmux.core.membership import FLEET
-from oakmux.core.reservations import zone_allowed
+from oakmux.core.reservations import strands, zone_allowed
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
@@ -159,11 +159,13 @@
     def _records(self) -> None:
         """Write which machines are gone while bindings refer to them; drop old such records."""
         world = self.world
+        limits = world.facts.state.least
         writes: list[tuple] = []
         if set(world.types) != set(world.replica.types):
-            writes.append((TYPES_KEY, [list(msgspec.to_builtins(kind))
-                                       for kind in world.types.values()], None))
-        most = max(1, world.facts.state.txn_ops // 2)
+            rows = [list(msgspec.to_builtins(kind)) for kind in world.types.values()]
+            if value_bytes(rows) <= limits.value_kb * 1024 - constants.VALUE_SLACK_BYTES:
+                writes.append((TYPES_KEY, rows, None))
+        most = max(1, limits.txn_ops // 2)
         for name in world.replica.by_machine:
             if (name in self.returned and name not in world.replica.gone
                     and world.now - self.gone_written.get(name, -1e9)
@@ -221,9 +223,9 @@
         self.there = Counter(slot.zone for slot in slots)
         free = [slot for slot in slots if not full(world, slot.free)]
         used = dict(teams.usage(world))
-        ranked = sorted(((rank(world, job, job.spec, used), job.order, job.spec, job)
+        ranked = sorted(((rank(world, job, job.spec, used), job.since, job.spec, job)
                          for job in world.replica.active.values()
-                         if job.spec is not None and not job.final
+                         if job.spec is not None and not job.final and job.ready
                          and job.id not in self.keeper.cancelled), key=lambda row: row[:2])
         rent: dict[Key, int] = {}
         left = constants.DEMAND_TASKS
@@ -270,6 +272,9 @@
             there = [slot for slot in there if slot.zone in allowed]
         if spec.spot:  # leave the others to work that may not go to spot machines
             there.sort(key=lambda slot: not slot.spot)
+        if not spec.gpus:  # leave free GPUs, and the CPUs that they need, to work that needs them
+            there.sort(key=lambda slot: (strands(spec, world.types[slot.type], slot.free),
+                                         slot.free[1]))
         placed: list[Slot] = []
         new: list[Slot] = []
         for slot in there:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -2,9 +2,12 @@
 
 Keys: j/<job> (state, team, description), t/<job>/<chunk> (bindings and completed tasks),
 own/<role> (who owns a team or the fleet), n/<controller>, gone/<machine>, term, types (the
-cloud's catalogue, so that a controller that starts while the cloud is out knows it).
+cloud's catalogue, so that a controller that starts while the cloud is out knows it),
+version/<controller> (what a controller can read), format (what all write).
 """
 
+import logging
+import math
 from typing import Any, NamedTuple
 
 import msgspec
@@ -13,6 +16,11 @@
 from oakmux.wire import JobSpec, MachineType
 
 PREFIX = "ox/"
+# The format of the records that this version can write. Format 1, that of the first version, is
+# read for ever and written until every controller is known to read format 2.
+FORMAT = 2
+
+log = logging.getLogger("oakmux.records")
 
 
 class Binding(NamedTuple):
@@ -29,36 +37,64 @@
 class Chunk:
     """A run of a job's tasks: bindings, completed tasks, highest attempt used."""
 
-    __slots__ = ("stamp", "last", "done", "bound")
+    __slots__ = ("stamp", "last", "done", "bound", "compact")
 
     def __init__(self, stamp: int = 0, last: int = 0, done: int = 0,
-                 bound: dict[int, Binding] | None = None) -> None:
+                 bound: dict[int, Binding] | None = None, compact: bool = True) -> None:
         self.stamp = stamp
         self.last = last
         self.done = done
         self.bound = bound if bound is not None else {}
+        self.compact = compact
 
     def copy(self) -> "Chunk":
         """Return a copy that can be worked on."""
-        return Chunk(self.stamp, self.last, self.done, dict(self.bound))
-
-    def to_value(self) -> list:
-        """Return the value for the state service."""
-        return [self.last, f"{self.done:x}",
-                [[i, b.attempt, b.machine, b.session, b.term, b.zone, b.stop]
-                 for i, b in sorted(self.bound.items())]]
+        return Chunk(self.stamp, self.last, self.done, dict(self.bound), self.compact)
+
+    def to_value(self, form: int) -> list:
+        """Return the value for the state service.
+
+        Format 2 names what bindings share once: session, term, zone and stop in a list of
+        heads, the machine and its head before all pairs of task and attempt there.
+        """
+        if form < 2:
+            return [self.last, f"{self.done:x}",
+                    [[i, b.attempt, b.machine, b.session, b.term, b.zone, b.stop]
+                     for i, b in sorted(self.bound.items())]]
+        heads: dict[tuple, int] = {}
+        groups: dict[tuple[str, int], list] = {}
+        for i, b in sorted(self.bound.items()):
+            head = heads.setdefault((b.session, b.term, b.zone, int(b.stop)), len(heads))
+            groups.setdefault((b.machine, head), [b.machine, head]).extend((i, b.attempt))
+        return [self.last, f"{self.done:x}", [list(head) for head in heads],
+                list(groups.values())]
 
 
 def chunk_from(value: Any, stamp: int) -> Chunk:
-    """Read a chunk's value."""
-    last, done, rows = value
-    return Chunk(stamp, last, int(done, 16), {row[0]: Binding(*row[1:]) for row in rows})
+    """Read a chunk's value, of either format."""
+    last, done, *rest = value
+    bound: dict[int, Binding] = {}
+    if len(rest) == 1:
+        bound = {row[0]: Binding(*row[1:]) for row in rest[0]}
+    else:
+        heads, groups = rest
+        for machine, head, *pairs in groups:
+            session, term, zone, stop = heads[head]
+            for i, attempt in zip(pairs[::2], pairs[1::2], strict=True):
+                bound[i] = Binding(attempt, machine, session, term, zone, bool(stop))
+    return Chunk(stamp, last, int(done, 16), bound, len(rest) > 1)
+
+
+def value_bytes(value: Any) -> int:
+    """Return a value's size as the state service counts it: in JSON."""
+    return len(msgspec.json.encode(value))
 
 
 class Job:
     """A job as the records have it."""
 
-    __slots__ = ("id", "team", "state", "stamp", "spec", "chunks", "order", "tasks")
+    __slots__ = ("id", "team", "state", "stamp", "spec", "chunks", "order", "tasks", "service",
+                 "unmet", "since", "priority", "due")
 
     def __init__(self, job_id: str, team: str, state: str, stamp: int, spec: JobSpec | None,
                  order: int, tasks: int) -> None:
@@ -70,6 +106,26 @@
         self.chunks: dict[int, Chunk] = {}
         self.order = order
         self.tasks = tasks
+        self.service = spec is not None and spec.kind == "service"
+        # The jobs that it needs and that are not done; it may not start before there are none.
+        self.unmet: set[str] = set()
+        # Since when it could start (ms): its age among others.
+        self.since = order
+        # The highest priority of those that need it, itself included, and the time (ms) by which
+        # it must end for the most pressing deadline among them.
+        self.priority = 0 if spec is None else spec.priority
+        self.due = math.inf
+
+    @property
+    def ready(self) -> bool:
+        """Whether all jobs that it needs are done (R too_early). A job that is done stays so:
+        records that are behind can only err on the safe side."""
+        return not self.unmet
+
+    @property
+    def latest(self) -> float:
+        """The time (ms) by which it must start, by its owner's estimate."""
+        return self.due - (0.0 if self.spec is None else self.spec.estimate_s * 1000)
 
     @property
     def final(self) -> bool:
@@ -89,7 +145,13 @@
 
 def job_value(state: str, team: str, spec: JobSpec | None, order: int, tasks: int) -> list:
     """Return the value of a job's record; order is its place among submissions, roughly."""
-    return [state, team, None if spec is None else msgspec.to_builtins(spec), order, tasks]
+    if spec is None:
+        return [state, team, None, order, tasks]
+    if state != "queued":
+        # What only matters before a start is left out: it must not keep an end from fitting.
+        spec = msgspec.structs.replace(spec, types=None, waits_on=())
+    row = list(msgspec.to_builtins(spec))
+    return [state, team, row if spec.waits_on else row[:-1], order, tasks]
 
 
 def chunk_tasks(value_kb: float) -> int:
@@ -122,8 +184,14 @@
     return f"{PREFIX}gone/{machine}"
 
 
+def version_key(label: str) -> str:
+    """Return the key that says what a controller can read; it stands for good."""
+    return f"{PREFIX}version/{label}"
+
+
 TERM_KEY = PREFIX + "term"
 TYPES_KEY = PREFIX + "types"
+FORMAT_KEY = PREFIX + "format"
 
 
 class Replica:
@@ -134,6 +202,18 @@
         self.loaded = False
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
+        # Jobs that wait on others, by each that they need and that is not done.
+        self.waiters: dict[str, set[str]] = {}
+        # Unfinished jobs that need a cancelled one, directly or through others. They can never
+        # have started, so that they are cancelled follows from final records alone.
+        self.doomed: dict[str, None] = {}
+        # Jobs whose last need was met, until the controller has taken note.
+        self.freed: list[str] = []
+        self.versions: dict[str, int] = {}
+        self.format = 1
+        # Tasks to a chunk, as recorded with the format: the mapping never moves.
+        self.per_chunk: int | None = None
+        self.bad: set[str] = set()
         # Unfinished jobs that need no GPU: they fit where all GPUs are taken.
         self.gpuless: set[str] = set()
         self.roles: dict[str, tuple[str, int, int]] = {}
@@ -151,6 +231,11 @@
         # Free room of machines, by name; taken out when their tasks or bindings change.
         self.rooms: dict[str, tuple[float, float, float]] = {}
 
+    @property
+    def foreign(self) -> bool:
+        """Whether the records are of a later version: we can't be sure to read them."""
+        return self.format > FORMAT
+
     def load(self, rows: list[tuple[str, Any, int]], epoch: int) -> None:
         """Take a complete list of all keys: what is missing was deleted."""
         names = {key for key, _, _ in rows}
@@ -171,6 +256,15 @@
 
     def apply(self, key: str, value: Any, stamp: int) -> None:
         """Take one change; older news of a key than we have is dropped."""
+        try:
+            self._apply(key, value, stamp)
+        except (TypeError, ValueError, LookupError, msgspec.ValidationError) as error:
+            # Of a version that we don't know: said once a key, not at every change.
+            if key not in self.bad and len(self.bad) < constants.MAX_QUEUE:
+                self.bad.add(key)
+                log.error("event=bad_record key=%s why=%r", key, str(error))
+
+    def _apply(self, key: str, value: Any, stamp: int) -> None:
         kind, _, rest = key.removeprefix(PREFIX).partition("/")
         if kind == "j":
             self._apply_job(rest, value, stamp)
@@ -198,6 +292,14 @@
             self.types = {row[0]: msgspec.convert(row, MachineType) for row in value}
         elif kind == "term" and value is not None and stamp > self.term[1]:
             self.term = (value, stamp)
+        elif kind == "version" and value is not None:
+            self.versions[rest] = value
+        elif kind == "format" and value is not None and value[0] != self.format:
+            self.format = value[0]
+            if self.foreign:
+                log.error("event=unknown_format format=%s known=%s", self.format, FORMAT)
+            else:
+                self.per_chunk = value[1]
 
     def _apply_job(self, job_id: str, value: Any, stamp: int) -> None:
         if value is None:
@@ -207,6 +309,7 @@
             return
         state, team, raw, order, tasks = value
         spec = None if raw is None else msgspec.convert(raw, JobSpec)
+        new = job is None
         if job is None:
             job = self.jobs[job_id] = Job(
                 job_id, team, state, stamp, spec, order, tasks)
@@ -216,11 +319,77 @@
                 self.rooms.pop(binding.machine, None)
         else:
             job.state, job.stamp, job.spec = state, stamp, spec or job.spec
+        if job.final:
+            self._ended(job)
+        elif new and spec is not None:
+            self._needs(job, spec)
         self.changed_jobs.add(job_id)
         self._index(job)
         if job.final:
             self.changed_machines.update(b.machine for b in job.bindings())
 
+    # --- jobs that wait on others ---
+
+    def _needs(self, job: Job, spec: JobSpec) -> None:
+        """Note what an unfinished job waits on."""
+        for name in spec.waits_on:
+            other = self.jobs.get(name)
+            if other is None or other.state != "done":
+                job.unmet.add(name)
+                self.waiters.setdefault(name, set()).add(job.id)
+                if other is not None and (other.state == "cancelled" or name in self.doomed):
+                    self._doom(job.id)
+        self._press(job.id, *job.unmet)
+
+    def _ended(self, job: Job) -> None:
+        """A job is final: it waits no more, and those that wait on it are ready or doomed."""
+        for name in job.unmet:
+            others = self.waiters.get(name, set())
+            others.discard(job.id)
+            if not others:
+                self.waiters.pop(name, None)
+        self._press(*job.unmet)
+        job.unmet = set()
+        self.doomed.pop(job.id, None)
+        if job.state == "cancelled":
+            for name in list(self.waiters.get(job.id, ())):
+                self._doom(name)
+            return
+        for name in self.waiters.pop(job.id, ()):
+            waiting = self.jobs[name]
+            waiting.unmet.discard(job.id)
+            if waiting.ready:
+                self.freed.append(name)
+                self.changed_jobs.add(name)
+                self._index(waiting)
+
+    def _doom(self, job_id: str) -> None:
+        """A job needs a cancelled one, and with it all that need this job."""
+        stack = [job_id]
+        while stack:
+            name = stack.pop()
+            if name not in self.doomed and not self.jobs[name].final:
+                self.doomed[name] = None
+                self.changed_jobs.add(name)
+                stack += self.waiters.get(name, ())
+
+    def _press(self, *names: str) -> None:
+        """Bring up to date what those that need these jobs ask of them, and so on upwards."""
+        stack = list(names)
+        while stack:
+            job = self.jobs.get(stack.pop())
+            if job is None or job.final or job.spec is None:
+                continue
+            priority, due = job.spec.priority, math.inf
+            if job.spec.deadline_s is not None:
+                due = job.order + job.spec.deadline_s * 1000
+            for name in self.waiters.get(job.id, ()):
+                priority = max(priority, self.jobs[name].priority)
+                due = min(due, self.jobs[name].latest)
+            if (priority, due) != (job.priority, job.due):
+                job.priority, job.due = priority, due
+                stack += job.unmet
+
     def _index(self, job: Job) -> None:
         if job.final and not any(chunk.bound for chunk in job.chunks.values()):
             self.active.pop(job.id, None)
@@ -228,7 +397,7 @@
             job.spec = None
         else:
             self.active[job.id] = job
-            if job.spec is not None and not job.spec.gpus:
+            if job.spec is not None and not job.spec.gpus and job.ready:
                 self.gpuless.add(job.id)
 
     def _apply_chunk(self, job_id: str, number: int, value: Any, stamp: int) -> None:
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -196,7 +196,7 @@
         if report.machine in world.replica.gone:
             world.emit("answer", rid, 503, ("error", "returned"))
             return
-        if not world.replica.loaded or not self.may_keep():
+        if not world.replica.loaded or world.replica.foreign or not self.may_keep():
             world.emit("answer", rid, 503, ("error", "no current records"))
             return
         kept = self.kept.setdefault(report.machine, Kept())
@@ -516,15 +516,15 @@
             continue
         borrowed = (inside and other.team != job.team and not teams.within_guarantee(
             world, other.team, *used.get(other.team, (0.0, 0.0))))
-        if other.spec.priority >= spec.priority and not borrowed:
+        if other.priority >= job.priority and not borrowed:
             continue
         lost = world.now - machine.since.get(task, world.now)
         young = lost < constants.START_COUNTS_S
         if other.spec.checkpoint_s and state[0] == "running":
             lost = min(lost, other.spec.save_s)
         # What is urgent itself has to start again too, and a start undone so soon was no start.
-        lost += other.spec.priority ** 2 * constants.VICTIM_RANK_S * (2 if young else 1)
-        rows.append((other.spec.priority, lost, task, other.spec))
+        lost += other.priority ** 2 * constants.VICTIM_RANK_S * (2 if young else 1)
+        rows.append((other.priority, lost, task, other.spec))
     rows.sort(key=lambda row: row[:3])
     free = room(world, machine, held)
     chosen: list[Task] = []
@@ -539,10 +539,11 @@
 
 
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
-    """Return the order in a queue: guaranteed work and priority first, fair between teams."""
+    """Return the order in a queue: guaranteed work and priority first, then what has to start
+    first for a deadline, then fair between teams."""
     cpus, gpus = used.get(job.team, (0.0, 0.0))
     inside = teams.within_guarantee(world, job.team, cpus + spec.cpus, gpus + spec.gpus)
-    return (not inside, -spec.priority, teams.share(world, job.team, used))
+    return (not inside, -job.priority, job.latest, teams.share(world, job.team, used))
 
 
 def take_report(world: World, report: Report, keeper: str, keeper_term: int) -> None:
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -5,7 +5,15 @@
 from typing import Any
 
 from oakmux import constants
-from oakmux.core.jobs import TERM_KEY, node_key, role_key
+from oakmux.core.jobs import (
+    FORMAT,
+    FORMAT_KEY,
+    TERM_KEY,
+    chunk_tasks,
+    node_key,
+    role_key,
+    version_key,
+)
 from oakmux.core.world import World, event
 
 FLEET = "#fleet"
@@ -49,8 +57,9 @@
     def tick(self) -> None:
         """Do what is due."""
         world = self.world
-        if not world.replica.loaded or world.now < self.next_try:
+        if not world.replica.loaded or world.replica.foreign or world.now < self.next_try:
             return
+        self._version()
         if self.want_term and "term" not in self.busy:
             self._raise_term()
         if not world.life:
@@ -71,6 +80,37 @@
         if self.node_written and world.now - self.lease_since > constants.CLAIM_DELAY_S:
             self._claim()
 
+    def _version(self) -> None:
+        """Say durably what we can read; switch the format once all controllers have said so.
+
+        The key has no lease: a process that was started anew has replaced the old one for good,
+        so once every label stands there, no process writes format 1 or can't read format 2.
+        """
+        replica, label = self.world.replica, self.world.label
+        if "version" in self.busy or replica.format >= FORMAT:
+            return
+        key = version_key(label)
+        value: Any = FORMAT
+        guards: list[tuple[str, int]] = []
+        if replica.versions.get(label, 0) >= FORMAT:
+            labels = [label, *(member.label for member in self.world.settings.members)]
+            if (any(replica.versions.get(name, 0) < FORMAT for name in labels)
+                    or label != min([label, *replica.nodes])):
+                return
+            key, guards = FORMAT_KEY, [(FORMAT_KEY, 0)]
+            value = [FORMAT, chunk_tasks(self.world.facts.state.value_kb)]
+        self.busy.add("version")
+        self.world.call(lambda s, r: self._version_done(key, value, s, r), "txn", guards,
+                        [(key, value, None)], 0)
+
+    def _version_done(self, key: str, value: Any, status: int, result: Any) -> None:
+        self.busy.discard("version")
+        if status == 200:
+            self.world.replica.apply(key, value, result[0])
+            event("version", key=key, format=FORMAT)
+        else:  # if another was first, the watch brings it
+            self.next_try = self.world.now + constants.BACKOFF_FIRST_S
+
     def _raise_term(self) -> None:
         value, stamp = self.world.replica.term
         self.busy.add("term")
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -1,7 +1,9 @@
 """The owner's side: sampling machines, binding tasks, writing the records."""
 
 import heapq
+import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +18,7 @@
     job_key,
     job_value,
     role_key,
+    value_bytes,
 )
 from oakmux.core.machines import (
     Keeper,
@@ -30,7 +33,9 @@
     victims,
 )
 from oakmux.core.world import Machine, World, event
-from oakmux.wire import JobSpec
+from oakmux.wire import JobSpec, MachineType
+
+log = logging.getLogger("oakmux.core")
 
 
 class Open:
@@ -58,7 +63,6 @@
     def __init__(self, world: World, keeper: Keeper) -> None:
         self.world = world
         self.keeper = keeper
-        self.per_chunk = chunk_tasks(world.facts.state.value_kb)
         self.open: dict[str, Open] = {}
         self.work: dict[str, dict[int, Chunk]] = {}
         self.dirty: dict[tuple[str, int], float] = {}
@@ -67,13 +71,54 @@
         self.writing: set[str] = set()
         self.write_after = 0.0
         self.in_flight = 0
-        limits = world.facts.state
+        self.refused = False
+        self.outgrown: set[str] = set()
+        limits = world.facts.state.least
         # A transaction far above our share of the rate would hold up all that comes after it.
         self.most_writes = min(limits.txn_ops, max(constants.WRITES_LEAST, int(
             constants.WRITES_S * limits.write_rps / world.settings.size)))
 
     # --- the working copy of the records ---
 
+    @property
+    def per_chunk(self) -> int:
+        """How many tasks share a record. The mapping never moves with the limits: a task that is
+        bound would look unbound (R ran_twice). Once the format is recorded, it stands there."""
+        return self.world.replica.per_chunk or chunk_tasks(self.world.facts.state.value_kb)
+
+    @property
+    def value_limit(self) -> int:
+        """Bytes that a value may take. The coming limit holds from the switch on, or once a
+        transaction was refused."""
+        state = self.world.facts.state
+        kb = state.least.value_kb if self._form() >= 2 or self.refused else state.value_kb
+        return int(kb * 1024) - constants.VALUE_SLACK_BYTES
+
+    def _form(self) -> int:
+        return self.world.replica.format
+
+    def _holds(self, job: Job, number: int, names: list[tuple[str, str]]) -> bool:
+        """Whether a chunk's record can hold bindings to these machines (name, zone) as well."""
+        chunk = self._chunk(job, number)
+        if (len(chunk.bound) + len(names)) * constants.BINDING_BYTES <= self.value_limit:
+            return True
+        more = sum(len(name) + len(zone) + constants.BINDING_MORE_BYTES for name, zone in names)
+        return value_bytes(chunk.to_value(self._form())) + more <= self.value_limit
+
+    def switched(self) -> None:
+        """Format 2 holds: write anew what earlier versions left larger than the limits to come."""
+        for job in list(self.world.replica.active.values()):
+            if self.owns(job):
+                self._shrink(job)
+
+    def _shrink(self, job: Job) -> None:
+        """See that chunks of format 1 keep within the limits to come."""
+        for number, chunk in job.chunks.items():
+            if (not chunk.compact and number not in self.work.get(job.id, ())
+                    and len(chunk.bound) * constants.BINDING_BYTES > self.value_limit
+                    and value_bytes(chunk.to_value(1)) > self.value_limit):
+                self._edit(job, number)
+
     def owns(self, job: Job) -> bool:
         """Whether the job's team is ours."""
         return job.team in self.world.my_roles
@@ -93,6 +138,8 @@
         for job in list(self.world.replica.active.values()):
             if self.owns(job):
                 self.changed(job.id)
+                if self._form() >= 2:
+                    self._shrink(job)
                 self.world.dirty_machines.update(b.machine for b in job.bindings())
 
     def changed(self, job_id: str) -> None:
@@ -108,6 +155,8 @@
             for number in list(job.chunks):
                 if not self._chunk(job, number).bound and number not in self.work.get(job_id, ()):
                     self._edit(job, number)  # a finished job needs no chunks any more
+        elif not job.ready:
+            return  # no reservations while it waits on others
         elif job_id not in self.open:
             self.open[job_id] = Open()
         else:
@@ -152,13 +201,16 @@
             [i for i in c.bound if not c.done >> (i % self.per_chunk) & 1])
             for c in self._chunks(job))
 
-    def _next_unstarted(self, job: Job, state: Open) -> int | None:
+    def _next_unstarted(self, job: Job, state: Open, offer: tuple) -> int | None:
         assert job.spec is not None
         for start in (state.cursor, 0):
             index = start
             while index < job.spec.tasks:
                 chunk = self._chunk(job, index // self.per_chunk)
                 if index not in chunk.bound and not chunk.done >> (index % self.per_chunk) & 1:
+                    if not self._holds(job, index // self.per_chunk, [(offer[1], offer[6])]):
+                        index = (index // self.per_chunk + 1) * self.per_chunk
+                        continue  # wait until others of its record have ended
                     state.cursor = index + 1
                     return index
                 index += 1
@@ -197,11 +249,11 @@
                     and now - state.offers[0][0] >= constants.GATHER_S):
                 self._choose(job, job.spec, state)
             if now >= state.next_sample and now >= state.retry_at:
-                due.append((-job.spec.priority, state.next_sample, job.order, job_id))
+                due.append((-job.priority, job.latest, state.next_sample, job.since, job_id))
         # With thousands of jobs waiting, those of higher priority and those that waited longest
         # go first; the work of one tick stays bounded.
         roomy = self._roomy() if due else []
-        for _, _, _, job_id in heapq.nsmallest(constants.SAMPLES_PER_TICK, due):
+        for *_, job_id in heapq.nsmallest(constants.SAMPLES_PER_TICK, due):
             job = self.world.replica.jobs[job_id]
             if job.spec is not None:
                 self._sample_job(job, job.spec, self.open[job_id], roomy)
@@ -258,9 +310,9 @@
                 state.next_sample = world.now + constants.WAIT_RESAMPLE_S
                 queued = world.rng.sample(holders, min(count, len(holders)))
                 self._reserve(job, {**{m.name: 1 for m in queued},
-                                    **self._best(spec, there, count)})
+                                    **self._best(job, spec, there, count)})
             else:
-                self._reserve(job, self._best(spec, ready, count))
+                self._reserve(job, self._best(job, spec, ready, count))
         elif world.now >= state.next_wide:
             # Reservations wait at full machines for longer than it takes to look for room anew.
             state.next_wide = world.now + constants.WIDE_S
@@ -313,7 +365,7 @@
         enough = [group for group in groups if group[1] >= spec.tasks]
         if enough:
             _, _, rows, _ = max(enough, key=lambda group: min(group[0], spec.tasks))
-            self._reserve(job, self._best(spec, rows, spec.tasks))
+            self._reserve(job, self._best(job, spec, rows, spec.tasks))
             return
         groups.sort(key=lambda group: -group[1])
         if world.now >= max(state.next_wide, state.preempt_at):
@@ -324,14 +376,14 @@
                            if zone in (None, m.zone) and m.name not in names
                            and usable(world, m) and allowed(m)]
                 if self._make_room(job, spec, state, fitting, spec.tasks - there, math.inf):
-                    self._reserve(job, self._best(spec, rows, there))
+                    self._reserve(job, self._best(job, spec, rows, there))
                     return
         waiting = self.open.get(self.gathering)
         if waiting is None or waiting.next_sample == math.inf:
             self.gathering = job.id
         if self.gathering == job.id:
             _, there, rows, _ = groups[0]
-            self._reserve(job, self._best(spec, rows, there))
+            self._reserve(job, self._best(job, spec, rows, there))
 
     def _make_room(self, job: Job, spec: JobSpec, state: Open, fitting: list[Machine],
                    wanted: int, most: float) -> int:
@@ -366,11 +418,11 @@
             return fetch + constants.AIM_WORTH_S
         return fetch
 
-    def _best(self, spec: JobSpec, ready: list[tuple[Machine, Room]],
+    def _best(self, job: Job, spec: JobSpec, ready: list[tuple[Machine, Room]],
               count: int) -> dict[str, int]:
         """Choose among machines with room: image held, spot if allowed, fullest; chance decides
         between equals."""
-        rows = [(self._preference(spec, machine, free), self.world.rng.random(), machine.name,
+        rows = [(self._preference(job, spec, machine, free), self.world.rng.random(), machine.name,
                  free) for machine, free in ready]
         rows.sort(key=lambda row: row[:3])
         chosen: dict[str, int] = {}
@@ -381,22 +433,23 @@
             count -= chosen[name]
         return chosen
 
-    def _preference(self, spec: JobSpec, machine: Machine, free: Room) -> tuple:
-        """Return what orders machines for a task: image held, no other fetch under way where
-        either is urgent (they would share the rate), spot if allowed, fullest."""
+    def _preference(self, job: Job, spec: JobSpec, machine: Machine, free: Room) -> tuple:
+        """Return what orders machines for a task: for one without GPUs, CPUs that the free GPUs
+        can spare; image held, no other fetch under way where either is urgent (they would share
+        the rate), spot if allowed, fullest."""
         kind = self.world.types[machine.type]
+        urgent = job.priority >= constants.URGENT
         left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
         missing = spec.image not in machine.images
         fetching = missing and any(
-            state[0] == "fetching" and (spec.priority >= constants.URGENT or self._urgent(task[0]))
+            state[0] == "fetching" and (urgent or self._urgent(task[0]))
             for task, state in machine.tasks.items())
-        return (missing, fetching, spec.spot and not machine.spot,
+        return (strands(spec, kind, free), missing, fetching, spec.spot and not machine.spot,
                 machine.idle_since is not None, left)
 
     def _urgent(self, task: str) -> bool:
         job = self.world.replica.jobs.get(task.partition("/")[0])
-        return (job is not None and job.spec is not None
-                and job.spec.priority >= constants.URGENT)
+        return job is not None and job.spec is not None and job.priority >= constants.URGENT
 
     def _reserve(self, job: Job, chosen: dict[str, int]) -> None:
         for name, number in chosen.items():
@@ -413,7 +466,7 @@
         machine = world.machines.get(name)
         state = self.open.get(job_id)
         if (job is None or job.spec is None or state is None or machine is None or job.final
-                or not self.owns(job) or machine.session != session or machine.zone is None
+                or not job.ready or not self.owns(job) or machine.session != session
                 or world.now < state.retry_at or not usable(world, machine)
                 or name in state.avoid or not world.fits(job.spec, machine)
                 or job_id in self.keeper.cancelled
@@ -439,7 +492,10 @@
         state.offers = [o for o in state.offers
                         if o[0] + gather_s(spec) > self.world.now] + [offer]
         chosen = choose_gang(spec, state.offers)
-        if chosen is not None:
+        parts = Counter(index // self.per_chunk for index in range(spec.tasks))
+        if chosen is not None and all(
+                self._holds(job, number, [(o[1], o[6]) for o in chosen[:count]])
+                for number, count in parts.items()):
             spare = [o for o in state.offers if o not in chosen]
             state.offers = spare
             self._release(state)
@@ -448,7 +504,7 @@
 
     def _choose(self, job: Job, spec: JobSpec, state: Open) -> None:
         """Bind tasks to the best of the offers that came in; decline the others."""
-        offers = [(self._preference(spec, machine, room(self.world, machine)), offer)
+        offers = [(self._preference(job, spec, machine, room(self.world, machine)), offer)
                   for offer in state.offers
                   if (machine := self.world.machines.get(offer[1])) is not None]
         # Offers of one machine stay together: its tasks share one fetch.
@@ -459,7 +515,7 @@
                 continue
             if self._beyond_limit(job, spec):
                 break
-            index = self._next_unstarted(job, state)
+            index = self._next_unstarted(job, state, offer)
             if index is None:
                 break
             self._bind(job, [index], [offer])
@@ -472,6 +528,10 @@
         state.offers = []
 
     def _bind(self, job: Job, indexes: list[int], offers: list[tuple]) -> None:
+        """Bind tasks to offered room. Guards against too_early: no other place writes a binding,
+        and none is written before the record of every job that this one needs is done."""
+        if not job.ready:
+            return
         attempt = 1 + max((c.last for c in self._chunks(job)), default=0)
         for index, offer in zip(indexes, offers, strict=True):
             _, name, _, session, term, _, zone = offer
@@ -567,6 +627,7 @@
         writes: list[tuple] = []
         sent: list[tuple[str, int, Chunk]] = []
         jobs_in: dict[str, str] = {}
+        form, limit = self._form(), self.value_limit
         by_job: dict[str, list[int]] = {}
         due: dict[str, float] = {}
         for (job_id, number), at in self.dirty.items():
@@ -581,7 +642,11 @@
             if len(writes) + len(numbers) + 1 > self.most_writes:
                 if writes:
                     continue
-                numbers = numbers[: max(1, world.facts.state.txn_ops - 1)]
+                numbers = numbers[: world.facts.state.least.txn_ops - 1]
+            values = {number: self.work[job_id][number].to_value(form) for number in numbers}
+            numbers = [n for n in numbers if not self._too_large(job_id, n, values[n], limit)]
+            if not numbers:
+                continue
             finishing = job_id in self.finish and not job.final and len(numbers) == len(
                 by_job[job_id])
             guards[role_key(job.team)] = world.my_roles[job.team]
@@ -601,7 +666,7 @@
                     if old is not None:
                         writes.append((key,))
                 else:
-                    writes.append((key, chunk.to_value(), None))
+                    writes.append((key, values[number], None))
                 del self.dirty[(job_id, number)]
         if not sent:
             return
@@ -614,6 +679,19 @@
         world.call(lambda status, result: self._written(writes, sent, jobs_in, status, result),
                    "txn", list(guards.items()), writes, 1)
 
+    def _too_large(self, job_id: str, number: int, value: list, limit: int) -> bool:
+        """Whether a record has outgrown the limit; it is written once more of its tasks ended."""
+        chunk = self.work[job_id][number]
+        if len(chunk.bound) * constants.BINDING_BYTES <= limit or value_bytes(value) <= limit:
+            return False
+        key = chunk_key(job_id, number)
+        if key not in self.outgrown:
+            self.outgrown.add(key)
+            log.error("event=record_too_large key=%s bytes=%s limit=%s", key, value_bytes(value),
+                      limit)
+        self.dirty[(job_id, number)] = self.world.now + constants.RETRY_MOST_S
+        return True
+
     def _written(self, writes: list[tuple], sent: list, jobs_in: dict[str, str], status: int,
                  result: Any) -> None:
         world = self.world
@@ -636,6 +714,11 @@
             if number in self.work.get(job_id, ()):
                 self.dirty.setdefault((job_id, number), 0.0)
         self.write_after = world.now + constants.BACKOFF_FIRST_S
+        if status == 400:
+            # Certainly not written, and never will be as it is: the limits have fallen.
+            self.refused = True
+            self.write_after = world.now + constants.BACKOFF_MOST_S
+            return
         if status == 409 and result is not None:
             for key in result[1]:
                 world.call(lambda s, r, key=key: self._reread(key, s, r), "get", key, 1)
@@ -656,6 +739,13 @@
     return 0.0 if spec.image in machine.images else world.fetch_s(spec, machine.type)
 
 
+def strands(spec: JobSpec, kind: MachineType, free: Room) -> bool:
+    """Whether a task without GPUs would take CPUs that a machine's free GPUs need, by the share
+    that falls to each."""
+    return (not spec.gpus and free[1] > constants.EPSILON
+            and (free[0] - spec.cpus) * kind.gpus < free[1] * kind.cpus - constants.EPSILON)
+
+
 def zone_allowed(spec: JobSpec, zones: list[str], zone: str) -> bool:
     """Whether one more task may start in a zone, given where the job's others may be."""
     if spec.one_zone and any(other != zone for other in zones):
--- a/oakmux/net/state.py
+++ b/oakmux/net/state.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote
 
 from oakmux import constants, wire
-from oakmux.core.jobs import PREFIX
+from oakmux.core.jobs import PREFIX, value_bytes
 from oakmux.net.http import Client, NoAnswer, NotSent
 from oakmux.net.pace import Bucket, pause
 from oakmux.settings import Settings
@@ -30,7 +30,8 @@
     def __init__(self, settings: Settings, put: Callable[[tuple], None]) -> None:
         self.addr = settings.external.state
         self.put = put
-        limits = settings.facts.state
+        # Of the present and the coming limits the smaller: they change without notice.
+        limits = settings.facts.state.least
         share = constants.LIMIT_SHARE / settings.size
         self.requests = Bucket(limits.rps * share)
         self.changes = Bucket(limits.write_rps * share)
@@ -41,6 +42,7 @@
         self.next_borrow = 0.0
         self.watch_gap = 1.0 / (limits.rps * share * constants.WATCH_SHARE)
         self.tasks: set[asyncio.Task] = set()
+        self.refused: set[tuple[int, str]] = set()
 
     def submit(self, kind: str, op: int, *args: Any) -> None:
         """Queue an operation: leases first, then what users wait for, then the rest."""
@@ -137,19 +139,29 @@
         data = b"" if body is None else wire.encode(body)
         status, answer = await self.client.request(self.addr, method, path, data, timeout,
                                                    constants.MAX_STATE_BODY)
-        if status in (429, 503):
+        if status == 503:
             return 503, None
         return status, wire.decode(answer) if answer else None
 
     async def _txn(self, guards: list, writes: list, _: int) -> tuple[int, Any]:
-        status, answer = await self._call("POST", wire.PATH_TXN, wire.txn_body(guards, writes))
+        body = wire.txn_body(guards, writes)
+        status, answer = await self._call("POST", wire.PATH_TXN, body)
         if status in (200, 409):
             return status, wire.parse_txn(answer)
-        if status not in (400, 503):
-            return 0, None
-        if status == 400:
-            log.error("event=txn_refused answer=%s", answer)
-        return status, None
+        if status in (400, 429):
+            self._refused(status, guards, writes, answer)
+        return (status if status == 400 else 503 if status in (429, 503) else 0), None
+
+    def _refused(self, status: int, guards: list, writes: list, answer: Any) -> None:
+        """Say once a key that we went beyond a limit; the value itself is the users'."""
+        key = writes[0][0] if writes else guards[0][0] if guards else "none"
+        if (status, key) in self.refused or len(self.refused) >= constants.MAX_QUEUE:
+            return
+        self.refused.add((status, key))
+        size = max((value_bytes(write[1]) for write in writes if len(write) > 1), default=0)
+        log.error("event=txn_refused status=%s key=%s bytes=%s changes=%s conditions=%s why=%r",
+                  status, key, size, len(writes), len(guards),
+                  str(answer)[:constants.LOG_TEXT])
 
     async def _get(self, key: str, _: int) -> tuple[int, Any]:
         status, answer = await self._call("GET", f"{wire.PATH_KV}/{quote(key)}")
@@ -157,7 +169,7 @@
             return 200, wire.parse_item(answer)
         if status == 404:
             return 404, (None, wire.parse_txn(answer)[0])
-        return (503 if status == 503 else 0), None
+        return (503 if status in (429, 503) else 0), None
 
     async def _grant(self, life_s: float) -> tuple[int, Any]:
         status, answer = await self._call("POST", wire.PATH_LEASES, wire.lease_body(life_s))
--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+# A job's end is written together with the end of its last tasks.
+MIN_TXN_OPS = 2
+
 
 class SettingsError(Exception):
     """The settings can't be used; the text says which field and why."""
@@ -39,6 +42,15 @@
     cancel_s: float
 
 
+class ComingLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on; what is missing stays."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     """Limits of the state service."""
 
@@ -46,6 +58,15 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: ComingLimits = ComingLimits()
+
+    @property
+    def least(self) -> "StateLimits":
+        """The smaller of the present and the coming limits: they change without notice."""
+        coming = {name: min(value, getattr(self, name))
+                  for name, value in msgspec.structs.asdict(self.next).items()
+                  if value is not None}
+        return msgspec.structs.replace(self, **coming)
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
@@ -134,13 +155,19 @@
     facts = settings.facts
     positive = {
         **{f"facts.workers.{k}": v for k, v in msgspec.structs.asdict(facts.workers).items()},
-        **{f"facts.state.{k}": v for k, v in msgspec.structs.asdict(facts.state).items()},
+        **{f"facts.state.{k}": v for k, v in msgspec.structs.asdict(facts.state).items()
+           if k != "next"},
+        **{f"facts.state.next.{k}": v
+           for k, v in msgspec.structs.asdict(facts.state.next).items() if v is not None},
         **{f"facts.cloud.{k}": v for k, v in msgspec.structs.asdict(facts.cloud).items()},
         "facts.resources.fd_limit": facts.resources.fd_limit,
     }
     for field, value in positive.items():
         if not 0 < value < 1e12:
             raise SettingsError(f"{field}: must be above 0, not {value}")
+    if facts.state.least.txn_ops < MIN_TXN_OPS:
+        raise SettingsError(f"facts.state.txn_ops: must be at least {MIN_TXN_OPS}: a job that "
+                            "ends takes that many changes")
     if not facts.zones:
         raise SettingsError("facts.zones: at least one zone is needed")
     labels = [settings.label, *(m.label for m in settings.members)]
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -44,6 +44,7 @@
     "image": "bundle", "image_gb": "size_gb", "types": "flavours", "zone": "site",
     "one_zone": "together", "spread": "spread", "spot": "loaner", "estimate_s": "guess_s",
     "checkpoint_s": "save_every_s", "save_s": "save_cost_s", "deadline_s": "due_s",
+    "waits_on": "waits_on",
 }
 KIND_WORDS = {inside: platform for platform, inside in KINDS.items()}
 PRIORITY_WORDS = {"production": "production", "high": "urgent", "normal": "standard",
@@ -89,6 +90,8 @@
     checkpoint_s: float
     save_s: float
     deadline_s: float | None
+    # The version before has no such field: it reads records that lack it, and ignores it.
+    waits_on: tuple[str, ...] = ()
 
     @property
     def joint(self) -> bool:
@@ -168,6 +171,7 @@
     flavours: list[str] | None = None
     site: str | None = None
     due_s: float | None = None
+    waits_on: list[str] | None = None
 
 
 def encode(value: Any) -> bytes:
@@ -222,11 +226,14 @@
         raise Malformed("rank: unknown")
     if not 1 <= raw.pieces <= MAX_TASKS:
         raise Malformed("pieces: out of range")
+    waits_on = tuple(dict.fromkeys(raw.waits_on or ()))
+    if not all(JOB_ID.match(name) for name in waits_on):
+        raise Malformed("waits_on: not a job id")
     return JobSpec(
         raw.lane, raw.owner, KINDS[raw.shape], PRIORITIES[raw.rank], raw.pieces, raw.vcpus,
         raw.accelerators, raw.memory_gb, raw.bundle, raw.size_gb, raw.flavours or None, raw.site,
         raw.together, raw.spread, raw.loaner, raw.guess_s, raw.save_every_s, raw.save_cost_s,
-        raw.due_s,
+        raw.due_s, waits_on,
     )
 
 
@@ -284,8 +291,9 @@
     """Turn a tagged answer of the core into a body."""
     tag = answer[0]
     if tag == "job":
-        _, job_id, state, done, running = answer
-        return {"id": job_id, "status": JOB_STATES[state], "done": done, "running": running}
+        _, job_id, state, done, running, *waits_on = answer
+        body = {"id": job_id, "status": JOB_STATES[state], "done": done, "running": running}
+        return {**body, "waits_on": waits_on[0]} if waits_on else body
     if tag == "orders":
         return {"baton": answer[1], "orders": answer[2]}
     if tag == "report_to":
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -197,7 +197,7 @@
     bound = {i: Binding(2**40, f"n-{2**40}", 2**20, 2**40, zone)
              for i in range(100_000 - per, 100_000)}
     chunk = Chunk(9, 7, (1 << 63) | 5, bound)
-    value = wire.decode(wire.encode(chunk.to_value()))
+    value = wire.decode(wire.encode(chunk.to_value(1)))
     again = chunk_from(value, 9)
     assert (again.last, again.done, again.bound) == (chunk.last, chunk.done, chunk.bound)
     assert len(json.dumps(value)) <= 8 * 1024
@@ -205,10 +205,10 @@
 
 def test_replica_drops_older_news():
     replica = Replica()
-    bound = Chunk(0, 1, 0, {0: Binding(1, "m", 1, 1, "a")}).to_value()
+    bound = Chunk(0, 1, 0, {0: Binding(1, "m", 1, 1, "a")}).to_value(1)
     replica.apply(job_key("job-1"), ["queued", "red", None, 1, 2], 5)
     replica.apply(chunk_key("job-1", 0), bound, 6)
-    replica.apply(chunk_key("job-1", 0), Chunk(0, 1, 0, {}).to_value(), 4)
+    replica.apply(chunk_key("job-1", 0), Chunk(0, 1, 0, {}).to_value(1), 4)
     assert replica.by_machine == {"m": {("job-1", 0): Binding(1, "m", 1, 1, "a")}}
     replica.apply(chunk_key("job-1", 0), None, 8)
     # A late answer must not bring a deleted chunk back.
