Tell the upgrade and the coming limits as stories, with the first version's records

Found by the stories: a chunk bound under the present limit that was refused under the coming one stayed unwritten for ever, since nothing of it ran and could end. New bindings keep within the smaller limit at any time; the exact encoding is tried, the bound by worst case kept gangs of over 40 tasks out. A late transaction of an old controller changes no record (story).

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -74,9 +74,6 @@
 # Tasks in one chunk of a job's record (count); bytes one binding takes there, at most.
 CHUNK_TASKS = 64
 BINDING_BYTES = 110
-# Bytes that one more binding takes in format 2 besides the names of machine and zone: numbers of
-# at most so many digits, quotes, commas and brackets.
-BINDING_MORE_BYTES = 48
 # Bytes of a value's limit that we leave unused, should the service count a few more than we do.
 VALUE_SLACK_BYTES = 24
 # Characters of an answer that a log line may hold.
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -6,7 +6,7 @@
 
 from oakmux import constants
 from oakmux.core import teams
-from oakmux.core.jobs import Job, job_key, job_value, value_bytes
+from oakmux.core.jobs import Job, job_key, job_value, value_bytes, value_limit
 from oakmux.core.machines import Keeper
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
@@ -29,7 +29,7 @@
         self.dooming = False
         limits = world.facts.state.least
         self.most_writes, self.most_guards = limits.txn_ops, 4 * limits.txn_ops
-        self.value_limit = int(limits.value_kb * 1024) - constants.VALUE_SLACK_BYTES
+        self.most_bytes = value_limit(limits)
 
     def unavailable(self, rid: Any, why: str) -> None:
         """Tell a user to come back."""
@@ -79,9 +79,9 @@
 
     def _too_large(self, job_id: str, spec: JobSpec) -> str | None:
         size = value_bytes(job_value("queued", spec.team, spec, self._order(), spec.tasks))
-        if size <= self.value_limit:
+        if size <= self.most_bytes:
             return None
-        return f"description of {size} bytes: a record holds {self.value_limit}"
+        return f"description of {size} bytes: a record holds {self.most_bytes}"
 
     def _unknown_needs(self, spec: JobSpec) -> list[str]:
         return [name for name in spec.waits_on if name not in self.world.replica.jobs]
--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -7,7 +7,7 @@
 
 from oakmux import constants
 from oakmux.core import teams
-from oakmux.core.jobs import TYPES_KEY, gone_key, value_bytes
+from oakmux.core.jobs import TYPES_KEY, gone_key, value_bytes, value_limit
 from oakmux.core.machines import Keeper, full, has_room, less, rank, room, times, usable
 from oakmux.core.membership import FLEET
 from oakmux.core.reservations import strands, zone_allowed
@@ -163,7 +163,7 @@
         writes: list[tuple] = []
         if set(world.types) != set(world.replica.types):
             rows = [list(msgspec.to_builtins(kind)) for kind in world.types.values()]
-            if value_bytes(rows) <= limits.value_kb * 1024 - constants.VALUE_SLACK_BYTES:
+            if value_bytes(rows) <= value_limit(limits):
                 writes.append((TYPES_KEY, rows, None))
         most = max(1, limits.txn_ops // 2)
         for name in world.replica.by_machine:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from oakmux import constants
+from oakmux.settings import StateLimits
 from oakmux.wire import JobSpec, MachineType
 
 PREFIX = "ox/"
@@ -90,6 +91,11 @@
     return len(msgspec.json.encode(value))
 
 
+def value_limit(limits: StateLimits) -> int:
+    """Return the bytes that a value of ours may take."""
+    return int(limits.value_kb * 1024) - constants.VALUE_SLACK_BYTES
+
+
 class Job:
     """A job as the records have it."""
 
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -19,6 +19,7 @@
     job_value,
     role_key,
     value_bytes,
+    value_limit,
 )
 from oakmux.core.machines import (
     Keeper,
@@ -74,6 +75,7 @@
         self.refused = False
         self.outgrown: set[str] = set()
         limits = world.facts.state.least
+        self.least_bytes = value_limit(limits)
         # A transaction far above our share of the rate would hold up all that comes after it.
         self.most_writes = min(limits.txn_ops, max(constants.WRITES_LEAST, int(
             constants.WRITES_S * limits.write_rps / world.settings.size)))
@@ -86,24 +88,31 @@
         bound would look unbound (R ran_twice). Once the format is recorded, it stands there."""
         return self.world.replica.per_chunk or chunk_tasks(self.world.facts.state.value_kb)
 
-    @property
-    def value_limit(self) -> int:
-        """Bytes that a value may take. The coming limit holds from the switch on, or once a
-        transaction was refused."""
-        state = self.world.facts.state
-        kb = state.least.value_kb if self._form() >= 2 or self.refused else state.value_kb
-        return int(kb * 1024) - constants.VALUE_SLACK_BYTES
+    def _limit(self) -> int:
+        """Bytes that a value may take when it is written. What earlier versions left larger may
+        be written so until the switch, unless a transaction was refused."""
+        if self._form() >= 2 or self.refused:
+            return self.least_bytes
+        return value_limit(self.world.facts.state)
 
     def _form(self) -> int:
         return self.world.replica.format
 
-    def _holds(self, job: Job, number: int, names: list[tuple[str, str]]) -> bool:
-        """Whether a chunk's record can hold bindings to these machines (name, zone) as well."""
+    def _holds(self, job: Job, number: int, offers: list[tuple]) -> bool:
+        """Whether a chunk's record can hold bindings to what is offered as well. The coming limit
+        counts at any time: once the limits fell, bindings that can't be written would never go."""
         chunk = self._chunk(job, number)
-        if (len(chunk.bound) + len(names)) * constants.BINDING_BYTES <= self.value_limit:
+        if (len(chunk.bound) + len(offers)) * constants.BINDING_BYTES <= self.least_bytes:
             return True
-        more = sum(len(name) + len(zone) + constants.BINDING_MORE_BYTES for name, zone in names)
-        return value_bytes(chunk.to_value(self._form())) + more <= self.value_limit
+        trial = chunk.copy()
+        trial.last = self._next_attempt(job)
+        first = (number + 1) * self.per_chunk  # no task's number there is longer
+        for index, (_, name, _, session, term, _, zone) in enumerate(offers, first):
+            trial.bound[index] = Binding(trial.last, name, session, term, zone)
+        return value_bytes(trial.to_value(self._form())) <= self.least_bytes
+
+    def _next_attempt(self, job: Job) -> int:
+        return 1 + max((c.last for c in self._chunks(job)), default=0)
 
     def switched(self) -> None:
         """Format 2 holds: write anew what earlier versions left larger than the limits to come."""
@@ -115,8 +124,8 @@
         """See that chunks of format 1 keep within the limits to come."""
         for number, chunk in job.chunks.items():
             if (not chunk.compact and number not in self.work.get(job.id, ())
-                    and len(chunk.bound) * constants.BINDING_BYTES > self.value_limit
-                    and value_bytes(chunk.to_value(1)) > self.value_limit):
+                    and len(chunk.bound) * constants.BINDING_BYTES > self.least_bytes
+                    and value_bytes(chunk.to_value(1)) > self.least_bytes):
                 self._edit(job, number)
 
     def owns(self, job: Job) -> bool:
@@ -208,7 +217,7 @@
             while index < job.spec.tasks:
                 chunk = self._chunk(job, index // self.per_chunk)
                 if index not in chunk.bound and not chunk.done >> (index % self.per_chunk) & 1:
-                    if not self._holds(job, index // self.per_chunk, [(offer[1], offer[6])]):
+                    if not self._holds(job, index // self.per_chunk, [offer]):
                         index = (index // self.per_chunk + 1) * self.per_chunk
                         continue  # wait until others of its record have ended
                     state.cursor = index + 1
@@ -494,7 +503,7 @@
         chosen = choose_gang(spec, state.offers)
         parts = Counter(index // self.per_chunk for index in range(spec.tasks))
         if chosen is not None and all(
-                self._holds(job, number, [(o[1], o[6]) for o in chosen[:count]])
+                self._holds(job, number, chosen[number * self.per_chunk:][:count])
                 for number, count in parts.items()):
             spare = [o for o in state.offers if o not in chosen]
             state.offers = spare
@@ -532,7 +541,7 @@
         and none is written before the record of every job that this one needs is done."""
         if not job.ready:
             return
-        attempt = 1 + max((c.last for c in self._chunks(job)), default=0)
+        attempt = self._next_attempt(job)
         for index, offer in zip(indexes, offers, strict=True):
             _, name, _, session, term, _, zone = offer
             chunk = self._edit(job, index // self.per_chunk)
@@ -627,7 +636,7 @@
         writes: list[tuple] = []
         sent: list[tuple[str, int, Chunk]] = []
         jobs_in: dict[str, str] = {}
-        form, limit = self._form(), self.value_limit
+        form, limit = self._form(), self._limit()
         by_job: dict[str, list[int]] = {}
         due: dict[str, float] = {}
         for (job_id, number), at in self.dirty.items():
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,7 +12,7 @@
 
 from oakmux import constants
 from oakmux.core.controller import Controller
-from oakmux.core.jobs import value_bytes
+from oakmux.core.jobs import value_bytes, value_limit
 from oakmux.core.machines import count_room
 from oakmux.settings import (
     CloudLimits,
@@ -609,6 +609,7 @@
     """Let a controller behave as the first version does where records are concerned: it neither
     says what it can read nor takes note of the format."""
     core.membership._version = lambda: None  # type: ignore[method-assign]
+    core.owner.least_bytes = value_limit(core.world.facts.state)
     replica, apply = core.world.replica, core.world.replica.apply
 
     def old_apply(key: str, value: Any, stamp: int) -> None:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,294 @@
+"""Short stories of two versions side by side, and of limits that fall."""
+
+import json
+import logging
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from oakmux.core.controller import Controller
+from oakmux.core.jobs import (
+    FORMAT_KEY,
+    Binding,
+    Chunk,
+    Replica,
+    chunk_from,
+    chunk_key,
+    job_key,
+    job_value,
+    value_bytes,
+    version_key,
+)
+from oakmux.settings import ComingLimits
+from tests.fakes import TYPE, Sim, settings_for, spec
+
+FIRST = json.loads((Path(__file__).parent / "data" / "first_version.json").read_text())
+COMING = ComingLimits(value_kb=2.0, txn_ops=4)
+ALL = ("h0", "h1", "h2")
+
+
+def first_replica() -> Replica:
+    """Return a replica of what the first version wrote."""
+    replica = Replica()
+    replica.load([(key, *row) for key, row in FIRST["rows"].items()], 30)
+    return replica
+
+
+def upgrade(sim: Sim, *labels: str, gap: float = 4.0) -> None:
+    """Replace controllers by new ones, one after the other."""
+    for label in labels:
+        sim.old.discard(label)
+        sim.crash(label, 2.0)
+        sim.run(gap)
+
+
+def fall(sim: Sim, value_kb: float = 2.0) -> None:
+    """Lower the state service's limits."""
+    sim.state.value_kb, sim.state.txn_ops = value_kb, 4
+
+
+def small(tasks: int, **more):
+    """Return an array that needs no GPU."""
+    return spec("array", tasks, **{"gpus": 0.0, "cpus": 0.1, "memory_gb": 0.1, **more})
+
+
+def test_records_of_the_first_version_are_read_and_written_alike():
+    replica = first_replica()
+    assert replica.format == 1 and replica.per_chunk is None and not replica.bad
+    states = {job_id: job.state for job_id, job in replica.jobs.items()}
+    assert states == {"job-1": "queued", "job-2": "queued", "job-3": "done", "job-4": "done",
+                      "job-5": "cancelled"}
+    for job in replica.active.values():
+        written = job_value(job.state, job.team, job.spec, job.order, job.tasks)
+        assert written == FIRST["rows"][job_key(job.id)][0]
+        assert job.ready
+        for number, chunk in job.chunks.items():
+            assert chunk.to_value(1) == FIRST["rows"][chunk_key(job.id, number)][0]
+            again = chunk_from(chunk.to_value(2), chunk.stamp)
+            assert (again.bound, again.done, again.last) == (chunk.bound, chunk.done, chunk.last)
+    assert len(replica.jobs["job-2"].chunks[0].bound) == 30
+
+
+def test_messages_of_the_first_version_are_understood_and_ours_have_their_form(caplog):
+    core = Controller(settings_for("h1"), random.Random(1), 0)
+    core.step(0.0, [("catalogue", [TYPE]), ("snapshot", [
+        (key, *row) for key, row in FIRST["rows"].items()], 30, 0.0)])
+    for sender, message in FIRST["messages"].values():
+        core.step(1.0, [("peer", None, sender, [message])])
+    assert "message_failed" not in caplog.text and "m1" in core.world.machines
+    sim, forms = Sim(1), {}
+    send = sim.send
+
+    def noted(label, life, peer, message):
+        forms[message[0]] = len(message)
+        send(label, life, peer, message)
+
+    sim.send = noted
+    sim.run(10)
+    sim.submit("job-1", spec("array", 6))
+    sim.run(15)
+    for tag, (_, message) in FIRST["messages"].items():
+        assert forms.get(tag, len(message)) == len(message)
+    assert {"view", "reserve", "offer"} <= set(forms)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_an_upgrade_one_by_one_while_work_runs_and_is_cancelled(seed):
+    sim = Sim(seed, coming=COMING, old=ALL)
+    dice = random.Random(seed)
+    sim.run(12)
+    for number in range(6):
+        sim.submit(f"job-{number}", dice.choice([
+            small(40, estimate_s=30.0), spec("gang", 3, "blue", estimate_s=12.0),
+            spec("array", 5, "blue", estimate_s=8.0), spec("service", 2, "red")]))
+    sim.run(8)
+    for label in ALL:
+        assert FORMAT_KEY not in sim.state.rows  # not before the last of them is new
+        sim.cancel(f"job-{dice.randrange(6)}")
+        upgrade(sim, label)
+    sim.run(3)
+    assert sim.state.rows[FORMAT_KEY][0] == [2, 64]
+    fall(sim)
+    sim.submit("job-7", small(3, waits_on=("job-1",)))
+    for job_id, job in list(sim.specs.items()):
+        if job.kind == "service":
+            sim.cancel(job_id)
+    sim.run(120)
+    for job_id in sim.specs:
+        sim.query(job_id)
+    sim.run(8)
+    assert {j for j in sim.specs if sim.told.get(j) not in ("done", "cancelled")} == set()
+    assert sim.state.too_large == 0
+
+
+def test_jobs_that_wait_are_not_taken_before_every_controller_is_new():
+    sim = Sim(1, coming=COMING, old=ALL)
+    sim.run(12)
+    sim.submit("job-1", small(1))
+    upgrade(sim, "h0", "h1")
+    answers = []
+    job = small(1, waits_on=("job-1",))
+    sim.command("h0", ("submit", lambda *a: answers.append(a[0]), "job-2", job, ""))
+    sim.run(1)
+    assert answers == [503]
+    upgrade(sim, "h2")
+    sim.run(3)
+    sim.submit("job-2", job)
+    sim.run(12)
+    sim.query("job-2")
+    sim.run(1)
+    assert sim.told["job-2"] == "done"
+
+
+def test_late_writes_of_old_controllers_change_no_record():
+    # A transaction that the network held may be carried out minutes after its sender is gone. Had
+    # it been built on a record that still stands, it would drop what only new versions know.
+    sim = Sim(2, coming=COMING, old=ALL)
+    sent = []
+    serve = sim.state.serve
+
+    def noted(label, kind, *args):
+        if kind == "txn" and label in sim.old and args[1]:
+            sent.append(args)
+        return serve(label, kind, *args)
+
+    sim.state.serve = noted
+    sim.run(12)
+    sim.submit("job-1", small(30, estimate_s=60.0))
+    sim.submit("job-2", spec("service", 2, "blue"))
+    sim.run(8)
+    sim.cancel("job-2")
+    sim.run(2)
+    upgrade(sim, *ALL)
+    sim.run(3)
+    kept = {key: row[:2] for key, row in sim.state.rows.items()
+            if key.startswith(("ox/j/", "ox/t/", "ox/own/", "ox/format", "ox/term"))}
+    assert len(sent) > 5
+    for args in sent:
+        sim.state.txn(*args)
+    for key, row in kept.items():
+        assert sim.state.rows[key][:2] == row, key
+
+
+@pytest.mark.parametrize("crashed", [ALL, ("h0",)])
+def test_a_crash_around_the_switch_leaves_one_format(crashed):
+    sim = Sim(4, coming=COMING, old=ALL)
+    sim.run(12)
+    sim.submit("job-1", small(40, estimate_s=25.0))
+    sim.run(8)
+    upgrade(sim, "h1", "h2")
+    sim.old.discard("h0")
+    sim.crash("h0", 2.0)
+    while FORMAT_KEY not in sim.state.rows:
+        sim.run(0.002)
+    for label in crashed:  # whoever wrote it has not heard so yet
+        sim.crash(label, 2.0)
+    sim.run(40)
+    assert sim.state.rows[FORMAT_KEY][0] == [2, 64]
+    sim.query("job-1")
+    sim.run(6)
+    assert sim.told["job-1"] == "done"
+    assert all(core.world.replica.format == 2 for core in sim.cores.values())
+
+
+def test_a_new_controller_that_is_cut_off_during_the_switch_goes_on_after_it():
+    sim = Sim(5, coming=COMING, old=ALL)
+    sim.run(12)
+    sim.submit("job-1", small(40, estimate_s=30.0))
+    sim.run(6)
+    upgrade(sim, "h0", "h1")
+    sim.cuts.add(frozenset(("h0", "state")))
+    upgrade(sim, "h2")
+    sim.run(3)
+    assert sim.state.rows[FORMAT_KEY][0] == [2, 64]
+    assert sim.cores["h0"].world.replica.format == 1
+    sim.cuts.clear()
+    sim.run(45)
+    sim.query("job-1")
+    sim.run(3)
+    assert sim.told["job-1"] == "done" and sim.cores["h0"].world.replica.format == 2
+
+
+def test_records_left_too_large_are_shrunk_after_the_switch_and_can_be_released():
+    sim = Sim(1, coming=ComingLimits(value_kb=1.2, txn_ops=4), old=ALL)
+    sim.run(12)
+    sim.submit("job-1", small(64, estimate_s=500.0))
+    sim.run(8)
+    key = chunk_key("job-1", 0)
+    assert value_bytes(sim.state.rows[key][0]) > 1.2 * 1024
+    upgrade(sim, *ALL)
+    sim.run(4)
+    assert value_bytes(sim.state.rows[key][0]) <= 1.2 * 1024
+    fall(sim, 1.2)
+    sim.cancel("job-1")
+    sim.run(30)
+    assert key not in sim.state.rows and sim.state.too_large == 0
+
+
+def test_limits_that_fall_before_the_switch_are_not_run_into_for_ever():
+    # The same transaction was once sent again unchanged until its job ended otherwise.
+    sim = Sim(1, coming=ComingLimits(value_kb=1.0, txn_ops=4), old=ALL)
+    sim.run(12)
+    sim.submit("job-1", small(64, estimate_s=20.0))
+    sim.run(8)
+    upgrade(sim, "h0", "h1")
+    fall(sim, 1.0)
+    sim.state.too_large = 0
+    sim.old.discard("h2")
+    sim.crash("h2", None)
+    sim.run(60)
+    assert sim.state.too_large < 25
+    sim.boot("h2")
+    sim.run(30)
+    sim.query("job-1")
+    sim.run(2)
+    assert sim.told["job-1"] == "done"
+
+
+def test_a_job_of_many_records_ends_within_four_changes():
+    sim = Sim(1, coming=COMING)
+    sim.run(12)
+    fall(sim)
+    sim.submit("job-1", small(64 * 6, estimate_s=2.0, cpus=0.02, memory_gb=0.02))
+    sim.submit("job-2", spec("gang", 130, "blue", gpus=0.0, cpus=0.02, memory_gb=0.02))
+    sim.run(60)
+    for job_id in ("job-1", "job-2"):
+        sim.query(job_id)
+    sim.run(4)
+    assert sim.told == {"job-1": "done", "job-2": "done"} and sim.state.too_large == 0
+    assert not [key for key in sim.state.rows if key.startswith("ox/t/")]
+
+
+def test_full_records_keep_within_the_coming_limit():
+    bound = {i: Binding(250 + i, f"n-{123000 + i:06d}", 3, 4100 + i % 7,
+                        ["tembalang", "candisari", "genuk"][i % 3]) for i in range(64)}
+    assert value_bytes(Chunk(0, 314, 2**64 - 1, bound).to_value(2)) <= 2048
+
+
+def test_the_mapping_of_tasks_to_records_does_not_move_with_the_limits():
+    # A bound task that is looked for in another record looks unbound (ran_twice).
+    sim = Sim(1, coming=COMING)
+    sim.run(12)
+    core = sim.cores["h0"]
+    assert core.owner.per_chunk == 64
+    page = settings_for("h0")
+    limits = msgspec.structs.replace(page.facts.state, value_kb=2.0)  # the new limits, one day
+    facts = msgspec.structs.replace(page.facts, state=limits)
+    later = Controller(msgspec.structs.replace(page, facts=facts), random.Random(1), 0)
+    assert later.owner.per_chunk == 18
+    later.step(0.0, [("snapshot", [(FORMAT_KEY, [2, 64], 3)], 3, 0.0)])
+    assert later.owner.per_chunk == 64
+
+
+def test_records_of_a_later_version_are_one_line_in_the_log_and_nothing_is_served(caplog):
+    core = Controller(settings_for("h0"), random.Random(1), 0)
+    rows = [(version_key("h1"), 3, 1), (FORMAT_KEY, [3, "other"], 2), (job_key("job-1"), {}, 3)]
+    with caplog.at_level(logging.ERROR):
+        core.step(0.0, [("catalogue", [TYPE]), ("snapshot", rows, 3, 0.0)])
+        effects = core.step(1.0, [("watch", rows, 4, 1.0), ("health", "a"),
+                                  ("query", "b", "job-1")])
+    assert [line.split()[0] for line in caplog.messages] == [
+        "event=unknown_format", "event=bad_record"]
+    assert [(e[1], e[2]) for e in effects if e[0] == "answer"] == [("a", 503), ("b", 503)]
