--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -129,6 +129,9 @@
 RENT_TRIES = 5
 # Rounds in which one step carries its own consequences through (count).
 SETTLE_ROUNDS = 8
+# Seconds' worth of its share of changes that a controller may go ahead of it for users, who else
+# wait behind an owner's transaction; what was taken ahead is made up for.
+USER_AHEAD_S = 2.0
 # Seconds an operation for the state service may wait for its turn before it is given up unsent.
 STATE_QUEUE_S = 3.0
 # Share of the limits of state service and cloud that we use (fraction), against drifting clocks.
--- a/oakmux/net/state.py
+++ b/oakmux/net/state.py
@@ -73,13 +73,17 @@
             if not line.heap:
                 await line.woken.wait()
                 continue
-            _, _, since, cost, op = line.heap[0]
+            priority, _, since, cost, op = line.heap[0]
             now = loop.time()
             if now - since > constants.STATE_QUEUE_S:
                 heapq.heappop(line.heap)
                 self.put(("done", op[1], 503, None))
                 continue
-            wait = max(self.requests.wait(now, 1), self.changes.wait(now, cost) if cost else 0.0)
+            # A user's change goes ahead of its share: behind an owner's transaction it waited
+            # for up to two seconds. The next transaction waits so much longer.
+            ahead = self.changes.rate * constants.USER_AHEAD_S if priority <= 0 else 0.0
+            wait = max(self.requests.wait(now, 1),
+                       self.changes.wait(now, cost - ahead) if cost else 0.0)
             if wait > 0:
                 self._borrow(now)
                 try:  # something more urgent may come meanwhile
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -285,6 +285,23 @@
     with_state(play)
 
 
+def test_a_users_change_goes_ahead_of_the_share_but_not_for_ever():
+    # Behind an owner's transaction of several changes, submissions waited up to two seconds.
+    async def play(state, sent, put):
+        state.changes.at = asyncio.get_running_loop().time()
+        state.changes.level = -state.changes.rate
+        state.submit("txn", 1, [], [("k", 1, None)], 1)
+        state.submit("txn", 2, [], [("user", 1, None)], 0)
+        await turns()
+        assert sent == [wire.PATH_TXN] and state.changes.level < -state.changes.rate
+        state.changes.level = -3 * state.changes.rate
+        state.submit("txn", 3, [], [("user", 1, None)], 0)
+        await turns()
+        assert len(sent) == 1
+
+    with_state(play)
+
+
 def test_changes_are_lent_once_and_only_by_who_has_them_to_spare():
     async def play(state, sent, put):
         state.changes.wait(asyncio.get_running_loop().time(), 0)
