--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -20,6 +20,9 @@
 # tens of seconds, and room that is held stands idle.
 GANG_GATHER_TASK_S = 0.4
 GANG_GATHER_MOST_S = 20.0
+# Share of the time that a gang's tasks may wait for one another which is planned for: a task that
+# has its image is started so long before the slowest fetch of the others may end.
+GANG_WAIT_SHARE = 0.5
 # Seconds of random back-off after a gang released its offers, at most.
 GANG_BACKOFF_S = 2.0
 
--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -30,7 +30,7 @@
     """What a keeper remembers of a machine that reports to it."""
 
     __slots__ = ("queue", "offers", "starting", "answered", "refused", "ordering", "direct_after",
-                 "orphans", "stops", "known")
+                 "orphans", "stops", "known", "held")
 
     def __init__(self) -> None:
         self.queue: dict[str, Reservation] = {}
@@ -43,6 +43,7 @@
         self.orphans: dict[Task, float] = {}
         self.stops: dict[Task, float] = {}
         self.known: set[tuple[str, int, int]] = set()
+        self.held: dict[Task, float] = {}
 
 
 def room(world: World, machine: Machine, extra: list[JobSpec] | None = None) -> Room:
@@ -132,6 +133,9 @@
         self.cancelled: dict[str, float] = {}
         self.next_offer = 0
         self.poke: set[str] = set()
+        # Machines where a start is held back until others of its gang have their image.
+        self.holding: set[str] = set()
+        self.next_look = 0.0
 
     # --- may we keep workers alive? ---
 
@@ -283,16 +287,44 @@
                 if task not in kept.refused:
                     kept.refused.add(task)
                     world.dirty_machines.add(machine.name)
+            elif self._too_soon(kept, machine, job, binding, task):
+                self.holding.add(machine.name)
             elif task not in kept.refused and self.state_fresh():
                 orders.append(wire.order("start", *task))
                 starts.append(task)
         kept.refused &= names
+        kept.held = {task: since for task, since in kept.held.items() if task in names}
         for task in [task for task in kept.stops if task not in machine.tasks]:
             del kept.stops[task]
         if forget:
             self._unbound(kept, machine, orders, names)
         return orders, starts
 
+    def _too_soon(self, kept: Kept, machine: Machine, job: Job, binding: Binding,
+                  task: Task) -> bool:
+        """Whether a gang's task that has its image should be started later, since others fetch it.
+
+        The task would wait for them, `gang_wait_s` at most, and end with the whole attempt: a
+        fetch that takes longer was so given up and begun anew for ever.
+        """
+        world, spec = self.world, job.spec
+        if spec is None or not spec.joint or spec.image not in machine.images:
+            return False
+        slowest = world.fetch_s(spec, machine.type) * constants.FETCH_SPREAD
+        patience = slowest - world.facts.workers.gang_wait_s * constants.GANG_WAIT_SHARE
+        if world.now - kept.held.setdefault(task, world.now) >= patience:
+            return False
+        for chunk in job.chunks.values():
+            for index, other in chunk.bound.items():
+                if other.attempt != binding.attempt or other.machine == machine.name:
+                    continue
+                there = world.machines.get(other.machine)
+                state = there.tasks.get((f"{job.id}/{index}", other.attempt)) if there else None
+                if there is not None and (state[0] == "fetching" if state is not None
+                                          else spec.image not in there.images):
+                    return True
+        return False
+
     def _must_save(self, machine: Machine, job: Job, state: str) -> bool:
         """Whether a task has to save now, since the cloud is about to take its machine.
 
@@ -486,6 +518,10 @@
 
     def tick(self) -> None:
         """Send what is due to poked machines."""
+        if self.holding and self.world.now >= self.next_look:
+            self.next_look = self.world.now + constants.TICK_S
+            self.poke |= self.holding
+            self.holding = set()
         poke, self.poke = self.poke, set()
         for name in poke:
             self.direct(name)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -143,6 +143,7 @@
         self.node = sim.rng.randrange(len(sim.labels))
         self.lease_from = sim.now
         self.dead = False
+        self.images: set[str] = set()
         self.sick = False
         self.taken_at: float | None = None
         self.waiting = 0
@@ -176,6 +177,12 @@
             self.session += 1
             self.lease_from = now
         for key, row in list(self.tasks.items()):
+            job = self.sim.specs[key[0].partition("/")[0]]
+            if row[0] == "fetching" and row[2] <= now:
+                self.images.add(job.image)
+                row[0], row[2] = "waiting", now + GANG_WAIT_S
+            if row[0] == "waiting":
+                self.sim.meet(key, row, job)
             if row[0] == "running" and row[2] <= now:
                 self.sim.finish(key, row, self.sick)
 
@@ -228,7 +235,11 @@
             if order["verb"] == "launch" and key not in self.tasks:
                 self.sim.started(self, key)
                 self.tasks[key] = ["running", "", self.sim.now + self.sim.run_s(key[0])]
-            elif order["verb"] == "halt" and self.tasks.get(key, [""])[0] == "running":
+                job = self.sim.specs[key[0].partition("/")[0]]
+                if self.sim.fetches:
+                    fetch = 0.0 if job.image in self.images else job.image_gb
+                    self.tasks[key] = ["fetching", "", self.sim.now + fetch]
+            elif order["verb"] == "halt" and self.tasks.get(key, [""])[0] not in ("", "exited"):
                 self.tasks[key][:2] = ["exited", "stopped"]
             elif order["verb"] == "forget" and self.tasks.get(key, [""])[0] == "exited":
                 del self.tasks[key]
@@ -262,6 +273,7 @@
         self.asked_cancel: set[str] = set()
         self.completed: set[str] = set()
         self.starts = 0
+        self.fetches = False  # whether images take their time, 1 GB a second
         self.recount = False
         self.start_log: list[tuple[float, str, int, str]] = []
         self.boot_all()
@@ -470,6 +482,17 @@
         job = self.specs[task.partition("/")[0]]
         return 1e9 if job.kind == "service" else job.estimate_s
 
+    def meet(self, key: tuple[str, int], row: list, job: JobSpec) -> None:
+        """Start a task that has its image; those of a gang together, or none after a while."""
+        rows = [r for w in self.workers.values() if not w.dead for (task, attempt), r in
+                w.tasks.items() if task.partition("/")[0] == key[0].partition("/")[0]
+                and attempt == key[1] and r[0] in ("waiting", "running")]
+        if job.kind != "gang" or len(rows) == job.tasks:
+            for one in rows if job.kind == "gang" else [row]:
+                one[0], one[2] = "running", self.now + self.run_s(key[0])
+        elif row[2] <= self.now:
+            row[:2] = ["exited", "alone"]
+
     def finish(self, key: tuple[str, int], row: list, sick: bool) -> None:
         """End a task; a gang's tasks complete together or not at all."""
         job_id = key[0].partition("/")[0]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -475,6 +475,22 @@
     assert any(task == "job-3/0" for _, task, _ in sim.live())
 
 
+def test_a_gang_whose_fetch_outlasts_its_wait_does_not_begin_anew_for_ever():
+    # Those that had the image gave up after gang_wait_s, and the fetch was given up with them.
+    sim = quiet()
+    sim.fetches = True
+    sim.submit("job-1", spec("service", 1, "blue", gpus=4.0, image="x", image_gb=14.0))
+    sim.run(40)
+    sim.cancel("job-1")
+    sim.run(1)
+    sim.submit("job-2", spec("gang", 2, "blue", gpus=4.0, image="x", image_gb=14.0))
+    sim.run(45)
+    names = {name for _, task, _, name in sim.start_log if task.startswith("job-2/")}
+    attempts = [attempt for _, task, attempt, _ in sim.start_log if task.startswith("job-2/")]
+    assert len(names) == 2 and attempts == [1, 1]
+    assert asked(sim, "job-2", 3) == "done"
+
+
 def test_a_gang_beyond_its_teams_limit_stops_nobodys_work():
     # One task more was once allowed where the whole gang was not: it had work of others stopped
     # again and again and could not start.
