--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -341,8 +341,11 @@
 
     def _patient(self, spec: JobSpec, state: Open, machine: Machine) -> bool:
         """Whether to wait at machines that hold the image rather than fetch it: for a part of the
-        fetch, as far as the aims for starting this class and guaranteed work leave time."""
+        fetch, as far as the aims for starting this class and guaranteed work leave time. What
+        holds a service's image are services mostly, which don't end."""
         now = self.world.now
+        if spec.kind == "service":
+            return False
         if state.patient_until is None:
             fetch = self.world.fetch_s(spec, machine.type)
             patience = fetch * constants.PATIENCE_SHARE
