--- a/oakmux/cli.py
+++ b/oakmux/cli.py
@@ -110,7 +110,9 @@
 
 def line(job: dict) -> str:
     """Return a job's state for people."""
-    return "{}: {} (done {}, running {})".format(*wire.job_state(job))
+    text = "{}: {} (done {}, running {})".format(*wire.job_state(job))
+    waits_on = wire.job_waits(job)
+    return f"{text}, waits on {', '.join(waits_on)}" if waits_on else text
 
 
 @click.group()
@@ -202,12 +204,15 @@
 @click.option("--checkpoint-s", type=float, help="Progress between checkpoints.")
 @click.option("--save-s", type=float, help="Time a stopped task needs to save.")
 @click.option("--deadline-s", type=float, help="When the job should be complete.")
+@click.option("--waits-on", multiple=True, metavar="JOB",
+              help="A job that must be done before this one starts; may be repeated.")
 @click.pass_obj
 def submit(context: Context, path: str | None, job_id: str | None, lane: str | None,
-           types: tuple[str, ...], **flags: Any) -> None:
+           types: tuple[str, ...], waits_on: tuple[str, ...], **flags: Any) -> None:
     """Submit a job from a file, from flags, or from a file with flags on top."""
     job = read_job(path) if path else {}
-    given = {"id": job_id, "class": lane, "types": list(types) or None, **flags}
+    given = {"id": job_id, "class": lane, "types": list(types) or None,
+             "waits_on": list(waits_on) or None, **flags}
     job.update({name: value for name, value in given.items() if value is not None})
     for name in ("id", "team"):
         if name not in job:
--- a/oakmux/net/state.py
+++ b/oakmux/net/state.py
@@ -150,6 +150,9 @@
     async def _txn(self, guards: list, writes: list, _: int) -> tuple[int, Any]:
         body = wire.txn_body(guards, writes)
         status, answer = await self._call("POST", wire.PATH_TXN, body)
+        if writes and log.isEnabledFor(logging.DEBUG):
+            log.debug("event=txn status=%s changes=%s", status,
+                      ",".join(write[0] if len(write) > 1 else f"-{write[0]}" for write in writes))
         if status in (200, 409):
             return status, wire.parse_txn(answer)
         if status in (400, 429):
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -445,3 +445,9 @@
     words = {platform: inside for inside, platform in JOB_STATES.items()}
     return (str(value.get("id")), words.get(value.get("status", ""), "unknown"),
             value.get("done", 0), value.get("running", 0))
+
+
+def job_waits(value: Any) -> list[str]:
+    """Return the jobs that a job still waits on, from an answer to a user."""
+    names = value.get("waits_on") if isinstance(value, dict) else None
+    return [str(name) for name in names] if isinstance(names, list) else []
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -57,13 +57,17 @@
     job = wire.parse_job(GOOD)
     assert (job.kind, job.priority, job.tasks, job.cpus, job.types) == (
         "gang", 2, 16, 8.0, ["g8"])
+    assert [wire.parse_job({**GOOD, **more}).waits_on for more in (
+        {}, {"waits_on": None}, {"waits_on": []}, {"waits_on": ["job-2", "job-1", "job-2"]})] == [
+        (), (), (), ("job-2", "job-1")]
 
 
 @pytest.mark.parametrize(("field", "value"), [
     ("pieces", 0), ("pieces", 100_001), ("pieces", 1.5), ("pieces", True), ("vcpus", -1.0),
     ("vcpus", float("nan")), ("memory_gb", float("inf")), ("vcpus", "8"), ("shape", "blob"),
     ("rank", "first"), ("flavours", "g8"), ("together", 1), ("owner", ""), ("due_s", -1),
-    ("lane", None)])
+    ("lane", None), ("waits_on", "job-1"), ("waits_on", ["job-x"]), ("waits_on", [7]),
+    ("waits_on", {"job-1": 1})])
 def test_a_bad_field_is_malformed(field, value):
     with pytest.raises(wire.Malformed):
         wire.parse_job({**GOOD, field: value})
@@ -150,6 +154,22 @@
             settings.load(str(file))
 
 
+def test_the_smaller_of_present_and_coming_limits_counts(tmp_path):
+    file = tmp_path / "c.toml"
+    coming = "\n[facts.state.next]\nwrite_rps = 1e6\nvalue_kb = 2.0\ntxn_ops = 4\n"
+    file.write_text(CONFIG + coming)
+    present = settings.load(str(file)).facts.state
+    least = present.least
+    assert (least.rps, least.write_rps, least.value_kb, least.txn_ops) == (
+        present.rps, present.write_rps, 2.0, 4)
+    for old, new, field in (("value_kb = 2.0", "value_kb = 0", "facts.state.next.value_kb"),
+                            ("txn_ops = 4", "txn_ops = 1", "txn_ops"),
+                            ("txn_ops = 4", "txn_ops = 'x'", "txn_ops")):
+        file.write_text(CONFIG + coming.replace(old, new))
+        with pytest.raises(settings.SettingsError, match=field):
+            settings.load(str(file))
+
+
 def test_bad_settings_end_the_process_with_one_line_and_2(tmp_path):
     file = tmp_path / "c.toml"
     file.write_text(CONFIG.replace("zones = [\"a\"]", "zones = []"))
@@ -160,16 +180,21 @@
 
 
 def test_command_line(tmp_path, monkeypatch):
-    asked = []
+    asked, bodies = [], []
 
     def answer(server, method, path, body=None):
         asked.append((server, method, path))
+        if body is not None:
+            bodies.append(body)
         if server == "127.0.0.1:1":
             raise OSError("refused")
         if path == "/healthz":
             return 200, {"label": "h0", "term": 3, "machines": 2, "teams": ["red"]}
         if path.endswith("job-404"):
             return 404, {"error": "unknown job"}
+        if path.endswith("job-7"):
+            return 200, {"id": "job-7", "status": "queued", "done": 0, "running": 0,
+                         "waits_on": ["job-1", "job-5"]}
         return 200, {"id": "job-1", "status": "done", "done": 2, "running": 0}
 
     monkeypatch.setattr("oakmux.cli.ask_one", answer)
@@ -182,6 +207,10 @@
     result = run(main, [*base, "submit", "--file", str(job), "--gpus", "1"])
     assert result.exit_code == 0 and "job-1: done" in result.output
     assert [a[0] for a in asked] == ["127.0.0.1:1", "127.0.0.1:2"]  # the second one answered
+    run(main, [*base, "submit", "--file", str(job), "--waits-on", "job-5", "--waits-on", "job-6"])
+    assert bodies[-1]["waits_on"] == ["job-5", "job-6"]
+    waits = run(main, [*base, "status", "job-7"]).output
+    assert waits == "job-7: queued (done 0, running 0), waits on job-1, job-5\n"
     assert json.loads(run(main, [*base, "--json", "status", "job-1"]).output)["done"] == 2
     assert run(main, [*base, "wait", "job-1"]).exit_code == 0
     assert run(main, [*base, "status", "job-404"]).exit_code == 1
