--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -48,7 +48,7 @@
             self.unavailable(rid, "machine types are not known yet")
         else:
             never = (teams.never_fits(self.world, spec) or self._wrong_needs(job_id, spec)
-                     or self._too_large(job_id, spec))
+                     or self._too_large(spec))
             if never is not None:
                 self._read(rid, job_id, lambda now: self._known(rid, now, never, 422))
             elif spec.waits_on and self.world.replica.format < 2:
@@ -77,7 +77,7 @@
                 return f"waits_on: {name} is a service"
         return None
 
-    def _too_large(self, job_id: str, spec: JobSpec) -> str | None:
+    def _too_large(self, spec: JobSpec) -> str | None:
         size = value_bytes(job_value("queued", spec.team, spec, self._order(), spec.tasks))
         if size <= self.most_bytes:
             return None
@@ -263,11 +263,13 @@
         we have all changes up to that revision: a job may be cancelled with one far before it
         (R orphaned, went_back), a name unknown here may have been accepted elsewhere."""
         job = self.world.replica.jobs.get(job_id)
-        if (job is None or not (job.ready or job.final)) and self.world.replica.epoch < epoch:
+        if (job is not None and (job.ready or job.final)) or self.world.replica.epoch >= epoch:
+            then(job)
+        elif len(self.behind) >= constants.MAX_WAITING:
+            self.unavailable(rid, "busy")
+        else:
             self.behind.append((epoch, self.world.now + constants.STATE_TIMEOUT_S, rid, job_id,
                                 then))
-        else:
-            then(job)
 
     def _catch_up(self) -> None:
         """Go on with reads whose revision the watch has reached."""
