--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -183,8 +183,11 @@
 BORROW_MORE = 2.0
 LEND_KEEP = 1.0
 LEND_LEAST = 0.2
-# Seconds for which the ends of an array's tasks are gathered into one write.
+# Seconds for which the ends of an array's tasks are gathered into one write, at least and at most;
+# between the two as long as our even share of the rate needs for so many changes.
 COALESCE_S = 1.5
+COALESCE_MOST_S = 5.0
+COALESCE_CHANGES = 8.0
 # Seconds' worth of our even share of the state service's rate that one transaction of an owner may
 # take, and the least changes it may hold: a job that ends takes two, a large gang more.
 WRITES_S = 2.0
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -76,6 +76,9 @@
         self.outgrown: set[str] = set()
         limits = world.facts.state.least
         self.least_bytes = value_limit(limits)
+        share = limits.write_rps / world.settings.size
+        self.coalesce_s = min(max(constants.COALESCE_S, constants.COALESCE_CHANGES / share),
+                              constants.COALESCE_MOST_S)
         # A transaction far above our share of the rate would hold up all that comes after it.
         self.most_writes = min(limits.txn_ops, max(constants.WRITES_LEAST, int(
             constants.WRITES_S * limits.write_rps / world.settings.size)))
@@ -585,7 +588,7 @@
         number, bit = divmod(index, self.per_chunk)
         # Starts go first; the ends of an array's tasks wait a little for one another.
         lazy = why == "done" and job.spec is not None and job.spec.kind == "array"
-        chunk = self._edit(job, number, world.now + (constants.COALESCE_S if lazy else 0.0))
+        chunk = self._edit(job, number, world.now + (self.coalesce_s if lazy else 0.0))
         del chunk.bound[index]
         event("unbind", task=f"{job.id}/{index}", attempt=binding.attempt,
               machine=binding.machine, why=why, saved=int(saved))
