--- a/oakmux/core/machines.py
+++ b/oakmux/core/machines.py
@@ -30,7 +30,7 @@
     """What a keeper remembers of a machine that reports to it."""
 
     __slots__ = ("queue", "offers", "starting", "answered", "refused", "ordering", "direct_after",
-                 "orphans", "stops", "known", "held")
+                 "orphans", "stops", "known", "delayed")
 
     def __init__(self) -> None:
         self.queue: dict[str, Reservation] = {}
@@ -43,7 +43,7 @@
         self.orphans: dict[Task, float] = {}
         self.stops: dict[Task, float] = {}
         self.known: set[tuple[str, int, int]] = set()
-        self.held: dict[Task, float] = {}
+        self.delayed: dict[Task, float] = {}
 
 
 def room(world: World, machine: Machine, extra: list[JobSpec] | None = None) -> Room:
@@ -134,7 +134,7 @@
         self.next_offer = 0
         self.poke: set[str] = set()
         # Machines where a start is held back until others of its gang have their image.
-        self.holding: set[str] = set()
+        self.delaying: set[str] = set()
         self.next_look = 0.0
 
     # --- may we keep workers alive? ---
@@ -288,12 +288,12 @@
                     kept.refused.add(task)
                     world.dirty_machines.add(machine.name)
             elif self._too_soon(kept, machine, job, binding, task):
-                self.holding.add(machine.name)
+                self.delaying.add(machine.name)
             elif task not in kept.refused and self.state_fresh():
                 orders.append(wire.order("start", *task))
                 starts.append(task)
         kept.refused &= names
-        kept.held = {task: since for task, since in kept.held.items() if task in names}
+        kept.delayed = {task: since for task, since in kept.delayed.items() if task in names}
         for task in [task for task in kept.stops if task not in machine.tasks]:
             del kept.stops[task]
         if forget:
@@ -312,7 +312,7 @@
             return False
         slowest = world.fetch_s(spec, machine.type) * constants.FETCH_SPREAD
         patience = slowest - world.facts.workers.gang_wait_s * constants.GANG_WAIT_SHARE
-        if world.now - kept.held.setdefault(task, world.now) >= patience:
+        if world.now - kept.delayed.setdefault(task, world.now) >= patience:
             return False
         for chunk in job.chunks.values():
             for index, other in chunk.bound.items():
@@ -518,10 +518,10 @@
 
     def tick(self) -> None:
         """Send what is due to poked machines."""
-        if self.holding and self.world.now >= self.next_look:
+        if self.delaying and self.world.now >= self.next_look:
             self.next_look = self.world.now + constants.TICK_S
-            self.poke |= self.holding
-            self.holding = set()
+            self.poke |= self.delaying
+            self.delaying = set()
         poke, self.poke = self.poke, set()
         for name in poke:
             self.direct(name)
