--- a/oakmux/core/fleet.py
+++ b/oakmux/core/fleet.py
@@ -273,7 +273,7 @@
                 room_in[zone] >= wanted, self._cheapest(spec, zones, [zone]) is not None,
                 room_in[zone]))]
             there = [slot for slot in there if slot.zone in allowed]
-        if spec.spot:  # leave the others to work that may not go to spot machines
+        if spec.spot and spec.gpus:  # leave the others to work that may not go to spot machines
             there.sort(key=lambda slot: not slot.spot)
         if not spec.gpus:  # leave free GPUs, and the CPUs that they need, to work that needs them
             there.sort(key=lambda slot: (strands(spec, world.types[slot.type], slot.free),
--- a/oakmux/core/reservations.py
+++ b/oakmux/core/reservations.py
@@ -450,7 +450,8 @@
     def _preference(self, job: Job, spec: JobSpec, machine: Machine, free: Room) -> tuple:
         """Return what orders machines for a task: for one without GPUs, CPUs that the free GPUs
         can spare; image held, no other fetch under way where either is urgent (they would share
-        the rate), spot if allowed, fullest."""
+        the rate), spot if allowed, fullest. Spot machines are cheaper, but what needs no GPU takes
+        what is left over on any, and may be lost with them."""
         kind = self.world.types[machine.type]
         urgent = job.priority >= constants.URGENT
         left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
@@ -458,7 +459,8 @@
         fetching = missing and any(
             state[0] == "fetching" and (urgent or self._urgent(task[0]))
             for task, state in machine.tasks.items())
-        return (strands(spec, kind, free), missing, fetching, spec.spot and not machine.spot,
+        dearer = spec.spot and not machine.spot if spec.gpus else machine.spot
+        return (strands(spec, kind, free), missing, fetching, dearer,
                 machine.idle_since is not None, left)
 
     def _urgent(self, task: str) -> bool:
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -231,6 +231,20 @@
     assert used <= busy and len(sim.workers) == rented
 
 
+def test_tasks_without_gpus_keep_off_spot_machines_while_others_have_room():
+    # A wave that took spot machines took the chains' tasks with them, past their deadline.
+    sim = quiet()
+    sim.submit("job-2", spec("array", 1, "red", gpus=4.0, cpus=4.0, spot=True, estimate_s=60.0))
+    sim.run(12)
+    sim.submit("job-1", spec("service", 1, "blue", gpus=4.0, cpus=4.0))
+    sim.run(12)
+    assert {worker.spot for worker, _, _ in sim.live()} == {True, False}
+    chain(sim, (3, dict(tasks=6, spot=True)))
+    sim.run(3)
+    used = [sim.workers[name].spot for _, task, _, name in sim.start_log if "job-3/" in task]
+    assert used == [False] * 6
+
+
 def troubled_chains(seed: int) -> Sim:
     """Play pipelines through crashes, outages, cuts and cancellations."""
     sim = quiet(seed)
