--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -136,6 +136,37 @@
     assert ask_all(sim, 2, 5) == ["cancelled"] * 2
 
 
+def test_a_cancellation_in_an_outage_reaches_the_whole_chain_after_it():
+    sim = quiet()
+    pipeline(sim)
+    sim.state.outage(8)
+    sim.cancel("job-1")  # answered 503 and repeated until it is written
+    sim.run(4)
+    assert sim.told["job-1"] == "accepted"
+    sim.run(12)
+    assert ask_all(sim, 1, 2, 3, 4, 5) == ["cancelled"] * 5
+    assert not starts_of(sim, 2)
+
+
+@pytest.mark.parametrize("first", ["cancel", "submit"])
+def test_a_job_submitted_while_what_it_needs_is_cancelled_elsewhere(first):
+    sim = quiet()
+    chain(sim, (1, dict(estimate_s=30.0)))
+    sim.specs["job-2"] = small(waits_on=("job-1",))
+    sim.asked_cancel.add("job-1")
+    answers = []
+    commands = {"cancel": ("h0", ("cancel", lambda *a: answers.append(a), "job-1")),
+                "submit": ("h1", ("submit", lambda *a: answers.append(a), "job-2",
+                                  sim.specs["job-2"], ""))}
+    for name in sorted(commands, key=lambda name: name != first):
+        sim.command(*commands[name])
+    sim.run(1)
+    assert sorted(status for status, _ in answers) == [200, 201]
+    sim.told.update({"job-1": "cancelled", "job-2": "accepted"})
+    sim.cancelled_at["job-1"] = sim.now
+    assert ask_all(sim, 1, 2) == ["cancelled"] * 2
+
+
 @pytest.mark.parametrize("trouble", ["owner", "state", "cut"])
 def test_a_pipeline_survives_trouble(trouble):
     sim = quiet(3)
