--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -522,6 +522,17 @@
     def query(self, job_id: str) -> None:
         self._user(job_id, lambda rid: ("query", rid, job_id), lambda s, a: True)
 
+    def unfinished(self, seconds: float) -> set[str]:
+        """Cancel services, go on, ask for every job; return those not told done or cancelled."""
+        for job_id, job in self.specs.items():
+            if job.kind == "service":
+                self.cancel(job_id)
+        self.run(seconds)
+        for job_id in self.specs:
+            self.query(job_id)
+        self.run(8)
+        return {j for j in self.specs if self.told.get(j) not in ("done", "cancelled")}
+
     def _user(self, job_id: str, make: Callable, enough: Callable) -> None:
         label = self.rng.choice(self.labels)
         state = {"open": True}
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -311,12 +311,8 @@
 @pytest.mark.parametrize("seed", [11, 12, 13, 14])
 def test_rules_hold_in_a_random_story_of_chains(seed):
     sim = troubled_chains(seed)
-    sim.run(200 + CANCEL_S)
-    for job_id in sim.specs:
-        sim.query(job_id)
-    sim.run(8)
+    assert sim.unfinished(200 + CANCEL_S) == set()
     assert sim.starts > 10
-    assert {j for j in sim.specs if sim.told.get(j) not in ("done", "cancelled")} == set()
 
 
 def test_the_random_story_of_chains_can_fail(monkeypatch):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -268,15 +268,8 @@
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_rules_hold_in_a_random_story(seed):
     sim = troubled(seed)
-    for job_id, job in sim.specs.items():
-        if job.kind == "service":
-            sim.cancel(job_id)
-    sim.run(150)
-    for job_id in sim.specs:
-        sim.query(job_id)
-    sim.run(8)
+    assert sim.unfinished(150) == set()
     assert sim.starts > 20
-    assert {j for j in sim.specs if sim.told.get(j) not in ("done", "cancelled")} == set()
 
 
 def test_room_and_team_use_that_are_kept_up_to_date_agree_with_a_full_count():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -112,14 +112,7 @@
     assert sim.state.rows[FORMAT_KEY][0] == [2, 64]
     fall(sim)
     sim.submit("job-7", small(3, waits_on=("job-1",)))
-    for job_id, job in list(sim.specs.items()):
-        if job.kind == "service":
-            sim.cancel(job_id)
-    sim.run(120)
-    for job_id in sim.specs:
-        sim.query(job_id)
-    sim.run(8)
-    assert {j for j in sim.specs if sim.told.get(j) not in ("done", "cancelled")} == set()
+    assert sim.unfinished(120) == set()
     assert sim.state.too_large == 0
 
 
