--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -8,9 +8,10 @@
 from oakmux import constants
 from oakmux.core.desk import Desk
 from oakmux.core.fleet import Fleet
-from oakmux.core.machines import Keeper, hold_image, take_report
+from oakmux.core.keeper import Keeper
+from oakmux.core.keeper.reports import hold_image, take_report
 from oakmux.core.membership import FLEET, Membership
-from oakmux.core.reservations import Owner
+from oakmux.core.owner import Owner
 from oakmux.core.world import World, event
 from oakmux.settings import Settings
 from oakmux.wire import MachineType, Report
@@ -26,8 +27,8 @@
         self.membership = Membership(self.world)
         self.keeper = Keeper(self.world, self.membership)
         self.owner = Owner(self.world, self.keeper)
-        self.fleet = Fleet(self.world, self.keeper)
-        self.desk = Desk(self.world, self.keeper)
+        self.fleet = Fleet(self.world, self.keeper.word)
+        self.desk = Desk(self.world)
         self.next_alive = 0.0
         self.next_tick = 0.0
         self.format = self.world.replica.format
@@ -37,13 +38,13 @@
             "cancel": self.desk.cancel,
             "health": self._health,
             "status": self._status,
-            "report": self.keeper.report,
+            "report": self.keeper.reports.report,
             "done": self._done,
             "snapshot": self._snapshot,
             "watch": self._watch,
             "catalogue": self._catalogue,
             "peer": self._peer,
-            "peer_alive": self.keeper.peer_alive,
+            "peer_alive": self.keeper.word.peer_alive,
             "peer_new": self._peer_new,
             "resend": self._resend,
             "short": self._short,
@@ -51,10 +52,10 @@
         self.messages: dict[str, Callable[..., None]] = {
             "heard": self._heard,
             "view": self._view,
-            "reserve": self.keeper.reserve,
-            "offer": self.owner.offer,
-            "decline": self.keeper.decline,
-            "move": self.keeper.move,
+            "reserve": self.keeper.queue.reserve,
+            "offer": self.owner.binder.offer,
+            "decline": self.keeper.queue.decline,
+            "move": self.keeper.orders.move,
             "drain": self._drain,
             "gone": self._gone,
             "borrow": lambda label, wanted: self.world.emit("lend", label, wanted),
@@ -73,9 +74,9 @@
         due = [self._settle]
         if world.now >= self.next_tick:
             self.next_tick = world.now + constants.TICK_S
-            due += [self.membership.tick, self.owner.sample, self.fleet.tick, self._say_alive,
-                    self._settle]
-        for part in [*due, self.owner.flush, self.desk.flush]:
+            due += [self.membership.tick, self.owner.sampler.sample, self.fleet.tick,
+                    self._say_alive, self._settle]
+        for part in [*due, self.owner.copies.flush, self.desk.flush]:
             try:
                 part()
             except Exception:  # a fault in one part must end neither the others nor the process
@@ -122,13 +123,13 @@
         if set(before) - set(world.my_roles) or won:
             self.owner.lost()
         if won:
-            self.owner.won()
+            self.owner.binder.won()
             if FLEET in won:
                 self.fleet.won()
         if replica.format != self.format:
             self.format = replica.format
             event("format", format=self.format)
-            self.owner.switched()
+            self.owner.copies.switched()
         freed, replica.freed = replica.freed, []
         for job_id in freed:  # age and the aims for starting count from now
             replica.jobs[job_id].since = world.wall + int(world.now * 1000)
@@ -139,12 +140,12 @@
         for job_id in jobs:
             job = replica.jobs.get(job_id)
             if job is not None and job.state == "cancelled" and job_id in replica.active:
-                self.keeper.note_cancelled(job_id)
-            self.owner.changed(job_id)
+                self.keeper.word.note_cancelled(job_id)
+            self.owner.binder.changed(job_id)
         for name in machines:
-            self.keeper.records_changed(name)
+            self.keeper.queue.records_changed(name)
         for name in machines | dirty:
-            self.owner.machine_changed(name)
+            self.owner.binder.machine_changed(name)
         for name in dirty:
             self._tell(name, [m.label for m in world.settings.members])
         return bool(jobs or machines or dirty)
@@ -169,7 +170,7 @@
         replica.epoch = max(replica.epoch, epoch)
         self._recorded_types()
         self.world.state_heard = max(self.world.state_heard, asked)
-        self.keeper.mesh_broken = False
+        self.keeper.word.mesh_broken = False
 
     def _recorded_types(self) -> None:
         """Until the cloud answers, the catalogue in the records has to do."""
@@ -183,15 +184,15 @@
 
     def _health(self, rid: Any) -> None:
         world = self.world
-        fresh = self.keeper.state_fresh()
+        fresh = self.keeper.word.state_fresh()
         served = any(world.now - at < constants.STATE_STALE_S
-                     for at in self.keeper.peer_fresh.values())
+                     for at in self.keeper.word.peer_fresh.values())
         ready = (world.replica.loaded and not world.replica.foreign and bool(world.types)
                  and (fresh or not served))
         world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
 
     def _status(self, rid: Any) -> None:
-        self.world.emit("answer", rid, 200, self._summary(self.keeper.state_fresh()))
+        self.world.emit("answer", rid, 200, self._summary(self.keeper.word.state_fresh()))
 
     def _summary(self, ready: bool) -> tuple:
         world = self.world
@@ -205,7 +206,7 @@
             self._message(label, message)
         world = self.world
         keep = world.facts.workers.cancel_s
-        recent = [j for j, at in self.keeper.cancelled.items() if world.now - at <= keep]
+        recent = [j for j, at in self.keeper.word.cancelled.items() if world.now - at <= keep]
         world.emit("answer", rid, 200, ("peer", world.label,
                                         world.life if world.replica.loaded else 0,
                                         min(world.now - world.state_heard, 1e6),
@@ -227,7 +228,7 @@
         if machine is None or machine.keeper != world.label:
             return
         notice = None if machine.notice_at is None else max(0.0, machine.notice_at - world.now)
-        tasks = [[*task, *state] for task, state in self.keeper.shown(machine).items()]
+        tasks = [[*task, *state] for task, state in self.keeper.reports.shown(machine).items()]
         message = ("view", machine.keeper_term, machine.name, machine.addr, machine.type,
                    machine.zone, machine.spot, machine.session, machine.seq, machine.token,
                    notice, tasks, list(machine.images.items()) if images else [])
@@ -244,7 +245,7 @@
             same = (session, seq) == machine.version and machine.keeper == label
             if not newer and not same:
                 return
-        elif name in world.replica.gone or name in self.fleet.returned:
+        elif name in world.replica.gone or name in self.fleet.lists.returned:
             return
         report = Report(name, addr, type_name, zone, spot, session, seq, token, notice,
                         {(row[0], row[1]): (row[2], row[3], row[4]) for row in tasks})
@@ -258,9 +259,9 @@
             return
         self.next_alive = world.now + constants.ALIVE_S
         keep = world.facts.workers.cancel_s
-        for job_id in [j for j, at in self.keeper.cancelled.items()
+        for job_id in [j for j, at in self.keeper.word.cancelled.items()
                        if world.now - at > 2 * keep and j not in world.replica.active]:
-            del self.keeper.cancelled[job_id]
+            del self.keeper.word.cancelled[job_id]
         for name in [n for n, at in world.draining.items()
                      if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S]:
             del world.draining[name]
@@ -292,4 +293,4 @@
             self.world.machines.pop(name, None)
             self.world.replica.rooms.pop(name, None)
             self.world.draining.pop(name, None)
-            self.keeper.kept.pop(name, None)
+            self.keeper.ward.kept.pop(name, None)
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -7,7 +7,6 @@
 from oakmux import constants
 from oakmux.core import teams
 from oakmux.core.jobs import Job, job_key, job_value, value_bytes, value_limit
-from oakmux.core.machines import Keeper
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
 
@@ -17,9 +16,8 @@
 class Desk:
     """Answers users. A read is current: it compares versions after the request arrived."""
 
-    def __init__(self, world: World, keeper: Keeper) -> None:
+    def __init__(self, world: World) -> None:
         self.world = world
-        self.keeper = keeper
         self.waiting: list[tuple[Any, str, Then]] = []
         self.reading = 0
         # Reads that have to see all changes up to a revision: (revision, until, request, ...).
--- /dev/null
+++ b/oakmux/core/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""The fleet: what to rent, what to return, which machines are certainly gone."""
+
+from oakmux import constants
+from oakmux.core.fleet.demand import Demand
+from oakmux.core.fleet.lists import Lists
+from oakmux.core.fleet.returns import Returns
+from oakmux.core.keeper.word import Word
+from oakmux.core.membership import FLEET
+from oakmux.core.world import World
+
+
+class Fleet:
+    """Rents and returns, while we hold the fleet role."""
+
+    def __init__(self, world: World, word: Word) -> None:
+        self.world = world
+        self.word = word
+        self.lists = Lists(world)
+        self.demand = Demand(world, word, self.lists)
+        self.returns = Returns(world, word, self.lists)
+        self.next_pass = 0.0
+
+    def won(self) -> None:
+        """Begin to hold the role."""
+        self.lists.won()
+        self.demand.renting.clear()
+
+    def tick(self) -> None:
+        """Do what is due."""
+        world = self.world
+        if FLEET not in world.my_roles or not world.types:
+            return
+        self.lists.ask()
+        if world.now >= self.next_pass and self.word.state_fresh():
+            self.next_pass = world.now + constants.FLEET_PASS_S
+            self.lists.records()
+            slots = self.demand.count()
+            if not self.demand.unplaced:
+                self.returns.consolidate(slots)
+            self.returns.idle(slots)
+            self.returns.return_bad()
--- /dev/null
+++ b/oakmux/core/fleet/demand.py
@@ -0,0 +1,210 @@
+"""What to rent: unstarted tasks are placed on what is there or coming, and the rest rented for."""
+
+from collections import Counter
+from typing import Any
+
+from oakmux import constants
+from oakmux.core import teams
+from oakmux.core.fleet.lists import Listed, Lists
+from oakmux.core.keeper.queue import rank
+from oakmux.core.keeper.room import full, has_room, less, room, times, usable
+from oakmux.core.keeper.word import Word
+from oakmux.core.owner.places import strands, zone_allowed
+from oakmux.core.world import World, event
+from oakmux.wire import JobSpec
+
+Key = tuple[str, str, bool]
+"""What is rented: type, zone, spot."""
+
+
+class Slot:
+    """Room on a machine that is up, on its way, or to be rented."""
+
+    __slots__ = ("name", "type", "zone", "spot", "free", "used")
+
+    def __init__(self, name: str, type_name: str, zone: str, spot: bool,
+                 free: tuple[float, float, float]) -> None:
+        self.name = name
+        self.type = type_name
+        self.zone = zone
+        self.spot = spot
+        self.free = free
+        self.used = False
+
+
+class Demand:
+    """Counts what is missing, and rents it."""
+
+    def __init__(self, world: World, word: Word, lists: Lists) -> None:
+        self.world = world
+        self.word = word
+        self.lists = lists
+        self.no_capacity: dict[Key, float] = {}
+        self.renting: dict[str, tuple[str, str, bool, int]] = {}
+        self.requests = 0
+        self.unplaced = False
+        self.there: Counter[str] = Counter()
+
+    def _slots(self) -> list[Slot]:
+        world = self.world
+        slots = []
+        silent = world.facts.workers.lease_s
+        for machine in world.machines.values():
+            if usable(world, machine) and world.now - machine.heard < silent:
+                slots.append(Slot(machine.name, machine.type, machine.zone, machine.spot,
+                                  room(world, machine)))
+        for name, known in self.lists.listed.items():
+            kind = world.types.get(known.type)
+            if (name in world.machines or name in self.lists.returned or kind is None
+                    or known.state == "failed"
+                    or world.now - known.since > constants.BOOT_PATIENCE * kind.boot_s):
+                continue
+            slots.append(Slot(name, known.type, known.zone, known.spot,
+                              (kind.cpus, kind.gpus, kind.memory_gb)))
+        for type_name, zone, spot, count in self.renting.values():
+            kind = world.types[type_name]
+            slots.extend(Slot("", type_name, zone, spot, (kind.cpus, kind.gpus, kind.memory_gb))
+                         for _ in range(count))
+        return slots
+
+    def count(self) -> list[Slot]:
+        """Place unstarted tasks on what is there or coming; rent for the rest."""
+        world = self.world
+        slots = self._slots()
+        self.there = Counter(slot.zone for slot in slots)
+        free = [slot for slot in slots if not full(world, slot.free)]
+        used = dict(teams.usage(world))
+        ranked = sorted(((rank(world, job, job.spec, used), job.since, job.spec, job)
+                         for job in world.replica.active.values()
+                         if job.spec is not None and not job.final and job.ready
+                         and job.id not in self.word.cancelled), key=lambda row: row[:2])
+        rent: dict[Key, int] = {}
+        left = constants.DEMAND_TASKS
+        self.unplaced = False
+        for _, _, spec, job in ranked:
+            bound = job.bindings()
+            wanted = min(job.tasks - job.done_count() - len(bound), left,
+                         teams.tasks_left(world, job.team, spec, used))
+            if wanted <= 0:
+                continue
+            placed, new = self._place(spec, [b.zone for b in bound], wanted, free, rent)
+            slots += new
+            self.unplaced = (self.unplaced or len(placed) < wanted
+                             or any(not slot.name for slot in placed))
+            for slot in placed:
+                slot.used = True
+            free = [slot for slot in (*free, *new) if not full(world, slot.free)]
+            cpus, gpus = used.get(job.team, (0.0, 0.0))
+            used[job.team] = (cpus + len(placed) * spec.cpus, gpus + len(placed) * spec.gpus)
+            left -= len(placed)
+        for key, count in rent.items():
+            while count > 0:
+                self._rent(*key, min(count, constants.MAX_RENT))
+                count -= constants.MAX_RENT
+        return slots
+
+    def _place(self, spec: JobSpec, zones: list[str], wanted: int, free: list[Slot],
+               rent: dict[Key, int]) -> tuple[list[Slot], list[Slot]]:
+        """Return a slot for each task that finds one, present ones first, and the new ones."""
+        world = self.world
+        zones = list(zones)
+        allowed = world.facts.zones if spec.zone is None else [spec.zone]
+        there = [slot for slot in free
+                 if has_room(slot.free, spec) and world.fits_type(spec, slot.type)
+                 and (spec.spot or not slot.spot) and slot.zone in allowed]
+        if spec.one_zone and not zones:
+            # All go to one zone: to where most of them find room already or can be rented for.
+            room_in = Counter[str]()
+            for slot in there:
+                room_in[slot.zone] += times(slot.free, spec)
+            allowed = [max(allowed, key=lambda zone: (
+                room_in[zone] >= wanted, self._cheapest(spec, zones, [zone]) is not None,
+                room_in[zone]))]
+            there = [slot for slot in there if slot.zone in allowed]
+        if spec.spot and spec.gpus:  # leave the others to work that may not go to spot machines
+            there.sort(key=lambda slot: not slot.spot)
+        if not spec.gpus:  # leave free GPUs, and the CPUs that they need, to work that needs them
+            there.sort(key=lambda slot: (strands(spec, world.types[slot.type], slot.free),
+                                         slot.free[1]))
+        placed: list[Slot] = []
+        new: list[Slot] = []
+        for slot in there:
+            while (len(placed) < wanted and has_room(slot.free, spec)
+                   and zone_allowed(spec, zones, slot.zone)):
+                self._put(spec, slot, zones, placed)
+            if len(placed) >= wanted:
+                break
+        while len(placed) < wanted:
+            key = self._cheapest(spec, zones, allowed)
+            if key is None:
+                break
+            kind = world.types[key[0]]
+            rent[key] = rent.get(key, 0) + 1
+            self.there[key[1]] += 1
+            slot = Slot("", *key, (kind.cpus, kind.gpus, kind.memory_gb))
+            new.append(slot)
+            while (len(placed) < wanted and has_room(slot.free, spec)
+                   and zone_allowed(spec, zones, slot.zone)):
+                self._put(spec, slot, zones, placed)
+        return placed, new
+
+    def _put(self, spec: JobSpec, slot: Slot, zones: list[str], placed: list[Slot]) -> None:
+        slot.free = less(slot.free, spec)
+        zones.append(slot.zone)
+        placed.append(slot)
+
+    def _cheapest(self, spec: JobSpec, zones: list[str], allowed: list[str]) -> Key | None:
+        """Return the cheapest type, zone and kind to rent for a task, the emptier zone first."""
+        world = self.world
+        best = None
+        for kind in world.types.values():
+            if not world.fits_type(spec, kind.name):
+                continue
+            for zone in kind.zones:
+                if zone not in allowed or not zone_allowed(spec, zones, zone):
+                    continue
+                for spot in ((True, False) if spec.spot else (False,)):
+                    key = (kind.name, zone, spot)
+                    if self.no_capacity.get(key, 0.0) > world.now:
+                        continue
+                    price = kind.spot_price if spot else kind.price
+                    row = (price, self.there[zone], world.rng.random(), key)
+                    if best is None or row < best:
+                        best = row
+        return None if best is None else best[3]
+
+    def _rent(self, type_name: str, zone: str, spot: bool, count: int) -> None:
+        if self.world.now < self.lists.cloud_after:
+            return
+        self.requests += 1
+        # The name holds our life's term, so no controller and no life uses it again.
+        name = f"oakmux-{self.world.life}-{self.requests}"
+        self.renting[name] = (type_name, zone, spot, count)
+        event("rent", request=name, type=type_name, zone=zone, spot=int(spot), count=count)
+        self._ask(name, 1)
+
+    def _ask(self, name: str, tries: int) -> None:
+        type_name, zone, spot, count = self.renting[name]
+        self.world.call(lambda s, r: self._rented(name, tries, s, r), "cloud", "rent", name,
+                        type_name, zone, spot, count)
+
+    def _rented(self, name: str, tries: int, status: int, result: Any) -> None:
+        world = self.world
+        wanted = self.renting.get(name)
+        if wanted is None:
+            return
+        if status == 0 and tries < constants.RENT_TRIES:
+            self._ask(name, tries + 1)  # repeating a name never rents twice
+            return
+        del self.renting[name]
+        type_name, zone, spot, count = wanted
+        if status == 200:
+            for machine in result:
+                self.lists.listed[machine] = Listed(type_name, zone, spot, "booting", world.now)
+            if len(result) < count:
+                self.no_capacity[(type_name, zone, spot)] = world.now + constants.NO_CAPACITY_S
+        elif status == 503 and result == "no capacity":
+            self.no_capacity[(type_name, zone, spot)] = world.now + constants.NO_CAPACITY_S
+        else:
+            self.lists.cloud_after = world.now + constants.BACKOFF_MOST_S
+        event("rented", request=name, status=status, got=len(result) if status == 200 else 0)
--- /dev/null
+++ b/oakmux/core/fleet/lists.py
@@ -0,0 +1,151 @@
+"""Which machines there are by the cloud's word, and which are certainly gone."""
+
+from typing import Any
+
+import msgspec
+
+from oakmux import constants
+from oakmux.core.jobs import TYPES_KEY, gone_key, value_bytes, value_limit
+from oakmux.core.world import World, event
+
+
+class Listed:
+    """A machine as the cloud's list or a rental's answer names it."""
+
+    __slots__ = ("type", "zone", "spot", "state", "since", "running_since", "absent", "listed")
+
+    def __init__(self, type_name: str, zone: str, spot: bool, state: str, since: float) -> None:
+        self.type = type_name
+        self.zone = zone
+        self.spot = spot
+        self.state = state
+        self.since = since
+        self.running_since: float | None = None
+        self.absent = 0
+        self.listed = False
+
+
+class Lists:
+    """Reads the cloud's list and records which machines are gone."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.since = 0.0
+        self.listed: dict[str, Listed] = {}
+        self.returned: dict[str, float] = {}
+        self.returning: set[str] = set()
+        self.known_since: dict[str, float] = {}
+        self.listing = False
+        self.next_list = 0.0
+        self.cloud_after = 0.0
+        self.gone_written: dict[str, float] = {}
+
+    def won(self) -> None:
+        """Begin to hold the role."""
+        self.since = self.world.now
+        self.listed.clear()
+        self.known_since.clear()
+        self.returning.clear()
+        self.next_list = 0.0
+
+    def ask(self) -> None:
+        """Read the list when it is due."""
+        world = self.world
+        if not self.listing and world.now >= max(self.next_list, self.cloud_after):
+            self.listing = True
+            self.next_list = world.now + constants.LIST_EVERY_LAGS * world.facts.cloud.list_lag_s
+            world.call(lambda s, r, at=world.now: self._list_done(at, s, r), "cloud", "list")
+
+    def _list_done(self, asked: float, status: int, rows: Any) -> None:
+        world = self.world
+        self.listing = False
+        if status != 200:
+            self.cloud_after = world.now + constants.BACKOFF_MOST_S
+            return
+        names = set()
+        for name, _, type_name, zone, spot, state, age in rows:
+            names.add(name)
+            if name in self.returned:
+                continue
+            # Known from here on, not from the first list that lacks it: after a takeover of the
+            # fleet, machines that vanished were proven gone 15 s later than they could be.
+            self.known_since.setdefault(name, asked)
+            known = self.listed.get(name)
+            if known is None:
+                known = self.listed[name] = Listed(type_name, zone, spot, state, asked - age)
+            known.state = state
+            known.absent = 0
+            known.listed = True
+            if state == "running" and known.running_since is None:
+                known.running_since = world.now
+            if state == "failed":
+                self.gone(name, "failed")
+        lag = constants.ABSENT_LAGS * world.facts.cloud.list_lag_s
+        for name in {*self.listed, *world.machines, *world.replica.by_machine} - names:
+            since = self.known_since.setdefault(name, world.now)
+            known = self.listed.get(name)
+            if known is not None and not known.listed:
+                since = max(since, known.since)
+            machine = world.machines.get(name)
+            if asked - since < lag or (machine is not None and world.now - machine.heard
+                                       < world.facts.workers.lease_s):
+                continue
+            # Lists certainly newer than our knowledge of the machine lack it, repeatedly.
+            known = self.listed.setdefault(name, Listed("", "", False, "running", since))
+            known.absent += 1
+            if known.absent >= constants.ABSENT_LISTS:
+                self.gone(name, "absent")
+
+    def gone(self, name: str, why: str) -> None:
+        """A machine and all on it are certainly gone; its name never comes again."""
+        world = self.world
+        if name not in self.returned:
+            event("machine_gone", machine=name, why=why)
+        self.returned[name] = world.now
+        self.listed.pop(name, None)
+        self.known_since.pop(name, None)
+        self.returning.discard(name)
+        for label in self.peers():
+            world.emit("send", label, ("gone", [name]))
+        if why == "failed":
+            world.call(lambda s, r: None, "cloud", "return", [name])
+
+    def peers(self) -> list[str]:
+        """Return all controllers, ourselves included."""
+        return [self.world.label, *(m.label for m in self.world.settings.members)]
+
+    def records(self) -> None:
+        """Write which machines are gone while bindings refer to them; drop old such records."""
+        world = self.world
+        limits = world.facts.state.least
+        writes: list[tuple] = []
+        if set(world.types) != set(world.replica.types):
+            rows = [list(msgspec.to_builtins(kind)) for kind in world.types.values()]
+            if value_bytes(rows) <= value_limit(limits):
+                writes.append((TYPES_KEY, rows, None))
+        most = max(1, limits.txn_ops // 2)
+        for name in world.replica.by_machine:
+            if (name in self.returned and name not in world.replica.gone
+                    and world.now - self.gone_written.get(name, -1e9)
+                    > constants.STATE_TIMEOUT_S):
+                self.gone_written[name] = world.now
+                writes.append((gone_key(name), True, None))
+        for name in world.replica.gone:
+            if name in world.replica.by_machine:
+                self.gone_written[name] = world.now
+            elif world.now - self.gone_written.setdefault(name, world.now) > constants.GONE_KEEP_S:
+                self.gone_written[name] = world.now
+                writes.append((gone_key(name),))
+        if writes:
+            writes = writes[:most]
+            world.call(lambda s, r: self._recorded(writes, s, r), "txn", [], writes, 1)
+        if len(self.returned) > constants.MAX_QUEUE:
+            for name in list(self.returned)[: constants.MAX_QUEUE // 2]:
+                if name not in world.replica.by_machine:
+                    del self.returned[name]
+                    self.gone_written.pop(name, None)
+
+    def _recorded(self, writes: list[tuple], status: int, result: Any) -> None:
+        if status == 200:
+            for write in writes:
+                self.world.replica.apply(write[0], write[1] if len(write) > 1 else None, result[0])
--- /dev/null
+++ b/oakmux/core/fleet/returns.py
@@ -0,0 +1,155 @@
+"""What to give back: idle machines, bad ones, and those that services can be moved away from."""
+
+from oakmux import constants
+from oakmux.core.fleet.demand import Slot
+from oakmux.core.fleet.lists import Lists
+from oakmux.core.keeper.room import has_room, less
+from oakmux.core.keeper.word import Word
+from oakmux.core.owner.places import zone_allowed
+from oakmux.core.world import Machine, World, event
+
+
+class Returns:
+    """Drains and returns machines."""
+
+    def __init__(self, world: World, word: Word, lists: Lists) -> None:
+        self.world = world
+        self.word = word
+        self.lists = lists
+        self.moving: dict[str, float] = {}
+
+    def _empty(self, name: str) -> bool:
+        machine = self.world.machines.get(name)
+        return (not self.world.replica.by_machine.get(name)
+                and (machine is None or machine.idle_since is not None))
+
+    def idle(self, slots: list[Slot]) -> None:
+        """Drain what has nothing to do, and return what is drained."""
+        world = self.world
+        needed = {slot.name for slot in slots if slot.used}
+        for name, machine in world.machines.items():
+            if name in self.lists.returning or name in self.lists.returned:
+                continue
+            drained = world.draining.get(name)
+            if drained is not None:
+                if not self._empty(name):
+                    # Work came before the drain was known everywhere, or a move did not end.
+                    if (len(machine.errors) < constants.SICK_ERRORS
+                            and self.moving.get(name, 0.0) < world.now):
+                        del world.draining[name]
+                        self.moving.pop(name, None)
+                elif world.now - drained >= constants.DRAIN_S:
+                    self._return([name], "idle")
+            elif (machine.idle_since is not None and self._empty(name) and name not in needed
+                    and world.now - machine.idle_since > constants.IDLE_KEEP_S
+                    and world.now - machine.first_heard > constants.IDLE_KEEP_S):
+                world.draining[name] = world.now
+        names = [name for name in world.draining if name in world.machines]
+        if names:
+            for label in self.lists.peers()[1:]:
+                world.emit("send", label, ("drain", names))
+
+    def consolidate(self, slots: list[Slot]) -> None:
+        """Move the services off the emptiest machine when others have room and their images."""
+        world = self.world
+        if any(until > world.now and name in world.machines
+               for name, until in self.moving.items()):
+            return
+        self.moving = {n: t for n, t in self.moving.items() if n in world.draining}
+        others = [s for s in slots if s.name in world.machines]
+        best = None
+        for slot in others:
+            machine = world.machines[slot.name]
+            kind = world.types[slot.type]
+            if (machine.idle_since is not None or slot.used or slot.name in world.draining
+                    or world.now - machine.first_heard < constants.IDLE_KEEP_S):
+                continue
+            left = slot.free[1] / kind.gpus if kind.gpus else slot.free[0] / kind.cpus
+            if left >= constants.MOVE_FREE and (best is None or left > best[0]):
+                moves = self._moves(machine, [s for s in others if s is not slot])
+                if moves:
+                    best = (left, slot.name, moves)
+        if best is None:
+            return
+        _, name, moves = best
+        world.draining[name] = world.now
+        self.moving[name] = world.now + constants.MOVE_S
+        event("move", machine=name, tasks=len(moves))
+        for task, attempt in moves:
+            world.emit("send", world.machines[name].keeper, ("move", name, task, attempt))
+
+    def _moves(self, machine: Machine, others: list[Slot]) -> list[tuple[str, int]] | None:
+        """Return the services to move off a machine, or None if that can't be done at once."""
+        world = self.world
+        free = {slot.name: slot.free for slot in others}
+        # Two tasks of one job may move at once: each must see where the other goes.
+        zones_of: dict[str, list[str]] = {}
+        moves = []
+        for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+            job = world.replica.jobs.get(job_id)
+            task = (f"{job_id}/{index}", binding.attempt)
+            if (job is None or job.spec is None or job.spec.kind != "service"
+                    or machine.tasks.get(task, ("",))[0] != "running"
+                    or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S):
+                return None
+            spec = job.spec
+            zones = zones_of.setdefault(job_id, [b.zone for b in job.bindings()])
+            zones.remove(binding.zone)
+            for slot in others:
+                other = world.machines[slot.name]
+                if (other.idle_since is None and spec.image in other.images
+                        and has_room(free[slot.name], spec) and world.fits(spec, other)
+                        and zone_allowed(spec, zones, slot.zone)):
+                    free[slot.name] = less(free[slot.name], spec)
+                    zones.append(slot.zone)
+                    moves.append(task)
+                    break
+            else:
+                return None
+        return moves
+
+    def return_bad(self) -> None:
+        """Return machines that never boot, fell silent or fail all that they run."""
+        world = self.world
+        silent = constants.SILENT_LEASES * world.facts.workers.lease_s
+        for name, known in list(self.lists.listed.items()):
+            if name in self.lists.returning or not known.listed:
+                continue
+            machine = world.machines.get(name)
+            kind = world.types.get(known.type)
+            if machine is None:
+                patience = constants.BOOT_PATIENCE * kind.boot_s if kind is not None else silent
+                if known.state == "booting" and world.now - known.since > patience:
+                    self._return([name], "never_booted")
+                elif (known.running_since is not None
+                        and world.now - max(known.running_since, self.lists.since) > silent):
+                    self._return([name], "never_heard")
+                continue
+            quiet = world.now - max(machine.heard, self.lists.since)
+            keeper_hears = (machine.keeper in world.replica.nodes
+                            and machine.keeper != world.label
+                            and world.now - self.word.peer_heard.get(machine.keeper, -1e9)
+                            > constants.ALIVE_S * 3)
+            if quiet > silent * (2 if keeper_hears else 1):
+                self._return([name], "silent")
+            elif len(machine.errors) >= constants.SICK_ERRORS:
+                if name not in world.draining:
+                    world.draining[name] = world.now
+                elif self._empty(name):
+                    self._return([name], "sick")
+
+    def _return(self, names: list[str], why: str) -> None:
+        world = self.world
+        if world.now < self.lists.cloud_after:
+            return
+        self.lists.returning.update(names)
+        event("return", machines=",".join(names), why=why)
+        world.call(lambda s, r: self._return_done(names, s), "cloud", "return", names)
+
+    def _return_done(self, names: list[str], status: int) -> None:
+        self.lists.returning.difference_update(names)
+        if status == 200:
+            for name in names:
+                self.lists.gone(name, "returned")
+        else:
+            self.lists.cloud_after = self.world.now + constants.BACKOFF_MOST_S
--- /dev/null
+++ b/oakmux/core/keeper/orders.py
@@ -0,0 +1,182 @@
+"""Commands to workers: starts that the records say, stops, and forgetting what is over."""
+
+from collections.abc import Callable
+
+from oakmux import constants, wire
+from oakmux.core.jobs import Binding, Job
+from oakmux.core.keeper.kept import Kept, Ward
+from oakmux.core.keeper.word import Word
+from oakmux.core.membership import Membership
+from oakmux.core.world import Machine, Task, World, event
+from oakmux.wire import Report
+
+
+class Orders:
+    """Gives commands, in answers to reports and straight to workers."""
+
+    def __init__(self, world: World, ward: Ward, word: Word, membership: Membership) -> None:
+        self.world = world
+        self.ward = ward
+        self.word = word
+        self.membership = membership
+        # Takes a report that answers direct orders; set by the keeper, which joins the parts.
+        self.take: Callable[[Kept, Report], Machine]
+        # Machines where a start is held back until others of its gang have their image.
+        self.delaying: set[str] = set()
+
+    def orders(self, kept: Kept, machine: Machine, forget: bool) -> tuple[list[dict], list[Task]]:
+        """Return the commands that a machine needs now, and which tasks they start."""
+        world = self.world
+        orders: list[dict] = []
+        starts: list[Task] = []
+        bound = world.replica.by_machine.get(machine.name, {})
+        settled = machine.token == world.term
+        names: set[Task] = set()
+        for (job_id, index), binding in bound.items():
+            task = (f"{job_id}/{index}", binding.attempt)
+            names.add(task)
+            job = world.replica.jobs.get(job_id)
+            if job is None:
+                continue
+            ended = job.final or job_id in self.word.cancelled
+            state = machine.tasks.get(task)
+            if state is not None:
+                if self._must_save(machine, job, state[0]):
+                    kept.stops.setdefault(task, world.now)
+                if state[0] != "exited" and (ended or binding.stop or task in kept.stops):
+                    self._stop(kept, machine, orders, task, state[0], job, ended)
+                continue
+            if task in kept.starting or task in kept.answered or binding.term != world.term:
+                continue
+            if binding.session != machine.session or not settled:
+                continue
+            if ended or binding.stop:
+                if task not in kept.refused:
+                    kept.refused.add(task)
+                    world.dirty_machines.add(machine.name)
+            elif self._too_soon(kept, machine, job, binding, task):
+                self.delaying.add(machine.name)
+            elif task not in kept.refused and self.word.state_fresh():
+                orders.append(wire.order("start", *task))
+                starts.append(task)
+        kept.refused &= names
+        kept.delayed = {task: since for task, since in kept.delayed.items() if task in names}
+        for task in [task for task in kept.stops if task not in machine.tasks]:
+            del kept.stops[task]
+        if forget:
+            self._unbound(kept, machine, orders, names)
+        return orders, starts
+
+    def _too_soon(self, kept: Kept, machine: Machine, job: Job, binding: Binding,
+                  task: Task) -> bool:
+        """Whether a gang's task that has its image should be started later, since others fetch it.
+
+        The task would wait for them, `gang_wait_s` at most, and end with the whole attempt: a
+        fetch that takes longer was so given up and begun anew for ever.
+        """
+        world, spec = self.world, job.spec
+        if spec is None or not spec.joint or spec.image not in machine.images:
+            return False
+        slowest = world.fetch_s(spec, machine.type) * constants.FETCH_SPREAD
+        patience = slowest - world.facts.workers.gang_wait_s * constants.GANG_WAIT_SHARE
+        if world.now - kept.delayed.setdefault(task, world.now) >= patience:
+            return False
+        for chunk in job.chunks.values():
+            for index, other in chunk.bound.items():
+                if other.attempt != binding.attempt or other.machine == machine.name:
+                    continue
+                there = world.machines.get(other.machine)
+                state = there.tasks.get((f"{job.id}/{index}", other.attempt)) if there else None
+                if there is not None and (state[0] == "fetching" if state is not None
+                                          else spec.image not in there.images):
+                    return True
+        return False
+
+    def _must_save(self, machine: Machine, job: Job, state: str) -> bool:
+        """Whether a task has to save now, since the cloud is about to take its machine.
+
+        The tasks of a larger gang have to be stopped together: their owner sees to that.
+        """
+        spec = job.spec
+        if (machine.notice_at is None or spec is None or not spec.checkpoint_s
+                or state != "running" or spec.tasks > 1):
+            return False
+        times_ = self.world.facts.workers
+        return machine.notice_at - self.world.now <= spec.save_s + 2 * times_.report_s
+
+    def _stop(self, kept: Kept, machine: Machine, orders: list[dict], task: Task, state: str,
+              job: Job, ended: bool) -> None:
+        grace = 0.0 if ended or job.spec is None else job.spec.save_s
+        if state == "saving" and not ended:
+            return
+        orders.append(wire.order("stop", task[0], task[1], grace))
+        kept.stops.setdefault(task, self.world.now)
+        event("stop", task=task[0], attempt=task[1], machine=machine.name, grace=grace)
+
+    def _unbound(self, kept: Kept, machine: Machine, orders: list[dict],
+                 names: set[Task]) -> None:
+        """Forget exited tasks that the records have let go of; stop live ones."""
+        world = self.world
+        orphans = {t: kept.orphans.get(t, world.now) for t in machine.tasks if t not in names}
+        kept.orphans = orphans
+        if not self.word.state_fresh():
+            return
+        for task, since in orphans.items():
+            # Our replica may lag behind the keeper that started the task: wait a while.
+            if machine.tasks[task][0] == "exited":
+                if world.now - since >= constants.ALIVE_S and task not in kept.starting:
+                    orders.append(wire.order("forget", *task))
+            elif world.now - since >= constants.ORPHAN_S:
+                orders.append(wire.order("stop", task[0], task[1], 0.0))
+
+    def direct(self, name: str) -> None:
+        """Send starts and stops straight to a worker, when there are any."""
+        world = self.world
+        kept = self.ward.kept.get(name)
+        machine = world.machines.get(name)
+        if (kept is None or machine is None or machine.keeper != world.label or kept.ordering
+                or world.now < kept.direct_after or not world.term
+                or machine.token != world.term or world.now - machine.heard
+                > world.facts.workers.lease_s):
+            return
+        orders, starts = self.orders(kept, machine, forget=False)
+        if not orders:
+            return
+        term = world.term
+        for task in starts:
+            kept.starting[task] = term
+        world.dirty_machines.add(name)
+        kept.ordering = True
+        world.call(lambda outcome, report: self._ordered(name, starts, term, outcome, report),
+                   "orders", machine.addr, term, machine.session, orders)
+
+    def _ordered(self, name: str, starts: list[Task], term: int, outcome: str,
+                 report: Report | None) -> None:
+        world = self.world
+        kept = self.ward.kept.setdefault(name, Kept())
+        kept.ordering = False
+        if outcome == "lost":
+            # They may still be carried out, minutes later: only a newer term settles that.
+            kept.direct_after = world.now + constants.ORDERS_TIMEOUT_S
+            self.membership.need_term_above(term)
+            return
+        for task in starts:
+            if kept.starting.get(task) == term:
+                del kept.starting[task]
+        if outcome == "unsent":
+            kept.direct_after = world.now + constants.ORDERS_TIMEOUT_S
+        if report is not None and report.machine == name:
+            machine = world.machines.get(name)
+            if machine is None or (report.session, report.seq) > machine.version:
+                self.take(kept, report)
+        world.dirty_machines.add(name)
+        if report is not None and report.token > world.term:
+            self.membership.need_term_above(report.token)
+
+    def move(self, name: str, task: str, attempt: int) -> None:
+        """Stop a service so that its owner starts it on another machine."""
+        kept = self.ward.kept.get(name)
+        machine = self.world.machines.get(name)
+        if kept is not None and machine is not None and (task, attempt) in machine.tasks:
+            kept.stops[(task, attempt)] = self.world.now
+            self.ward.poke.add(name)
--- /dev/null
+++ b/oakmux/core/keeper/queue.py
@@ -0,0 +1,174 @@
+"""The queues at machines: reservations, offers of room, and work that gives way to other work."""
+
+from oakmux import constants
+from oakmux.core import teams
+from oakmux.core.jobs import Job
+from oakmux.core.keeper.kept import Kept, Reservation, Ward
+from oakmux.core.keeper.room import full, gather_s, has_room, less, room, usable
+from oakmux.core.keeper.word import Word
+from oakmux.core.world import Machine, Task, World, event
+from oakmux.wire import JobSpec
+
+
+class Queue:
+    """Queues reservations at the machines that we keep and offers their room."""
+
+    def __init__(self, world: World, ward: Ward, word: Word) -> None:
+        self.world = world
+        self.ward = ward
+        self.word = word
+        self.next_offer = 0
+
+    def reserve(self, name: str, job_id: str, count: int, preempt: bool = False) -> None:
+        """Queue a reservation at a machine that we keep; make room for it if told to."""
+        kept = self.ward.kept.get(name)
+        machine = self.world.machines.get(name)
+        if kept is None or machine is None or machine.keeper != self.world.label:
+            return
+        known = kept.queue.get(job_id)
+        if known is not None:
+            known.count = max(known.count, count)
+        elif len(kept.queue) < constants.MAX_QUEUE_PER_MACHINE:
+            kept.queue[job_id] = Reservation(job_id, count, self.world.now)
+        if preempt:
+            self._preempt(kept, machine, job_id)
+        self.ward.poke.add(name)
+
+    def _preempt(self, kept: Kept, machine: Machine, job_id: str) -> None:
+        world = self.world
+        job = world.replica.jobs.get(job_id)
+        if (job is None or job.spec is None or job.final or kept.stops
+                or not usable(world, machine)):
+            return
+        chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept))
+        for task in chosen[1] if chosen is not None else ():
+            kept.stops[task] = world.now
+            event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
+
+    def decline(self, name: str, offer_id: int) -> None:
+        """The owner has no task for an offer: release the room, offer it to the next."""
+        kept = self.ward.kept.get(name)
+        if kept is not None and kept.offers.pop(offer_id, None) is not None:
+            self.ward.poke.add(name)
+
+    def held(self, kept: Kept) -> list[JobSpec]:
+        """Return what is held for offers."""
+        now = self.world.now
+        specs = []
+        for offer_id, (job_id, until, claim) in list(kept.offers.items()):
+            job = self.world.replica.jobs.get(job_id)
+            # Once the team has another owner, nothing can come of offers to the one before.
+            if (until <= now or job is None or job.spec is None
+                    or self.world.replica.roles.get(job.team, ("", 0, 0))[2] != claim):
+                del kept.offers[offer_id]
+            else:
+                specs.append(job.spec)
+        return specs
+
+    def records_changed(self, name: str) -> None:
+        """Bindings on a machine changed: those that answer an offer end its hold."""
+        self.ward.poke.add(name)
+        kept = self.ward.kept.get(name)
+        if kept is None:
+            return
+        bound = self.world.replica.by_machine.get(name, {})
+        known = {(job_id, index, b.attempt) for (job_id, index), b in bound.items()}
+        for job_id, _, _ in known - kept.known:
+            for offer_id, (held_for, _, _) in kept.offers.items():
+                if held_for == job_id:
+                    del kept.offers[offer_id]
+                    break
+        kept.known = known
+
+    def offer(self, name: str) -> None:
+        """Offer free room to the owners of queued reservations, best rank first."""
+        world = self.world
+        kept = self.ward.kept.get(name)
+        machine = world.machines.get(name)
+        if (kept is None or not kept.queue or machine is None or machine.keeper != world.label
+                or machine.token != world.term or not world.term or not self.word.state_fresh()
+                or not usable(world, machine)):
+            return
+        free = room(world, machine, self.held(kept))
+        if full(world, free):
+            return
+        used = teams.usage(world)
+        ranked = []
+        for reservation in list(kept.queue.values()):
+            job = world.replica.jobs.get(reservation.job_id)
+            if (job is None or job.final or job.spec is None
+                    or world.now - reservation.since > constants.RETRY_MOST_S):
+                del kept.queue[reservation.job_id]
+                continue
+            ranked.append((rank(world, job, job.spec, used), reservation.since, reservation, job))
+        ranked.sort(key=lambda row: row[:2])
+        for _, _, reservation, job in ranked:
+            spec = job.spec
+            assert spec is not None
+            owner = world.replica.roles.get(job.team)
+            if owner is None:
+                continue
+            while reservation.count > 0 and has_room(free, spec):
+                free = less(free, spec)
+                reservation.count -= 1
+                self.next_offer += 1
+                hold = constants.OFFER_HOLD_S + gather_s(spec)
+                kept.offers[self.next_offer] = (job.id, world.now + hold, owner[2])
+                world.emit("send", owner[0], ("offer", name, job.id, self.next_offer,
+                                              machine.session, world.term, world.label))
+            if reservation.count <= 0:
+                kept.queue.pop(reservation.job_id, None)
+
+
+def victims(world: World, machine: Machine, job: Job, spec: JobSpec,
+            used: dict[str, tuple[float, float]],
+            held: list[JobSpec] | None = None) -> tuple[float, list[Task]] | None:
+    """Return (lost work, tasks) whose end makes room for one task of a job, or None.
+
+    Only work of lower priority may go, and, for a job within its team's guarantee, work that
+    another team runs beyond its own guarantee. What has least to lose goes first.
+    """
+    cpus, gpus = used.get(job.team, (0.0, 0.0))
+    count = spec.tasks if spec.kind == "gang" else 1
+    inside = teams.within_guarantee(world, job.team, cpus + count * spec.cpus,
+                                    gpus + count * spec.gpus)
+    rows = []
+    for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+        other = world.replica.jobs.get(job_id)
+        task = (f"{job_id}/{index}", binding.attempt)
+        state = machine.tasks.get(task)
+        if (other is None or other.spec is None or state is None or binding.stop
+                or state[0] not in ("fetching", "waiting", "running")
+                or other.spec.kind == "service" or other.id == job.id
+                or other.spec.joint):
+            continue
+        borrowed = (inside and other.team != job.team and not teams.within_guarantee(
+            world, other.team, *used.get(other.team, (0.0, 0.0))))
+        if other.priority >= job.priority and not borrowed:
+            continue
+        lost = world.now - machine.since.get(task, world.now)
+        young = lost < constants.START_COUNTS_S
+        if other.spec.checkpoint_s and state[0] == "running":
+            lost = min(lost, other.spec.save_s)
+        # What is urgent itself has to start again too, and a start undone so soon was no start.
+        lost += other.priority ** 2 * constants.VICTIM_RANK_S * (2 if young else 1)
+        rows.append((other.priority, lost, task, other.spec))
+    rows.sort(key=lambda row: row[:3])
+    free = room(world, machine, held)
+    chosen: list[Task] = []
+    total = 0.0
+    for _, lost, task, other_spec in rows:
+        if has_room(free, spec):
+            break
+        free = less(free, other_spec, -1)
+        chosen.append(task)
+        total += lost
+    return (total, chosen) if chosen and has_room(free, spec) else None
+
+
+def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
+    """Return the order in a queue: guaranteed work and priority first, then what has to start
+    first for a deadline, then fair between teams."""
+    cpus, gpus = used.get(job.team, (0.0, 0.0))
+    inside = teams.within_guarantee(world, job.team, cpus + spec.cpus, gpus + spec.gpus)
+    return (not inside, -job.priority, job.latest, teams.share(world, job.team, used))
--- /dev/null
+++ b/oakmux/core/keeper/room.py
@@ -0,0 +1,90 @@
+"""The room on a machine: what is free, what fits, whether it may be used at all."""
+
+import math
+
+from oakmux import constants
+from oakmux.core.world import Machine, World
+from oakmux.wire import JobSpec
+
+Room = tuple[float, float, float]
+"""Free CPUs, GPUs and memory (GB)."""
+
+
+def room(world: World, machine: Machine, extra: list[JobSpec] | None = None) -> Room:
+    """Return what is free on a machine: reported tasks, records and `extra` taken off."""
+    free = world.replica.rooms.get(machine.name)
+    if free is None:
+        free = count_room(world, machine)
+        world.replica.rooms[machine.name] = free
+    for spec in extra or ():
+        free = less(free, spec)
+    return free
+
+
+def count_room(world: World, machine: Machine) -> Room:
+    """Count the room of a machine anew; `room` keeps the result until something changes."""
+    kind = world.types.get(machine.type)
+    if kind is None:
+        return 0.0, 0.0, 0.0
+    cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
+    jobs = world.replica.jobs
+    live = {task for (task, _), state in machine.tasks.items()
+            if state[0] not in ("exited", "refused")}
+    for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+        task = f"{job_id}/{index}"
+        if (binding.session >= machine.session
+                and machine.tasks.get((task, binding.attempt), ("",))[0] != "exited"):
+            live.add(task)
+    for task in live:
+        job = jobs.get(task.partition("/")[0])
+        if job is not None and job.spec is not None:
+            cpus -= job.spec.cpus
+            gpus -= job.spec.gpus
+            memory -= job.spec.memory_gb
+    return cpus, gpus, memory
+
+
+def has_room(free: Room, spec: JobSpec) -> bool:
+    """Whether one task fits into the free room."""
+    slack = constants.EPSILON
+    return (spec.cpus <= free[0] + slack and spec.gpus <= free[1] + slack
+            and spec.memory_gb <= free[2] + slack)
+
+
+def less(free: Room, spec: JobSpec, count: int = 1) -> Room:
+    """Return the room that is left after `count` tasks."""
+    return (free[0] - count * spec.cpus, free[1] - count * spec.gpus,
+            free[2] - count * spec.memory_gb)
+
+
+def times(free: Room, spec: JobSpec) -> int:
+    """Return how many tasks fit."""
+    counts = [math.floor((have + constants.EPSILON) / need)
+              for have, need in zip(free, (spec.cpus, spec.gpus, spec.memory_gb), strict=True)
+              if need > 0]
+    return max(0, min(counts, default=1))
+
+
+def full(world: World, free: Room) -> bool:
+    """Whether no task of any unfinished job can have room here."""
+    cpus, gpus, memory = free
+    return (cpus <= constants.EPSILON or memory <= constants.EPSILON
+            or (gpus <= constants.EPSILON and not world.replica.gpuless))
+
+
+def gather_s(spec: JobSpec) -> float:
+    """Return the seconds for which a gang gathers room; large ones may wait for machines."""
+    if not spec.joint:
+        return 0.0
+    return min(constants.GANG_GATHER_S + spec.tasks * constants.GANG_GATHER_TASK_S,
+               constants.GANG_GATHER_MOST_S)
+
+
+def usable(world: World, machine: Machine) -> bool:
+    """Whether new tasks may be put on a machine: not on one that fell silent, where they would be
+    stuck until it is proven gone."""
+    silent = constants.SILENT_REPORTS * world.facts.workers.report_s + 2 * constants.ALIVE_S
+    return (world.now - machine.heard < silent
+            and machine.name not in world.draining and machine.notice_at is None
+            and machine.name not in world.replica.gone
+            and len(machine.errors) < constants.SICK_ERRORS)
--- /dev/null
+++ b/oakmux/core/owner/binding.py
@@ -0,0 +1,211 @@
+"""Offers, bindings and their end. `_bind` is the only maker of bindings, `_unbind` ends them."""
+
+from oakmux import constants
+from oakmux.core.jobs import Binding, Job
+from oakmux.core.keeper import Keeper
+from oakmux.core.keeper.proof import gone
+from oakmux.core.keeper.room import gather_s, room, usable
+from oakmux.core.owner.copies import Copies
+from oakmux.core.owner.gangs import stop_rest
+from oakmux.core.owner.places import choose_gang, preference, zone_allowed
+from oakmux.core.owner.state import Open
+from oakmux.core.world import Machine, World, event
+from oakmux.wire import JobSpec
+
+
+class Binder:
+    """Binds tasks to offered room, and unbinds what is proven gone."""
+
+    def __init__(self, world: World, keeper: Keeper, copies: Copies,
+                 open_jobs: dict[str, Open]) -> None:
+        self.world = world
+        self.keeper = keeper
+        self.copies = copies
+        self.open = open_jobs
+
+    def won(self) -> None:
+        """Begin with the records of a team just won."""
+        for job in list(self.world.replica.active.values()):
+            if self.copies.owns(job):
+                self.changed(job.id)
+                if self.copies.form() >= 2:
+                    self.copies.shrink(job)
+                self.world.dirty_machines.update(b.machine for b in job.bindings())
+
+    def changed(self, job_id: str) -> None:
+        """The records of a job changed."""
+        job = self.world.replica.jobs.get(job_id)
+        if job is None or not self.copies.owns(job):
+            return
+        if job.final:
+            state = self.open.pop(job_id, None)
+            if state is not None:
+                self.release(state)
+            self.copies.finish.pop(job_id, None)
+            for number in list(job.chunks):
+                if (not self.copies.chunk(job, number).bound
+                        and number not in self.copies.work.get(job_id, ())):
+                    self.copies.edit(job, number)  # a finished job needs no chunks any more
+        elif not job.ready:
+            return  # no reservations while it waits on others
+        elif job_id not in self.open:
+            self.open[job_id] = Open()
+        else:
+            state = self.open[job_id]
+            state.next_sample = min(state.next_sample, self.world.now + constants.RESAMPLE_S)
+
+    def offer(self, name: str, job_id: str, offer_id: int, session: int, term: int,
+              keeper: str) -> None:
+        """Bind a task to offered room, or decline."""
+        world = self.world
+        job = world.replica.jobs.get(job_id)
+        machine = world.machines.get(name)
+        state = self.open.get(job_id)
+        if (job is None or job.spec is None or state is None or machine is None or job.final
+                or not job.ready or not self.copies.owns(job) or machine.session != session
+                or world.now < state.retry_at or not usable(world, machine)
+                or name in state.avoid or not world.fits(job.spec, machine)
+                or job_id in self.keeper.word.cancelled
+                or job_id in self.copies.finish or not self._take_offer(
+                    job, job.spec, state, machine, (world.now, name, offer_id, session, term,
+                                                    keeper, machine.zone))):
+            world.emit("send", keeper, ("decline", name, offer_id))
+
+    def _take_offer(self, job: Job, spec: JobSpec, state: Open, machine: Machine,
+                    offer: tuple) -> bool:
+        gang = spec.joint
+        bound = self.copies.bindings(job)
+        if gang and bound:
+            return False
+        if self.copies.beyond_limit(job, spec, spec.tasks if gang else 1):
+            return False
+        if not gang:
+            if (not zone_allowed(spec, [b.zone for b in bound], machine.zone)
+                    or not self.copies.unstarted(job)):
+                return False
+            state.offers.append(offer)
+            return True
+        state.offers = [o for o in state.offers
+                        if o[0] + gather_s(spec) > self.world.now] + [offer]
+        chosen = choose_gang(spec, state.offers)
+        size = self.copies.per_chunk
+        if chosen is not None and all(
+                self.copies.holds(job, first // size, chosen[first:first + size])
+                for first in range(0, spec.tasks, size)):
+            spare = [o for o in state.offers if o not in chosen]
+            state.offers = spare
+            self.release(state)
+            self._bind(job, list(range(spec.tasks)), chosen)
+        return True
+
+    def choose(self, job: Job, spec: JobSpec, state: Open) -> None:
+        """Bind tasks to the best of the offers that came in; decline the others."""
+        offers = [(preference(self.world, job, spec, machine, room(self.world, machine)), offer)
+                  for offer in state.offers
+                  if (machine := self.world.machines.get(offer[1])) is not None]
+        # Offers of one machine stay together: its tasks share one fetch.
+        offers.sort(key=lambda row: (row[0], row[1][1]))
+        for _, offer in offers:
+            zones = [b.zone for b in self.copies.bindings(job)]
+            if not zone_allowed(spec, zones, offer[6]):
+                continue
+            if self.copies.beyond_limit(job, spec):
+                break
+            index = self.copies.next_unstarted(job, state, offer)
+            if index is None:
+                break
+            self._bind(job, [index], [offer])
+            state.offers.remove(offer)
+        self.release(state)
+
+    def release(self, state: Open) -> None:
+        """Decline all offers that a job holds."""
+        for offer in state.offers:
+            self.world.emit("send", offer[5], ("decline", offer[1], offer[2]))
+        state.offers = []
+
+    def _bind(self, job: Job, indexes: list[int], offers: list[tuple]) -> None:
+        """Bind tasks to offered room. Guards against too_early: no other place writes a binding,
+        and none is written before the record of every job that this one needs is done."""
+        if not job.ready:
+            return
+        attempt = self.copies.next_attempt(job)
+        for index, offer in zip(indexes, offers, strict=True):
+            _, name, _, session, term, _, zone = offer
+            chunk = self.copies.edit(job, index // self.copies.per_chunk)
+            chunk.last = attempt
+            chunk.bound[index] = Binding(attempt, name, session, term, zone)
+            event("bind", task=f"{job.id}/{index}", attempt=attempt, machine=name)
+
+    def machine_changed(self, name: str) -> None:
+        """Go through our bindings on a machine whose news changed."""
+        world = self.world
+        bound = world.replica.by_machine.get(name)
+        if not bound:
+            return
+        machine = world.machines.get(name)
+        shown = self.keeper.reports.shown(machine) if machine is not None else {}
+        for (job_id, index), binding in list(bound.items()):
+            job = world.replica.jobs.get(job_id)
+            if job is None or not self.copies.owns(job):
+                continue
+            number = index // self.copies.per_chunk
+            current = self.copies.chunk(job, number).bound.get(index)
+            if current is None or current.attempt != binding.attempt:
+                continue
+            task = (f"{job_id}/{index}", binding.attempt)
+            proof = gone(world, machine, task, binding, shown)
+            if proof is not None:
+                self._unbind(job, index, current, *proof)
+            elif (machine is not None and machine.notice_at is not None and job.spec is not None
+                    and job.spec.joint and job.spec.checkpoint_s
+                    and shown.get(task, ("",))[0] == "running"):
+                # The cloud takes this machine: the gang saves while all its tasks still can.
+                stop_rest(self.copies, job, job.spec, binding.attempt)
+
+    def _unbind(self, job: Job, index: int, binding: Binding, why: str, saved: bool) -> None:
+        world = self.world
+        number, bit = divmod(index, self.copies.per_chunk)
+        # Starts go first; the ends of an array's tasks wait a little for one another.
+        lazy = why == "done" and job.spec is not None and job.spec.kind == "array"
+        due = world.now + (self.copies.coalesce_s if lazy else 0.0)
+        chunk = self.copies.edit(job, number, due)
+        del chunk.bound[index]
+        event("unbind", task=f"{job.id}/{index}", attempt=binding.attempt,
+              machine=binding.machine, why=why, saved=int(saved))
+        state = self.open.get(job.id)
+        spec = job.spec
+        if spec is None or job.final:
+            return
+        if why == "done" and spec.kind != "service":
+            if spec.kind == "gang":  # the tasks of a gang complete together
+                for other in range(spec.tasks):
+                    part = self.copies.edit(job, other // self.copies.per_chunk)
+                    part.done |= 1 << other % self.copies.per_chunk
+            else:
+                chunk.done |= 1 << bit
+            if sum(c.done.bit_count() for c in self.copies.chunks(job)) >= spec.tasks:
+                self.copies.finish[job.id] = None
+                self.copies.edit(job, number, world.now)
+        elif spec.kind == "gang":
+            stop_rest(self.copies, job, spec, binding.attempt)
+        if state is not None:
+            state.next_sample = 0.0
+            state.cursor = min(state.cursor, index)
+            if why == "error":
+                state.failures += 1
+                state.avoid.add(binding.machine)
+                if len(state.avoid) > max(1, len(world.machines) // 2):
+                    state.avoid.clear()
+                pause = min(constants.RETRY_FIRST_S * 2 ** (state.failures - 1),
+                            constants.RETRY_MOST_S)
+                state.retry_at = world.now + (pause if state.failures > 1 else 0.0)
+            elif why in ("unknown", "busy", "no_room"):
+                state.retry_at = world.now + constants.RETRY_FIRST_S
+
+    def drop_lost(self) -> None:
+        """Forget jobs of teams that are no longer ours."""
+        jobs = self.world.replica.jobs
+        for job_id in [j for j in self.open if not self.copies.owns(jobs[j])]:
+            del self.open[job_id]
+            self.copies.finish.pop(job_id, None)
--- /dev/null
+++ b/oakmux/core/owner/places.py
@@ -0,0 +1,125 @@
+"""Which machine suits a task: constraints, preference, and room made by stopping other work."""
+
+import math
+
+from oakmux import constants
+from oakmux.core import teams
+from oakmux.core.jobs import Job
+from oakmux.core.keeper.queue import victims
+from oakmux.core.keeper.room import Room, times
+from oakmux.core.owner.state import Open
+from oakmux.core.world import Machine, World
+from oakmux.wire import JobSpec, MachineType
+
+
+def fetch_s(world: World, spec: JobSpec, machine: Machine) -> float:
+    """Return the seconds until a machine has the job's image, as far as we know."""
+    return 0.0 if spec.image in machine.images else world.fetch_s(spec, machine.type)
+
+
+def strands(spec: JobSpec, kind: MachineType, free: Room) -> bool:
+    """Whether a task without GPUs would take CPUs that a machine's free GPUs need, by the share
+    that falls to each."""
+    return (not spec.gpus and free[1] > constants.EPSILON
+            and (free[0] - spec.cpus) * kind.gpus < free[1] * kind.cpus - constants.EPSILON)
+
+
+def zone_allowed(spec: JobSpec, zones: list[str], zone: str) -> bool:
+    """Whether one more task may start in a zone, given where the job's others may be."""
+    if spec.one_zone and any(other != zone for other in zones):
+        return False
+    return not spec.spread or zones.count(zone) + 1 <= math.ceil(spec.tasks / 2)
+
+
+def preference(world: World, job: Job, spec: JobSpec, machine: Machine, free: Room) -> tuple:
+    """Return what orders machines for a task: for one without GPUs, CPUs that the free GPUs
+    can spare; image held, no other fetch under way where either is urgent (they would share
+    the rate), spot if allowed, fullest. Spot machines are cheaper, but what needs no GPU takes
+    what is left over on any, and may be lost with them."""
+    kind = world.types[machine.type]
+    urgent = job.priority >= constants.URGENT
+    left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
+    missing = spec.image not in machine.images
+    fetching = missing and any(
+        state[0] == "fetching" and (urgent or _urgent(world, task[0]))
+        for task, state in machine.tasks.items())
+    dearer = spec.spot and not machine.spot if spec.gpus else machine.spot
+    return (strands(spec, kind, free), missing, fetching, dearer,
+            machine.idle_since is not None, left)
+
+
+def _urgent(world: World, task: str) -> bool:
+    job = world.replica.jobs.get(task.partition("/")[0])
+    return job is not None and job.spec is not None and job.priority >= constants.URGENT
+
+
+def best(world: World, job: Job, spec: JobSpec, ready: list[tuple[Machine, Room]],
+         count: int) -> dict[str, int]:
+    """Choose among machines with room: image held, spot if allowed, fullest; chance decides
+    between equals."""
+    rows = [(preference(world, job, spec, machine, free), world.rng.random(), machine.name,
+             free) for machine, free in ready]
+    rows.sort(key=lambda row: row[:3])
+    chosen: dict[str, int] = {}
+    for _, _, name, free in rows:
+        if count <= 0:
+            break
+        chosen[name] = min(count, times(free, spec))
+        count -= chosen[name]
+    return chosen
+
+
+def reserve(world: World, job: Job, chosen: dict[str, int]) -> None:
+    """Send reservations {machine: tasks} to the keepers of the machines."""
+    for name, number in chosen.items():
+        world.emit("send", world.machines[name].keeper,
+                        ("reserve", name, job.id, number))
+
+
+def worth_s(world: World, spec: JobSpec, machine: Machine) -> float:
+    """Return the lost work that is worth sparing a job the fetch on a machine: the fetch, and
+    more if only without it an aim for starting this class can be met."""
+    fetch = fetch_s(world, spec, machine)
+    slow = fetch * constants.FETCH_SPREAD
+    if any(within < slow for within in world.wait_aims.get(spec.lane, ())):
+        return fetch + constants.AIM_WORTH_S
+    return fetch
+
+
+def make_room(world: World, job: Job, spec: JobSpec, state: Open, fitting: list[Machine],
+              wanted: int, most: float) -> int:
+    """Ask the keepers of as many machines as tasks wait to stop work of less right, where
+    that costs less than `most` seconds; return how many were asked. For a gang, all its
+    tasks must find room so."""
+    if world.now < state.preempt_at:
+        return 0
+    used = teams.usage(world)
+    rows = []
+    for machine in fitting:
+        found = victims(world, machine, job, spec, used)
+        if found is not None:
+            cost = found[0] + fetch_s(world, spec, machine)
+            if cost < most:
+                rows.append((cost, world.rng.random(), machine))
+    rows.sort(key=lambda row: row[:2])
+    if spec.kind == "gang" and len(rows) < wanted:
+        return 0
+    for _, _, machine in rows[:wanted]:
+        state.preempt_at = world.now + constants.PREEMPT_S
+        world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
+    return len(rows[:wanted])
+
+
+def choose_gang(spec: JobSpec, offers: list[tuple]) -> list[tuple] | None:
+    """Return offers for all tasks of a gang that keep its constraints, or None."""
+    groups = [offers]
+    if spec.one_zone:
+        groups = [[o for o in offers if o[6] == zone] for zone in {o[6] for o in offers}]
+    for group in groups:
+        chosen: list[tuple] = []
+        for offer in group:
+            if len(chosen) < spec.tasks and zone_allowed(spec, [o[6] for o in chosen], offer[6]):
+                chosen.append(offer)
+        if len(chosen) == spec.tasks:
+            return chosen
+    return None
--- /dev/null
+++ b/oakmux/core/owner/state.py
@@ -0,0 +1,20 @@
+"""What an owner remembers of an unfinished job, without the records."""
+
+
+class Open:
+    """What an owner remembers of an unfinished job; nothing here outlives it."""
+
+    __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
+                 "quiet_until", "preempt_at", "next_wide", "patient_until")
+
+    def __init__(self) -> None:
+        self.next_sample = 0.0
+        self.offers: list[tuple] = []
+        self.cursor = 0
+        self.failures = 0
+        self.retry_at = 0.0
+        self.avoid: set[str] = set()
+        self.quiet_until = 0.0
+        self.preempt_at = 0.0
+        self.next_wide = 0.0
+        self.patient_until: float | None = None
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,7 +13,7 @@
 from oakmux import constants
 from oakmux.core.controller import Controller
 from oakmux.core.jobs import value_bytes, value_limit
-from oakmux.core.machines import count_room
+from oakmux.core.keeper.room import count_room
 from oakmux.settings import (
     CloudLimits,
     ComingLimits,
@@ -434,7 +434,7 @@
                 return
             core = self.cores[label]
             assert core is not None
-            new = core.keeper.peer_life.get(peer) != word[2]
+            new = core.keeper.word.peer_life.get(peer) != word[2]
             self.command(label, ("peer_alive", peer, word[2], word[3], word[4], asked))
             if new:
                 self.command(label, ("peer_new", peer))
@@ -643,7 +643,7 @@
     """Let a controller behave as the first version does where records are concerned: it neither
     says what it can read nor takes note of the format."""
     core.membership._version = lambda: None  # type: ignore[method-assign]
-    core.owner.least_bytes = value_limit(core.world.facts.state)
+    core.owner.copies.least_bytes = value_limit(core.world.facts.state)
     replica, apply = core.world.replica, core.world.replica.apply
 
     def old_apply(key: str, value: Any, stamp: int) -> None:
@@ -667,8 +667,8 @@
         if job.spec is not None:
             used[job.team] = used.get(job.team, 0.0) + job.spec.gpus * len(job.bindings())
             mine[job.team] = mine.get(job.team, 0.0) + job.spec.gpus * len(
-                core.owner._bindings(job))
+                core.owner.copies.bindings(job))
     for team in world.teams:
         assert replica.used.get(team, (0, 0))[1] == pytest.approx(used.get(team, 0)), team
         if team in world.my_roles:
-            assert core.owner.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
+            assert core.owner.copies.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oakmux import constants
-from oakmux.core import machines
+from oakmux.core.keeper import proof
 from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Sim, spec
 
 
@@ -176,16 +176,16 @@
     sim.run(10)
     sim.cancel("job-1")
     sim.run(3)
-    core = next(c for c in sim.cores.values() if c.keeper.kept)
+    core = next(c for c in sim.cores.values() if c.keeper.ward.kept)
     term = core.world.term
     name, machine = next((n, m) for n, m in core.world.machines.items()
                          if m.keeper == core.world.label)
-    core.keeper.kept[name].starting[("job-5/0", 1)] = term
-    core.keeper._ordered(name, [("job-5/0", 1)], term, "lost", None)
-    assert core.keeper.shown(machine)[("job-5/0", 1)][0] == "starting"
+    core.keeper.ward.kept[name].starting[("job-5/0", 1)] = term
+    core.keeper.orders._ordered(name, [("job-5/0", 1)], term, "lost", None)
+    assert core.keeper.reports.shown(machine)[("job-5/0", 1)][0] == "starting"
     sim.run(6)
     assert core.world.term > term
-    assert ("job-5/0", 1) not in core.keeper.kept[name].starting
+    assert ("job-5/0", 1) not in core.keeper.ward.kept[name].starting
 
 
 def test_keeper_cut_from_state_hands_its_workers_over():
@@ -279,7 +279,7 @@
 
 def test_the_random_story_can_fail(monkeypatch):
     # Without the proof, a task that a report does not list yet is started a second time.
-    real = machines.gone
+    real = proof.gone
 
     def hasty(world, machine, task, binding, shown):
         if machine is not None and machine.session == binding.session and task not in shown:
@@ -287,7 +287,7 @@
         return real(world, machine, task, binding, {
             k: v for k, v in shown.items() if v[0] != "starting"})
 
-    monkeypatch.setattr("oakmux.core.reservations.gone", hasty)
+    monkeypatch.setattr("oakmux.core.owner.binding.gone", hasty)
     with pytest.raises(AssertionError, match="ran_twice|quota|wrong_place"):
         for seed in range(1, 12):
             troubled(seed)
@@ -327,7 +327,7 @@
     sim.submit("job-3", spec("array", 1, "blue", estimate_s=400.0, zone="c"))
     sim.run(15)
     for core in sim.cores.values():  # no more machines, so that only preemption helps
-        core.fleet._rent = lambda *a: None
+        core.fleet.demand._rent = lambda *a: None
     sim.submit("job-4", spec("service", 2, "blue", spread=True, priority=3))
     sim.run(15)
     zones = {w.zone for w, task, _ in sim.live() if task.startswith("job-4/")}
@@ -394,7 +394,7 @@
     sim.submit("job-1", spec("array", 8, "red", estimate_s=300.0, zone="a"))
     sim.run(20)
     for core in sim.cores.values():  # no more machines, so that only preemption helps
-        core.fleet._rent = lambda *a: None
+        core.fleet.demand._rent = lambda *a: None
     sim.submit("job-2", spec("gang", 2, "blue", one_zone=True, priority=2, gpus=2.0,
                              estimate_s=300.0))
     sim.run(15)
@@ -411,7 +411,7 @@
     sim.run(5)
     holder = next(name for _, task, _, name in sim.start_log if task == "job-2/0")
     for core in sim.cores.values():
-        core.fleet._rent = lambda *a: None  # the other machine has to do
+        core.fleet.demand._rent = lambda *a: None  # the other machine has to do
     sim.cuts |= {frozenset((label, holder)) for label in sim.labels}
     sim.run(5)
     sim.submit("job-3", spec("array", 1, "red", image="rare", estimate_s=60.0))
@@ -428,8 +428,8 @@
     worker.node = (sim.labels.index(owner) + 1) % 3  # another controller keeps the machine
     sim.run(2)
     for core in sim.cores.values():
-        core.fleet._rent = lambda *a: None  # one machine has to do
-    sim.cores[owner].owner.flush = lambda: None
+        core.fleet.demand._rent = lambda *a: None  # one machine has to do
+    sim.cores[owner].owner.copies.flush = lambda: None
     sim.submit("job-2", spec("array", 1, "red", gpus=4.0, estimate_s=60.0))
     sim.run(0.5)
     sim.crash(owner, 30.0)
@@ -495,7 +495,7 @@
     [(worker, _, _)] = sim.live()
     fleet = next(core.fleet for core in sim.cores.values() if "#fleet" in core.world.my_roles)
     lists_s = constants.ABSENT_LAGS * 2.0
-    assert sim.now - fleet.known_since[worker.name] > lists_s  # any list may prove it now
+    assert sim.now - fleet.lists.known_since[worker.name] > lists_s  # any list may prove it now
     sim.kill(worker.name)
     killed = sim.now
     while any(worker.name in core.world.replica.by_machine for core in sim.cores.values()):
@@ -512,7 +512,7 @@
     sim.submit("job-2", spec("service", 5, "blue", zone="b"))
     sim.run(20)
     for core in sim.cores.values():
-        core.fleet._rent = lambda *a: None
+        core.fleet.demand._rent = lambda *a: None
     before = sim.start_log[:]
     sim.submit("job-3", spec("gang", 2, "blue", one_zone=True, priority=2, gpus=3.0))
     sim.run(20)
@@ -525,15 +525,15 @@
     sim = quiet()
     sim.submit("job-1", spec("array", 1, "red", estimate_s=3.0))
     sim.run(12)
-    writes = {label: core.owner.flush for label, core in sim.cores.items()}
+    writes = {label: core.owner.copies.flush for label, core in sim.cores.items()}
     for core in sim.cores.values():
-        core.fleet._rent = lambda *a: None  # one machine has to do
-        core.owner.flush = lambda: None
+        core.fleet.demand._rent = lambda *a: None  # one machine has to do
+        core.owner.copies.flush = lambda: None
     sim.submit("job-2", spec("array", 1, "red", gpus=4.0, estimate_s=60.0))
     sim.submit("job-3", spec("array", 1, "blue", gpus=4.0, estimate_s=60.0))
     sim.run(5)
     for label, core in sim.cores.items():
-        core.owner.flush = writes[label]
+        core.owner.copies.flush = writes[label]
     sim.run(1)
     assert [len(rows) for rows in sim.cores["h0"].world.replica.by_machine.values()] == [1]
 
@@ -547,12 +547,12 @@
     sim.run(10)
     core = next(c for c in sim.cores.values() if "red" in c.world.my_roles)
     sampled = []
-    real = core.owner._sample_job
-    core.owner._sample_job = lambda *a: sampled.append(a) or real(*a)
+    real = core.owner.sampler._sample_job
+    core.owner.sampler._sample_job = lambda *a: sampled.append(a) or real(*a)
     core.step(sim.now + 0.2, [])
     assert len(core.owner.open) > 900
     assert 0 < len(sampled) <= 40
-    assert all(len(k.queue) <= 64 for c in sim.cores.values() for k in c.keeper.kept.values())
+    assert all(len(k.queue) <= 64 for c in sim.cores.values() for k in c.keeper.ward.kept.values())
     assert sum(len(c.world.replica.by_machine.get(m, {})) for c in [core]
                for m in core.world.machines) <= 18  # both teams' limits
 
