Draw samples from an index instead of ranking every machine

Cause: for each job that it sampled an owner ranked all machines with room, up to 40 jobs a tick, and went over all machines to make room; the fleet's pass went over all free machines for each waiting job. Change: core/index.py keeps bitmaps (pyroaring) of machines by class of room, images held and work that may give way, up to date with what changed.

--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -176,11 +176,11 @@
         """Until the cloud answers, the catalogue in the records has to do."""
         if not self.world.types:
             self.world.types = dict(self.world.replica.types)
-            self.world.replica.rooms.clear()
+            self.world.types_changed()
 
     def _catalogue(self, types: list[MachineType]) -> None:
         self.world.types = {t.name: t for t in types}
-        self.world.replica.rooms.clear()
+        self.world.types_changed()
 
     def _health(self, rid: Any) -> None:
         world = self.world
@@ -264,7 +264,7 @@
             del self.keeper.word.cancelled[job_id]
         for name in [n for n, at in world.draining.items()
                      if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S]:
-            del world.draining[name]
+            world.undrain(name)
         heard = [m.name for m in world.machines.values()
                  if m.keeper == world.label and world.now - m.heard < 2 * constants.ALIVE_S
                  + world.facts.workers.report_s]
@@ -282,15 +282,16 @@
         for name in heard:
             machine = self.world.machines.get(name)
             if machine is not None and machine.keeper == label:
-                machine.heard = self.world.now
+                self.world.heard(machine)
 
     def _drain(self, names: list[str]) -> None:
         for name in names:
-            self.world.draining[name] = self.world.now
+            self.world.drain(name)
 
     def _gone(self, names: list[str]) -> None:
         for name in names:
             self.world.machines.pop(name, None)
-            self.world.replica.rooms.pop(name, None)
             self.world.draining.pop(name, None)
+            self.world.silent.discard(name)
+            self.world.replica.touch(name)
             self.keeper.ward.kept.pop(name, None)
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -1,15 +1,17 @@
 """What to rent: unstarted tasks are placed on what is there or coming, and the rest rented for."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from oakmux import constants
 from oakmux.core import teams
 from oakmux.core.fleet.lists import Listed, Lists
+from oakmux.core.index import Class, class_of, may_fit
 from oakmux.core.keeper.queue import rank
-from oakmux.core.keeper.room import full, has_room, less, room, times, usable
+from oakmux.core.keeper.room import Room, full, has_room, less, room, times, usable
 from oakmux.core.keeper.word import Word
-from oakmux.core.owner.places import strands, zone_allowed
+from oakmux.core.owner.places import zone_allowed
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
 
@@ -20,16 +22,73 @@
 class Slot:
     """Room on a machine that is up, on its way, or to be rented."""
 
-    __slots__ = ("name", "type", "zone", "spot", "free", "used")
+    __slots__ = ("name", "type", "zone", "spot", "free", "used", "coming")
 
     def __init__(self, name: str, type_name: str, zone: str, spot: bool,
-                 free: tuple[float, float, float]) -> None:
+                 free: Room, coming: bool = True) -> None:
         self.name = name
         self.type = type_name
         self.zone = zone
         self.spot = spot
         self.free = free
         self.used = False
+        self.coming = coming
+
+
+class Pool:
+    """Slots by what tells them apart, so that a task finds one without a look at all."""
+
+    def __init__(self, world: World, slots: list[Slot]) -> None:
+        self.world = world
+        self.classes: dict[Class, list[Slot]] = {}
+        for slot in slots:
+            self.add(slot)
+
+    def add(self, slot: Slot) -> None:
+        """Put a slot where its room says; one without room is left out."""
+        if not full(self.world, slot.free):
+            kind = self.world.types[slot.type]
+            self.classes.setdefault(class_of(kind, slot.zone, slot.spot, slot.free, slot.coming),
+                                    []).append(slot)
+
+    def order(self, spec: JobSpec, zones: list[str]) -> list[Class]:
+        """Return the classes where a task may find room in these zones, the best first: spot
+        where the job may use it and needs GPUs, those that are up, fullest."""
+        rows = []
+        for place in self.classes:
+            kind = self.world.types[place.type]
+            if place.zone in zones and (spec.spot or not place.spot) and may_fit(
+                    spec, kind, place) and self.world.fits_type(spec, place.type):
+                # Free GPUs, and the CPUs that they need, are left to work that needs them.
+                rows.append((spec.spot and not place.spot if spec.gpus else place.gpus,
+                             place.idle, place.gpus, place.level, place))
+        rows.sort()
+        return [row[-1] for row in rows]
+
+    def estimate(self, spec: JobSpec, place: Class) -> int:
+        """Return how many tasks of a job find room in a class, at least."""
+        kind = self.world.types[place.type]
+        part = place.level / constants.ROOM_LEVELS
+        return len(self.classes[place]) * times(
+            (part * kind.cpus, float(place.gpus), part * kind.memory_gb), spec)
+
+    def visit(self, place: Class, fill: Callable[[Slot], bool]) -> bool:
+        """Hand out the slots of a class until `fill` says that it has enough; return that. Each
+        goes back to where its room then belongs."""
+        slots = self.classes.pop(place)
+        kept: list[Slot] = []
+        enough = False
+        while slots and not enough and len(kept) < constants.DRAW_LOOKS:
+            slot = slots.pop()
+            before = slot.free
+            enough = fill(slot)
+            if slot.free == before:
+                kept.append(slot)
+            else:
+                self.add(slot)
+        if slots or kept:
+            self.classes.setdefault(place, []).extend(slots + kept)
+        return enough
 
 
 class Demand:
@@ -52,7 +111,7 @@
         for machine in world.machines.values():
             if usable(world, machine) and world.now - machine.heard < silent:
                 slots.append(Slot(machine.name, machine.type, machine.zone, machine.spot,
-                                  room(world, machine)))
+                                  room(world, machine), False))
         for name, known in self.lists.listed.items():
             kind = world.types.get(known.type)
             if (name in world.machines or name in self.lists.returned or kind is None
@@ -72,7 +131,7 @@
         world = self.world
         slots = self._slots()
         self.there = Counter(slot.zone for slot in slots)
-        free = [slot for slot in slots if not full(world, slot.free)]
+        pool = Pool(world, slots)
         used = dict(teams.usage(world))
         ranked = sorted(((rank(world, job, job.spec, used), job.since, job.spec, job)
                          for job in world.replica.active.values()
@@ -87,13 +146,12 @@
                          teams.tasks_left(world, job.team, spec, used))
             if wanted <= 0:
                 continue
-            placed, new = self._place(spec, [b.zone for b in bound], wanted, free, rent)
+            placed, new = self._place(spec, [b.zone for b in bound], wanted, pool, rent)
             slots += new
             self.unplaced = (self.unplaced or len(placed) < wanted
                              or any(not slot.name for slot in placed))
             for slot in placed:
                 slot.used = True
-            free = [slot for slot in (*free, *new) if not full(world, slot.free)]
             cpus, gpus = used.get(job.team, (0.0, 0.0))
             used[job.team] = (cpus + len(placed) * spec.cpus, gpus + len(placed) * spec.gpus)
             left -= len(placed)
@@ -103,36 +161,26 @@
                 count -= constants.MAX_RENT
         return slots
 
-    def _place(self, spec: JobSpec, zones: list[str], wanted: int, free: list[Slot],
+    def _place(self, spec: JobSpec, zones: list[str], wanted: int, pool: Pool,
                rent: dict[Key, int]) -> tuple[list[Slot], list[Slot]]:
         """Return a slot for each task that finds one, present ones first, and the new ones."""
         world = self.world
         zones = list(zones)
         allowed = world.facts.zones if spec.zone is None else [spec.zone]
-        there = [slot for slot in free
-                 if has_room(slot.free, spec) and world.fits_type(spec, slot.type)
-                 and (spec.spot or not slot.spot) and slot.zone in allowed]
+        order = pool.order(spec, [z for z in allowed if zone_allowed(spec, zones, z)])
         if spec.one_zone and not zones:
             # All go to one zone: to where most of them find room already or can be rented for.
             room_in = Counter[str]()
-            for slot in there:
-                room_in[slot.zone] += times(slot.free, spec)
+            for place in order:
+                room_in[place.zone] += pool.estimate(spec, place)
             allowed = [max(allowed, key=lambda zone: (
                 room_in[zone] >= wanted, self._cheapest(spec, zones, [zone]) is not None,
                 room_in[zone]))]
-            there = [slot for slot in there if slot.zone in allowed]
-        if spec.spot and spec.gpus:  # leave the others to work that may not go to spot machines
-            there.sort(key=lambda slot: not slot.spot)
-        if not spec.gpus:  # leave free GPUs, and the CPUs that they need, to work that needs them
-            there.sort(key=lambda slot: (strands(spec, world.types[slot.type], slot.free),
-                                         slot.free[1]))
+            order = [place for place in order if place.zone in allowed]
         placed: list[Slot] = []
         new: list[Slot] = []
-        for slot in there:
-            while (len(placed) < wanted and has_room(slot.free, spec)
-                   and zone_allowed(spec, zones, slot.zone)):
-                self._put(spec, slot, zones, placed)
-            if len(placed) >= wanted:
+        for place in order:
+            if pool.visit(place, lambda slot: self._fill(spec, slot, zones, placed, wanted)):
                 break
         while len(placed) < wanted:
             key = self._cheapest(spec, zones, allowed)
@@ -143,15 +191,19 @@
             self.there[key[1]] += 1
             slot = Slot("", *key, (kind.cpus, kind.gpus, kind.memory_gb))
             new.append(slot)
-            while (len(placed) < wanted and has_room(slot.free, spec)
-                   and zone_allowed(spec, zones, slot.zone)):
-                self._put(spec, slot, zones, placed)
+            self._fill(spec, slot, zones, placed, wanted)
+            pool.add(slot)
         return placed, new
 
-    def _put(self, spec: JobSpec, slot: Slot, zones: list[str], placed: list[Slot]) -> None:
-        slot.free = less(slot.free, spec)
-        zones.append(slot.zone)
-        placed.append(slot)
+    def _fill(self, spec: JobSpec, slot: Slot, zones: list[str], placed: list[Slot],
+              wanted: int) -> bool:
+        """Put as many tasks into a slot as it has room for; return whether all have one."""
+        while (len(placed) < wanted and has_room(slot.free, spec)
+               and zone_allowed(spec, zones, slot.zone)):
+            slot.free = less(slot.free, spec)
+            zones.append(slot.zone)
+            placed.append(slot)
+        return len(placed) >= wanted
 
     def _cheapest(self, spec: JobSpec, zones: list[str], allowed: list[str]) -> Key | None:
         """Return the cheapest type, zone and kind to rent for a task, the emptier zone first."""
--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -36,14 +36,14 @@
                     # Work came before the drain was known everywhere, or a move did not end.
                     if (len(machine.errors) < constants.SICK_ERRORS
                             and self.moving.get(name, 0.0) < world.now):
-                        del world.draining[name]
+                        world.undrain(name)
                         self.moving.pop(name, None)
                 elif world.now - drained >= constants.DRAIN_S:
                     self._return([name], "idle")
             elif (machine.idle_since is not None and self._empty(name) and name not in needed
                     and world.now - machine.idle_since > constants.IDLE_KEEP_S
                     and world.now - machine.first_heard > constants.IDLE_KEEP_S):
-                world.draining[name] = world.now
+                world.drain(name)
         names = [name for name in world.draining if name in world.machines]
         if names:
             for label in self.lists.peers()[1:]:
@@ -72,7 +72,7 @@
         if best is None:
             return
         _, name, moves = best
-        world.draining[name] = world.now
+        world.drain(name)
         self.moving[name] = world.now + constants.MOVE_S
         event("move", machine=name, tasks=len(moves))
         for task, attempt in moves:
@@ -134,7 +134,7 @@
                 self._return([name], "silent")
             elif len(machine.errors) >= constants.SICK_ERRORS:
                 if name not in world.draining:
-                    world.draining[name] = world.now
+                    world.drain(name)
                 elif self._empty(name):
                     self._return([name], "sick")
 
--- /dev/null
+++ b/oakmux/core/index.py
@@ -0,0 +1,293 @@
+"""Which machines have room, by what tells them apart, kept up to date with what changes.
+
+Sampling draws from here a number of machines that depends on the job, not on the fleet. Sets of
+machines are bitmaps over small numbers; a machine's place is computed anew only after its report,
+bindings or images changed.
+"""
+
+import math
+import random
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from pyroaring import BitMap
+
+from oakmux import constants
+from oakmux.core.jobs import Job
+from oakmux.core.keeper.room import Room, has_room, room, times, usable
+from oakmux.core.world import Machine, World
+from oakmux.wire import JobSpec, MachineType
+
+Kind = tuple[str, str, bool]
+"""What is rented: type, zone, spot."""
+
+
+class Class(NamedTuple):
+    """Machines that are alike for sampling.
+
+    `gpus` are whole GPUs free; `level` says which part of CPUs and memory is free, of the scarcer
+    of the two, in steps of 1 / ROOM_LEVELS; `idle` machines have nothing to do.
+    """
+
+    type: str
+    zone: str
+    spot: bool
+    gpus: int
+    level: int
+    idle: bool
+
+
+def class_of(kind: MachineType, zone: str, spot: bool, free: Room, idle: bool) -> Class:
+    """Return the class of a machine with so much room."""
+    part = min(free[0] / kind.cpus, free[2] / kind.memory_gb)
+    return Class(kind.name, zone, spot, math.floor(free[1] + constants.EPSILON),
+                 math.floor(part * constants.ROOM_LEVELS + constants.EPSILON), idle)
+
+
+def may_fit(spec: JobSpec, kind: MachineType, place: Class) -> bool:
+    """Whether a machine of a class may have room for a task; if not, none has."""
+    part = min(spec.cpus / kind.cpus, spec.memory_gb / kind.memory_gb)
+    return spec.gpus < place.gpus + 1 and part * constants.ROOM_LEVELS < place.level + 1
+
+
+class Drawn(NamedTuple):
+    """A machine with room that was drawn, and whether it holds the job's image."""
+
+    machine: Machine
+    free: Room
+    held: bool
+
+
+def pick(rng: random.Random, ids: BitMap, count: int) -> list[int]:
+    """Return up to `count` members, at random and in random order."""
+    have = len(ids)
+    return [ids[i] for i in rng.sample(range(have), min(have, count))]
+
+
+class Index:
+    """Sets of machines for one controller."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.ids: dict[str, int] = {}
+        self.machines: list[Machine | None] = []
+        self.spare: list[int] = []
+        self.classes: dict[Class, BitMap] = {}
+        self.kinds: dict[Kind, BitMap] = {}
+        self.holders: dict[str, BitMap] = {}
+        # Machines with work that may be stopped for others: by its priority, and by its team.
+        self.weak: dict[int, BitMap] = {}
+        self.teams: dict[str, BitMap] = {}
+        # Where each machine stands: its class, its images, and what may be stopped on it.
+        self.place: dict[int, Class] = {}
+        self.images: dict[int, set[str]] = {}
+        self.victims: dict[int, tuple[set[int], set[str]]] = {}
+        self.orders: dict[tuple, list[Class]] = {}
+
+    # --- keeping up ---
+
+    def refresh(self) -> None:
+        """Find the place of every machine of which something changed."""
+        stale, self.world.replica.stale = self.world.replica.stale, set()
+        for name in stale:
+            machine = self.world.machines.get(name)
+            if machine is None or machine.type not in self.world.types:
+                self._drop(name)
+            else:
+                self._set(machine)
+
+    def _drop(self, name: str) -> None:
+        number = self.ids.pop(name, None)
+        if number is not None:
+            self._leave(number)
+            self._hold(number, set())
+            self.machines[number] = None
+            self.spare.append(number)
+
+    def _number(self, machine: Machine) -> int:
+        number = self.ids.get(machine.name)
+        if number is None:
+            if self.spare:
+                number = self.spare.pop()
+            else:
+                number = len(self.machines)
+                self.machines.append(None)
+            self.ids[machine.name] = number
+        self.machines[number] = machine
+        return number
+
+    def _set(self, machine: Machine) -> None:
+        number = self._number(machine)
+        self._hold(number, set(machine.images))
+        if not usable(self.world, machine):
+            self._leave(number)
+            self.world.silent.add(machine.name)
+            return
+        place = class_of(self.world.types[machine.type], machine.zone, machine.spot,
+                         room(self.world, machine), machine.idle_since is not None)
+        self._weigh(number, machine)
+        old = self.place.get(number)
+        if old == place:
+            return
+        if old is not None:
+            self._take_out(number, old)
+        self.place[number] = place
+        members = self.classes.get(place)
+        if members is None:
+            members = self.classes[place] = BitMap()
+            self.orders.clear()
+        members.add(number)
+        self.kinds.setdefault(place[:3], BitMap()).add(number)
+
+    def _take_out(self, number: int, place: Class) -> None:
+        members = self.classes[place]
+        members.discard(number)
+        if not members:
+            del self.classes[place]
+            self.orders.clear()
+        self.kinds[place[:3]].discard(number)
+
+    def _leave(self, number: int) -> None:
+        """Take a machine out of all that may be drawn from."""
+        place = self.place.pop(number, None)
+        if place is not None:
+            self._take_out(number, place)
+        priorities, teams = self.victims.pop(number, (set(), set()))
+        _discard(self.weak, priorities, number)
+        _discard(self.teams, teams, number)
+
+    def _hold(self, number: int, images: set[str]) -> None:
+        old = self.images.get(number, set())
+        if old != images:
+            _discard(self.holders, old - images, number)
+            for image in images - old:
+                self.holders.setdefault(image, BitMap()).add(number)
+            self.images[number] = images
+
+    def _weigh(self, number: int, machine: Machine) -> None:
+        """Note what of a machine's work may be stopped at all, by priority and team."""
+        replica = self.world.replica
+        priorities: set[int] = set()
+        teams: set[str] = set()
+        for job_id, _ in replica.by_machine.get(machine.name, ()):
+            job = replica.jobs.get(job_id)
+            if (job is not None and job.spec is not None and job.spec.kind != "service"
+                    and not job.spec.joint):
+                priorities.add(job.priority)
+                teams.add(job.team)
+        old = self.victims.get(number)
+        if old != (priorities, teams):
+            was = old or (set(), set())
+            _discard(self.weak, was[0] - priorities, number)
+            _discard(self.teams, was[1] - teams, number)
+            for priority in priorities - was[0]:
+                self.weak.setdefault(priority, BitMap()).add(number)
+            for team in teams - was[1]:
+                self.teams.setdefault(team, BitMap()).add(number)
+            self.victims[number] = (priorities, teams)
+
+    # --- drawing ---
+
+    def _order(self, spec: JobSpec) -> list[Class]:
+        """Return the classes where a task may find room, the best first: spot where it is
+        cheaper for the job, in use rather than idle, fullest."""
+        key = (spec.types and tuple(spec.types), spec.zone, spec.spot, spec.cpus, spec.gpus,
+               spec.memory_gb)
+        order = self.orders.get(key)
+        if order is None:
+            if len(self.orders) >= constants.MAX_QUEUE:
+                self.orders.clear()
+            rows = []
+            for place in self.classes:
+                kind = self.world.types.get(place.type)
+                if (kind is None or not self.world.fits_type(spec, place.type)
+                        or spec.zone not in (None, place.zone) or (place.spot and not spec.spot)
+                        or not may_fit(spec, kind, place)):
+                    continue
+                dearer = not place.spot if spec.gpus else place.spot
+                left = max(place.gpus / (kind.gpus or 1.0), place.level / constants.ROOM_LEVELS)
+                rows.append(((dearer, 0 if spec.gpus else place.gpus, place.idle, left), place))
+            rows.sort()
+            order = self.orders[key] = [place for _, place in rows]
+        return order
+
+    def draw(self, spec: JobSpec, zones: Collection[str], avoid: Collection[str],
+             wanted: int) -> list[Drawn]:
+        """Draw machines with room for `wanted` tasks and some more, at random from the best
+        classes first, those that hold the image before all others."""
+        enough = wanted * constants.DRAW_RATIO
+        looks = constants.DRAW_LOOKS + math.ceil(enough)
+        rows: list[Drawn] = []
+        held = self.holders.get(spec.image)
+        for with_image in (True, False):
+            if with_image and held is None:
+                continue
+            for place in self._order(spec):
+                if place.zone not in zones:
+                    continue
+                members = self.classes.get(place)
+                if members is None:
+                    continue  # its last machine fell silent while we drew
+                if held is not None:
+                    members = members & held if with_image else members - held
+                for number in pick(self.world.rng, members, looks):
+                    looks -= 1
+                    machine = self._fresh(number)
+                    if machine is None or machine.name in avoid:
+                        continue
+                    free = room(self.world, machine)
+                    count = times(free, spec) if has_room(free, spec) else 0
+                    if count:
+                        rows.append(Drawn(machine, free, with_image))
+                        enough -= count
+                        if enough <= 0:
+                            return rows
+                if looks <= 0:
+                    return rows
+        return rows
+
+    def _fresh(self, number: int) -> Machine | None:
+        """Return a machine unless it fell silent meanwhile: then it stays out until it speaks."""
+        machine = self.machines[number]
+        if machine is not None and not usable(self.world, machine):
+            self._leave(number)
+            self.world.silent.add(machine.name)
+            return None
+        return machine
+
+    def fitting(self, spec: JobSpec, zones: Collection[str]) -> BitMap:
+        """Return the machines that a job allows, with room or not."""
+        return BitMap.union(BitMap(), *(
+            members for (type_name, zone, spot), members in self.kinds.items()
+            if zone in zones and spec.zone in (None, zone) and (spec.spot or not spot)
+            and self.world.fits_type(spec, type_name)))
+
+    def holding(self, spec: JobSpec, zones: Collection[str]) -> BitMap:
+        """Return the machines that a job allows and that hold its image."""
+        held = self.holders.get(spec.image)
+        return BitMap() if held is None else held & self.fitting(spec, zones)
+
+    def yielding(self, job: Job, beyond: Iterable[str]) -> BitMap:
+        """Return machines with work that may give way to a job: of lower priority, or of the
+        teams in `beyond`."""
+        return BitMap.union(
+            BitMap(), *(ids for priority, ids in self.weak.items() if priority < job.priority),
+            *(self.teams[team] for team in beyond if team in self.teams))
+
+    def numbers(self, machines: Iterable[Machine]) -> BitMap:
+        """Return a set of machines as a bitmap."""
+        return BitMap(self.ids[machine.name] for machine in machines if machine.name in self.ids)
+
+    def some(self, ids: BitMap, count: int, avoid: Collection[str] = ()) -> list[Machine]:
+        """Return up to `count` usable machines of a set, at random."""
+        return [machine for number in pick(self.world.rng, ids, count)
+                if (machine := self._fresh(number)) is not None and machine.name not in avoid]
+
+
+def _discard(sets: dict, keys: Iterable, number: int) -> None:
+    """Take a machine out of the sets under these keys; empty ones go."""
+    for key in keys:
+        members = sets[key]
+        members.discard(number)
+        if not members:
+            del sets[key]
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -236,12 +236,19 @@
         self.used: dict[str, tuple[float, float]] = {}
         # Free room of machines, by name; taken out when their tasks or bindings change.
         self.rooms: dict[str, tuple[float, float, float]] = {}
+        # Machines whose place among all others may have changed since the index was refreshed.
+        self.stale: set[str] = set()
 
     @property
     def foreign(self) -> bool:
         """Whether the records are of a later version: we can't be sure to read them."""
         return self.format > FORMAT
 
+    def touch(self, machine: str) -> None:
+        """Something changed of what is on a machine or of whether it may be used."""
+        self.rooms.pop(machine, None)
+        self.stale.add(machine)
+
     def load(self, rows: list[tuple[str, Any, int]], epoch: int) -> None:
         """Take a complete list of all keys: what is missing was deleted."""
         names = {key for key, _, _ in rows}
@@ -293,6 +300,7 @@
                 self.gone.pop(rest, None)
             else:
                 self.gone[rest] = stamp
+                self.touch(rest)
                 self.changed_machines.add(rest)
         elif kind == "types" and value is not None:
             self.types = {row[0]: msgspec.convert(row, MachineType) for row in value}
@@ -322,7 +330,7 @@
             job.chunks.update(self.loose.pop(job_id, {}))
             self._count(job, len(job.bindings()))
             for binding in job.bindings():
-                self.rooms.pop(binding.machine, None)
+                self.touch(binding.machine)
         else:
             job.state, job.stamp, job.spec = state, stamp, spec or job.spec
         if job.final:
@@ -431,7 +439,7 @@
             for index, binding in chunk.bound.items():
                 self.by_machine.setdefault(binding.machine, {})[(job_id, index)] = binding
                 self.changed_machines.add(binding.machine)
-                self.rooms.pop(binding.machine, None)
+                self.touch(binding.machine)
         self.changed_jobs.add(job_id)
         if job is not None:
             self._count(job, bound)
@@ -450,4 +458,4 @@
             if not bound:
                 del self.by_machine[binding.machine]
             self.changed_machines.add(binding.machine)
-            self.rooms.pop(binding.machine, None)
+            self.touch(binding.machine)
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -128,10 +128,7 @@
     Only work of lower priority may go, and, for a job within its team's guarantee, work that
     another team runs beyond its own guarantee. What has least to lose goes first.
     """
-    cpus, gpus = used.get(job.team, (0.0, 0.0))
-    count = spec.tasks if spec.kind == "gang" else 1
-    inside = teams.within_guarantee(world, job.team, cpus + count * spec.cpus,
-                                    gpus + count * spec.gpus)
+    beyond = teams.beyond(world, job, spec, used)
     rows = []
     for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
         other = world.replica.jobs.get(job_id)
@@ -142,9 +139,7 @@
                 or other.spec.kind == "service" or other.id == job.id
                 or other.spec.joint):
             continue
-        borrowed = (inside and other.team != job.team and not teams.within_guarantee(
-            world, other.team, *used.get(other.team, (0.0, 0.0))))
-        if other.priority >= job.priority and not borrowed:
+        if other.priority >= job.priority and other.team not in beyond:
             continue
         lost = world.now - machine.since.get(task, world.now)
         young = lost < constants.START_COUNTS_S
@@ -169,6 +164,5 @@
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
     """Return the order in a queue: guaranteed work and priority first, then what has to start
     first for a deadline, then fair between teams."""
-    cpus, gpus = used.get(job.team, (0.0, 0.0))
-    inside = teams.within_guarantee(world, job.team, cpus + spec.cpus, gpus + spec.gpus)
-    return (not inside, -job.priority, job.latest, teams.share(world, job.team, used))
+    return (not teams.inside(world, job, spec, used), -job.priority, job.latest,
+            teams.share(world, job.team, used))
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -109,12 +109,13 @@
                        report.session, report.token, report.tasks, keeper, keeper_term,
                        report.notice_s is None)
         machine.take(report, world.now)
+        world.heard(machine)
     if machine.keeper != keeper:
         event("heard", machine=machine.name, keeper=keeper, session=machine.session)
     machine.keeper, machine.keeper_term = keeper, keeper_term
     if changed:
         world.dirty_machines.add(machine.name)
-        world.replica.rooms.pop(machine.name, None)
+        world.replica.touch(machine.name)
         note_results(world, machine, before)
 
 
@@ -152,4 +153,5 @@
 def hold_image(world: World, machine: Machine, image: str, size_gb: float) -> None:
     """Remember that a machine uses an image now."""
     kind = world.types.get(machine.type)
+    world.replica.stale.add(machine.name)
     machine.hold(image, size_gb, math.inf if kind is None else kind.cache_gb)
--- a/oakmux/core/owner/__init__.py
+++ b/oakmux/core/owner/__init__.py
@@ -1,5 +1,6 @@
 """The owner's side: sampling machines, binding tasks, writing the records."""
 
+from oakmux.core.index import Index
 from oakmux.core.keeper import Keeper
 from oakmux.core.owner.binding import Binder
 from oakmux.core.owner.copies import Copies
@@ -15,9 +16,10 @@
     def __init__(self, world: World, keeper: Keeper) -> None:
         self.open: dict[str, Open] = {}
         self.copies = Copies(world)
-        self.gangs = Gangs(world, self.open)
+        self.index = Index(world)
+        self.gangs = Gangs(world, self.index, self.open)
         self.binder = Binder(world, keeper, self.copies, self.open)
-        self.sampler = Sampler(world, self.copies, self.binder, self.gangs)
+        self.sampler = Sampler(world, self.index, self.copies, self.binder, self.gangs)
 
     def lost(self) -> None:
         """Drop what belongs to teams that are no longer ours."""
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -1,23 +1,24 @@
 """Gangs: room for all tasks at once or for none, and an end for all when one is lost."""
 
 import math
-from collections.abc import Callable
 
 from oakmux import constants
+from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import Room, times, usable
+from oakmux.core.keeper.room import times
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.places import best, make_room, reserve
 from oakmux.core.owner.state import Open
-from oakmux.core.world import Machine, World
+from oakmux.core.world import World
 from oakmux.wire import JobSpec
 
 
 class Gangs:
     """Samples for gangs; one of them at a time may hold a part of the room that it needs."""
 
-    def __init__(self, world: World, open_jobs: dict[str, Open]) -> None:
+    def __init__(self, world: World, index: Index, open_jobs: dict[str, Open]) -> None:
         self.world = world
+        self.index = index
         self.open = open_jobs
         self.gathering = ""
 
@@ -26,9 +27,7 @@
         if self.gathering == job.id:
             self.gathering = ""
 
-    def sample(self, job: Job, spec: JobSpec, state: Open,
-               ready: list[tuple[Machine, Room]],
-               allowed: Callable[[Machine], bool]) -> None:
+    def sample(self, job: Job, spec: JobSpec, state: Open) -> None:
         """Reserve room for all tasks of a gang, in one zone where it asks for that.
 
         Where a zone has room for all, the one that holds the image most often is taken; else one
@@ -37,12 +36,13 @@
         a part of what the others need.
         """
         world = self.world
-        groups: list[tuple[float, int, list[tuple[Machine, Room]], str | None]] = []
-        for zone in (world.facts.zones if spec.one_zone else [None]):
-            rows = [(m, free) for m, free in ready if zone in (None, m.zone)]
-            counts = [(times(free, spec), spec.image in m.images) for m, free in rows]
+        groups: list[tuple[float, int, list[Drawn], list[str]]] = []
+        all_zones = world.facts.zones
+        for zones in ([[zone] for zone in all_zones] if spec.one_zone else [all_zones]):
+            rows = self.index.draw(spec, zones, state.avoid, spec.tasks)
+            counts = [(times(row.free, spec), row.held) for row in rows]
             groups.append((sum(count for count, held in counts if held) + world.rng.random(),
-                           sum(count for count, _ in counts), rows, zone))
+                           sum(count for count, _ in counts), rows, zones))
         enough = [group for group in groups if group[1] >= spec.tasks]
         if enough:
             _, _, rows, _ = max(enough, key=lambda group: min(group[0], spec.tasks))
@@ -51,12 +51,11 @@
         groups.sort(key=lambda group: -group[1])
         if world.now >= max(state.next_wide, state.preempt_at):
             state.next_wide = world.now + constants.WIDE_S
-            for _, there, rows, zone in groups:
-                names = {m.name for m, _ in rows}
-                fitting = [m for m in world.machines.values()
-                           if zone in (None, m.zone) and m.name not in names
-                           and usable(world, m) and allowed(m)]
-                if make_room(world, job, spec, state, fitting, spec.tasks - there, math.inf):
+            for _, there, rows, zones in groups:
+                fitting = self.index.fitting(spec, zones) - self.index.numbers(
+                    row.machine for row in rows)
+                if make_room(world, self.index, job, spec, state, fitting, spec.tasks - there,
+                             math.inf):
                     reserve(world, job, best(world, job, spec, rows, there))
                     return
         waiting = self.open.get(self.gathering)
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -2,8 +2,11 @@
 
 import math
 
+from pyroaring import BitMap
+
 from oakmux import constants
 from oakmux.core import teams
+from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
 from oakmux.core.keeper.queue import victims
 from oakmux.core.keeper.room import Room, times
@@ -53,19 +56,17 @@
     return job is not None and job.spec is not None and job.priority >= constants.URGENT
 
 
-def best(world: World, job: Job, spec: JobSpec, ready: list[tuple[Machine, Room]],
-         count: int) -> dict[str, int]:
-    """Choose among machines with room: image held, spot if allowed, fullest; chance decides
-    between equals."""
-    rows = [(preference(world, job, spec, machine, free), world.rng.random(), machine.name,
-             free) for machine, free in ready]
-    rows.sort(key=lambda row: row[:3])
+def best(world: World, job: Job, spec: JobSpec, rows: list[Drawn], count: int) -> dict[str, int]:
+    """Choose among drawn machines with room: image held, spot if allowed, fullest; chance
+    decides between equals."""
+    ranked = sorted(((preference(world, job, spec, row.machine, row.free), world.rng.random(),
+                      row) for row in rows), key=lambda entry: entry[:2])
     chosen: dict[str, int] = {}
-    for _, _, name, free in rows:
+    for _, _, row in ranked:
         if count <= 0:
             break
-        chosen[name] = min(count, times(free, spec))
-        count -= chosen[name]
+        chosen[row.machine.name] = min(count, times(row.free, spec))
+        count -= chosen[row.machine.name]
     return chosen
 
 
@@ -86,16 +87,22 @@
     return fetch
 
 
-def make_room(world: World, job: Job, spec: JobSpec, state: Open, fitting: list[Machine],
+def make_room(world: World, index: Index, job: Job, spec: JobSpec, state: Open, among: BitMap,
               wanted: int, most: float) -> int:
     """Ask the keepers of as many machines as tasks wait to stop work of less right, where
     that costs less than `most` seconds; return how many were asked. For a gang, all its
-    tasks must find room so."""
+    tasks must find room so. Looked at are some machines drawn from `among`, those that hold
+    the image before others."""
     if world.now < state.preempt_at:
         return 0
     used = teams.usage(world)
+    among = among & index.yielding(job, teams.beyond(world, job, spec, used))
+    looks = math.ceil(constants.PREEMPT_LOOKS * wanted) + constants.DRAW_LOOKS
+    held = among & index.holders.get(spec.image, BitMap())
+    machines = index.some(held, looks, state.avoid)
+    machines += index.some(among - held, looks - len(machines), state.avoid)
     rows = []
-    for machine in fitting:
+    for machine in machines:
         found = victims(world, machine, job, spec, used)
         if found is not None:
             cost = found[0] + fetch_s(world, spec, machine)
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -4,8 +4,9 @@
 import math
 
 from oakmux import constants
+from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import Room, full, gather_s, has_room, room, times, usable
+from oakmux.core.keeper.room import gather_s, times
 from oakmux.core.owner.binding import Binder
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import Gangs
@@ -18,8 +19,11 @@
 class Sampler:
     """Draws machines for the jobs of the teams that we own."""
 
-    def __init__(self, world: World, copies: Copies, binder: Binder, gangs: Gangs) -> None:
+    def __init__(self, world: World, index: Index, copies: Copies, binder: Binder,
+                 gangs: Gangs) -> None:
         self.world = world
+        self.index = index
+        self.open = binder.open
         self.copies = copies
         self.binder = binder
         self.gangs = gangs
@@ -28,7 +32,7 @@
         """Send out reservations for jobs whose turn it is."""
         now = self.world.now
         due = []
-        for job_id, state in list(self.binder.open.items()):
+        for job_id, state in list(self.open.items()):
             job = self.world.replica.jobs[job_id]
             if job.spec is None:
                 continue
@@ -39,21 +43,13 @@
                 due.append((-job.priority, job.latest, state.next_sample, job.since, job_id))
         # With thousands of jobs waiting, those of higher priority and those that waited longest
         # go first; the work of one tick stays bounded.
-        roomy = self._roomy() if due else []
+        self.index.refresh()
         for *_, job_id in heapq.nsmallest(constants.SAMPLES_PER_TICK, due):
             job = self.world.replica.jobs[job_id]
             if job.spec is not None:
-                self._sample_job(job, job.spec, self.binder.open[job_id], roomy)
+                self._sample_job(job, job.spec, self.open[job_id])
 
-    def _roomy(self) -> list[tuple[Machine, Room]]:
-        """Return the machines that may be used and have any room."""
-        world = self.world
-        return [(machine, free) for machine in world.machines.values()
-                if not full(world, free := room(world, machine))
-                and usable(world, machine)]
-
-    def _sample_job(self, job: Job, spec: JobSpec, state: Open,
-                    roomy: list[tuple[Machine, Room]]) -> None:
+    def _sample_job(self, job: Job, spec: JobSpec, state: Open) -> None:
         world = self.world
         if (spec.joint and state.offers
                 and state.offers[0][0] + gather_s(spec) <= world.now):
@@ -75,43 +71,46 @@
             return
         # Room in a zone that the job's other tasks rule out must not hide that room has to be
         # made in another: a spread service once waited 50 s for its second replica so.
-        def allowed(machine: Machine) -> bool:
-            return (world.fits(spec, machine) and machine.name not in state.avoid
-                    and (not zones or zone_allowed(spec, zones, machine.zone)))
-
-        count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
-        ready = [(m, free) for m, free in roomy if has_room(free, spec) and allowed(m)]
+        zones_left = [zone for zone in world.facts.zones if zone_allowed(spec, zones, zone)]
         state.next_sample = world.now + constants.RESAMPLE_S
         if spec.joint:
-            self.gangs.sample(job, spec, state, ready, allowed)
-        elif ready:
-            holders = [m for m in world.machines.values()
-                       if spec.image in m.images and usable(world, m) and allowed(m)]
-            there = [(m, free) for m, free in ready if spec.image in m.images]
-            # A fetch blocks its place as well: stopping young work where the image is costs less.
-            if not there and make_room(world, job, spec, state, holders, wanted,
-                                             worth_s(world, spec, ready[0][0])):
-                state.next_sample = world.now + constants.PREEMPT_S
-            elif (len(holders) >= wanted > sum(times(free, spec) for _, free in there)
-                    and self._patient(spec, state, ready[0][0])):
-                state.next_sample = world.now + constants.WAIT_RESAMPLE_S
-                queued = world.rng.sample(holders, min(count, len(holders)))
-                reserve(world, job, {**{m.name: 1 for m in queued},
-                                    **best(world, job, spec, there, count)})
-            else:
-                reserve(world, job, best(world, job, spec, ready, count))
+            self.gangs.sample(job, spec, state)
+            return
+        count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
+        rows = self.index.draw(spec, zones_left, state.avoid, count)
+        if rows:
+            self._take_room(job, spec, state, zones_left, rows, wanted, count)
         elif world.now >= state.next_wide:
             # Reservations wait at full machines for longer than it takes to look for room anew.
             state.next_wide = world.now + constants.WIDE_S
-            fitting = [m for m in world.machines.values() if usable(world, m) and allowed(m)]
-            make_room(world, job, spec, state, fitting, wanted, math.inf)
+            fitting = self.index.fitting(spec, zones_left)
+            make_room(world, self.index, job, spec, state, fitting, wanted, math.inf)
             chosen: dict[str, int] = {}
-            while fitting and count > 0:
-                for machine in world.rng.sample(fitting, min(count, len(fitting))):
+            while count > 0 and (some := self.index.some(fitting, count, state.avoid)):
+                for machine in some:
                     chosen[machine.name] = chosen.get(machine.name, 0) + 1
-                    count -= 1
+                count -= len(some)
             reserve(world, job, chosen)
 
+    def _take_room(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
+                   rows: list[Drawn], wanted: int, count: int) -> None:
+        """Reserve room that was drawn, or wait a little where the image is."""
+        world = self.world
+        holders = self.index.holding(spec, zones)
+        there = [row for row in rows if row.held]
+        # A fetch blocks its place as well: stopping young work where the image is costs less.
+        if holders and not there and make_room(world, self.index, job, spec, state, holders,
+                                               wanted, worth_s(world, spec, rows[0].machine)):
+            state.next_sample = world.now + constants.PREEMPT_S
+        elif (len(holders) >= wanted > sum(times(row.free, spec) for row in there)
+                and self._patient(spec, state, rows[0].machine)):
+            state.next_sample = world.now + constants.WAIT_RESAMPLE_S
+            queued = self.index.some(holders, count, state.avoid)
+            reserve(world, job, {**{m.name: 1 for m in queued},
+                                 **best(world, job, spec, there, count)})
+        else:
+            reserve(world, job, best(world, job, spec, rows, count))
+
     def _patient(self, spec: JobSpec, state: Open, machine: Machine) -> bool:
         """Whether to wait at machines that hold the image rather than fetch it: for a part of the
         fetch, as far as the aims for starting this class and guaranteed work leave time. What
--- a/oakmux/core/teams.py
+++ b/oakmux/core/teams.py
@@ -1,6 +1,7 @@
 """Limits and guarantees of teams."""
 
 from oakmux import constants
+from oakmux.core.jobs import Job
 from oakmux.core.world import World
 from oakmux.wire import JobSpec
 
@@ -56,6 +57,23 @@
             and (not limits.gpus or gpus <= limits.gpus + constants.EPSILON))
 
 
+def inside(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]],
+           count: int = 1) -> bool:
+    """Whether so many more tasks of a job stay within what its team is guaranteed."""
+    cpus, gpus = used.get(job.team, (0.0, 0.0))
+    return within_guarantee(world, job.team, cpus + count * spec.cpus, gpus + count * spec.gpus)
+
+
+def beyond(world: World, job: Job, spec: JobSpec,
+           used: dict[str, tuple[float, float]]) -> list[str]:
+    """Return the other teams whose work must give way to a job, since they use more than they
+    are guaranteed and it is within its own team's guarantee."""
+    if not inside(world, job, spec, used, spec.tasks if spec.kind == "gang" else 1):
+        return []
+    return [team for team in world.teams if team != job.team
+            and not within_guarantee(world, team, *used.get(team, (0.0, 0.0)))]
+
+
 def share(world: World, team: str, used: dict[str, tuple[float, float]]) -> float:
     """Return a team's use as a share of its guarantee, for fairness between teams."""
     cpus, gpus = used.get(team, (0.0, 0.0))
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -83,6 +83,8 @@
                                default=None)
         self.machines: dict[str, Machine] = {}
         self.draining: dict[str, float] = {}
+        # Machines that were found unusable, to be looked at again when they are heard.
+        self.silent: set[str] = set()
         self.effects: list[tuple] = []
         self.inbox: list[tuple] = []
         self.term = 0
@@ -106,6 +108,28 @@
         self.ops[self._op] = then
         self.effects.append((effect[0], self._op, *effect[1:]))
 
+    def drain(self, name: str) -> None:
+        """Put nothing new on a machine; said anew, the time of it counts from now."""
+        self.draining[name] = self.now
+        self.replica.touch(name)
+
+    def undrain(self, name: str) -> None:
+        """Use a machine again."""
+        if self.draining.pop(name, None) is not None:
+            self.replica.touch(name)
+
+    def heard(self, machine: Machine) -> None:
+        """A machine was heard just now, by us or by a peer that said so."""
+        machine.heard = self.now
+        if machine.name in self.silent:
+            self.silent.discard(machine.name)
+            self.replica.touch(machine.name)
+
+    def types_changed(self) -> None:
+        """The catalogue changed: what is free on a machine counts anew."""
+        self.replica.rooms.clear()
+        self.replica.stale.update(self.machines)
+
     def fits_type(self, spec: JobSpec, type_name: str) -> bool:
         """Whether a task of the job fits an empty machine of an allowed type."""
         kind = self.types.get(type_name)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,8 +12,9 @@
 
 from oakmux import constants
 from oakmux.core.controller import Controller
+from oakmux.core.index import Index
 from oakmux.core.jobs import value_bytes, value_limit
-from oakmux.core.keeper.room import count_room
+from oakmux.core.keeper.room import count_room, usable
 from oakmux.settings import (
     CloudLimits,
     ComingLimits,
@@ -661,6 +662,7 @@
         known = all(replica.jobs[task.partition("/")[0]].spec is not None
                     for task, _ in machine.tasks if task.partition("/")[0] in replica.jobs)
         assert not known or free == pytest.approx(count_room(world, machine)), name
+    check_index(core)
     used: dict[str, float] = {}
     mine: dict[str, float] = {}
     for job in replica.jobs.values():
@@ -672,3 +674,24 @@
         assert replica.used.get(team, (0, 0))[1] == pytest.approx(used.get(team, 0)), team
         if team in world.my_roles:
             assert core.owner.copies.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
+
+
+def check_index(core: Controller) -> None:
+    """Compare where the index has each machine with what an index made anew says."""
+    world, index = core.world, core.owner.index
+    index.refresh()
+    fresh = Index(world)
+    world.replica.stale.update(world.machines)
+    silent = set(world.silent)
+    fresh.refresh()
+    world.silent = silent
+
+    def named(index: Index, sets: dict) -> dict:
+        return {key: {index.machines[n].name for n in ids} for key, ids in sets.items() if ids}
+
+    quiet = {n for n, m in world.machines.items() if not usable(world, m)}
+    for attr in ("classes", "kinds", "holders", "weak", "teams"):
+        kept, anew = (named(i, getattr(i, attr)) for i in (index, fresh))
+        if attr != "holders":  # one that fell silent leaves when it is drawn
+            kept = {key: names - quiet for key, names in kept.items() if names - quiet}
+        assert kept == anew, attr
--- /dev/null
+++ b/tools/cost.py
@@ -0,0 +1,207 @@
+"""What a controller's work costs as the fleet grows: real time on one core of this machine.
+
+One controller is driven step by step with no sockets: a stub grants its lease and accepts all its
+transactions. Machines report to a peer (so that jobs keep waiting, as in a burst) or to the
+controller itself. Times are in milliseconds of processor time.
+"""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import cbor2
+import click
+from hdrh.histogram import HdrHistogram
+
+from oakmux.core.controller import Controller
+from oakmux.core.jobs import job_key, job_value
+from oakmux.core.membership import FLEET
+from oakmux.settings import (
+    CloudLimits,
+    External,
+    Facts,
+    Member,
+    Settings,
+    StateLimits,
+    Team,
+    Workers,
+)
+from oakmux.wire import JobSpec, MachineType, Report
+
+ZONES = ["a", "b", "c"]
+TYPE = MachineType("big", 48.0, 4.0, 288.0, 120.0, 0.4, 10.0, 3.0, 30.0, ZONES)
+IMAGES = 12
+REPORT_S = 2.5
+# Times are recorded in microseconds, up to a minute, to three digits.
+HIGHEST_US = 60_000_000
+
+
+class Bench:
+    """One controller and the stub round it."""
+
+    def __init__(self, machines: int, kept: bool, seed: int) -> None:
+        self.rng = random.Random(seed)
+        settings = Settings(
+            "h0", "10.0.0.1:80", "10.0.0.1:81", External("10.2.0.2:1", "10.2.0.1:2"),
+            Facts(ZONES, [Team("red", gpus=1e6), Team("blue", gpus=1e6)],
+                  Workers(REPORT_S, 15.0, 30.0, 8.0, 35.0), StateLimits(1e6, 1e6, 8, 48),
+                  CloudLimits(5, 5), 2), members=[Member("h1", "10.0.0.2:81")])
+        self.core = Controller(settings, random.Random(seed), 0)
+        self.now, self.epoch, self.kept = 0.0, 0, kept
+        self.sent: list[tuple] = []
+        self.names = [f"n-{number:06}" for number in range(machines)]
+        self.seq = dict.fromkeys(self.names, 0)
+        self.tasks: dict[str, dict] = {name: {} for name in self.names}
+        self.step([("catalogue", [TYPE]), ("snapshot", [], 0, 0.0)])
+        self.settle(2.0)
+        self.step(self.word(name) for name in self.names)
+
+    def step(self, commands: Iterable[tuple]) -> float:
+        """Make one step; return its processor time in seconds. The stub answers at once."""
+        batch = list(commands)
+        start = time.process_time()
+        effects = self.core.step(self.now, batch)
+        spent = time.process_time() - start
+        answers = []
+        for kind, number, *args in effects:
+            if kind == "grant":
+                answers.append(("done", number, 200, 1))
+            elif kind == "renew":
+                answers.append(("done", number, 200, None))
+            elif kind == "txn":
+                self.epoch += 1
+                answers.append(("done", number, 200, (self.epoch, [])))
+                answers.append(("watch", [], self.epoch, self.now))
+            elif kind == "send":
+                self.sent.append(args[0])
+        return spent + (self.step(answers) if answers else 0.0)
+
+    def settle(self, seconds: float) -> None:
+        """Let that much time pass."""
+        for _ in range(int(seconds * 10)):
+            self.tick()
+
+    def tick(self) -> float:
+        """Pass a tenth of a second with current records; return the step's processor time."""
+        self.now += 0.1
+        return self.step([("watch", [], self.epoch, self.now)])
+
+    def word(self, name: str) -> tuple:
+        """Return a report, or a peer's word of one."""
+        number = int(name[2:])
+        self.seq[name] += 1
+        zone, spot = ZONES[number % 3], number % 5 == 0
+        if self.kept:
+            return ("report", number, Report(name, "10.1.0.1:1", "big", zone, spot, 1,
+                                             self.seq[name], self.core.world.term, None,
+                                             dict(self.tasks[name])))
+        images = [[f"i{(number + step) % IMAGES}", 4.0] for step in range(3)]
+        return ("peer", number, "h1", [["view", 1, name, "10.1.0.1:1", "big", zone, spot, 1,
+                                        self.seq[name], 1, None, [], images]])
+
+    def submit(self, jobs: int) -> None:
+        """Add jobs to the records, of the classes that the deployments have."""
+        rows: list[tuple[str, Any, int]] = []
+        for number in range(jobs):
+            self.epoch += 1
+            kind, tasks, cpus, gpus = self.rng.choice((
+                ("array", 35, 10.0, 1.0), ("gang", 4, 21.0, 2.0), ("service", 4, 8.0, 1.0)))
+            spec = JobSpec(
+                lane="l", team=self.rng.choice(("red", "blue")), kind=kind, priority=1,
+                tasks=tasks, cpus=cpus, gpus=gpus, memory_gb=43.0,
+                image=f"i{number % IMAGES}", image_gb=4.0, types=None, zone=None,
+                one_zone=kind == "gang", spread=kind == "service", spot=kind == "array",
+                estimate_s=60.0, checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+            rows.append((job_key(f"job-{number}"),
+                         job_value("queued", spec.team, spec, number, tasks), self.epoch))
+        self.step([("watch", rows, self.epoch, self.now)])
+
+
+def measure(run: Callable[[], float], times: int) -> HdrHistogram:
+    """Return the distribution of so many runs after a first one, in microseconds."""
+    run()
+    found = HdrHistogram(1, HIGHEST_US, 3)
+    for _ in range(times):
+        found.record_value(max(1, int(run() * 1e6)))
+    return found
+
+
+def burst(machines: int, jobs: int, ticks: int, seed: int) -> HdrHistogram:
+    """Ticks with jobs waiting and idle machines at a peer: what sampling costs."""
+    bench = Bench(machines, False, seed)
+    bench.submit(jobs)
+    bench.core.fleet.tick = lambda: None  # type: ignore[method-assign]
+    return measure(bench.tick, ticks)
+
+
+def quiet(machines: int, ticks: int, seed: int) -> HdrHistogram:
+    """Ticks with nothing to do."""
+    bench = Bench(machines, False, seed)
+    bench.core.fleet.tick = lambda: None  # type: ignore[method-assign]
+    return measure(bench.tick, ticks)
+
+
+def fleet_pass(machines: int, jobs: int, passes: int, seed: int) -> HdrHistogram:
+    """The pass over the fleet that comes once a second, with jobs waiting."""
+    bench = Bench(machines, False, seed)
+    bench.submit(jobs)
+    bench.settle(1.0)
+    assert FLEET in bench.core.world.my_roles
+
+    def run() -> float:
+        bench.now += 1.0
+        bench.core.world.now = bench.core.world.state_heard = bench.now
+        for machine in bench.core.world.machines.values():
+            machine.heard = bench.now
+        start = time.process_time()
+        bench.core.fleet.tick()
+        bench.core.world.effects.clear()
+        return time.process_time() - start
+
+    return measure(run, passes)
+
+
+def reports(machines: int, count: int, seed: int) -> tuple[HdrHistogram, float]:
+    """Reports that change what runs on a machine of ours; also bytes to one peer for each."""
+    bench = Bench(machines, True, seed)
+    bench.sent.clear()
+    serial = 0
+
+    def run() -> float:
+        nonlocal serial
+        serial += 1
+        name = bench.rng.choice(bench.names)
+        bench.tasks[name] = {(f"job-{serial}/0", 1): ("running", "", False)}
+        return bench.step([bench.word(name)])
+
+    found = measure(run, count)
+    return found, sum(len(cbor2.dumps(message)) for message in bench.sent) / count
+
+
+@click.command(help=__doc__)
+@click.option("--machines", "sizes", type=int, multiple=True, default=(600, 2000, 6000),
+              show_default=True)
+@click.option("--jobs", default=200, show_default=True, help="Jobs that wait.")
+@click.option("--ticks", default=40, show_default=True, help="Ticks, passes and reports / 10.")
+@click.option("--seed", default=1, show_default=True)
+def main(sizes: tuple[int, ...], jobs: int, ticks: int, seed: int) -> None:
+    """Print the table."""
+    click.echo("machines  what          mean ms  median ms  p99 ms")
+
+    def show(size: int, what: str, found: HdrHistogram) -> None:
+        click.echo(f"{size:8}  {what:12} {found.get_mean_value() / 1000:8.3f} "
+                   f"{found.get_value_at_percentile(50) / 1000:10.3f} "
+                   f"{found.get_value_at_percentile(99) / 1000:7.3f}")
+
+    for size in sizes:
+        show(size, "burst tick", burst(size, jobs, ticks, seed))
+        show(size, "quiet tick", quiet(size, ticks, seed))
+        show(size, "fleet pass", fleet_pass(size, jobs, max(1, ticks // 4), seed))
+        found, sent = reports(size, ticks * 10, seed)
+        show(size, "report", found)
+        click.echo(f"{size:8}  bytes to a peer for each changed report: {sent:.0f}")
+
+
+if __name__ == "__main__":
+    main()
