Refuse a size below 1 and negative amounts of teams in the settings

Cause: check-config passed facts.size = -1 (it was raised to the number of members) and negative guarantees. Change: both end a start with one line that names the field. Measured: the story of wrong fields has both.

--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -161,10 +161,16 @@
            for k, v in msgspec.structs.asdict(facts.state.next).items() if v is not None},
         **{f"facts.cloud.{k}": v for k, v in msgspec.structs.asdict(facts.cloud).items()},
         "facts.resources.fd_limit": facts.resources.fd_limit,
+        "facts.size": facts.size,
     }
     for field, value in positive.items():
         if not 0 < value < 1e12:
             raise SettingsError(f"{field}: must be above 0, not {value}")
+    for team in facts.teams:
+        for name, value in msgspec.structs.asdict(team).items():
+            if name != "name" and not 0 <= value < 1e12:
+                raise SettingsError(f"facts.teams.{team.name}.{name}: must be 0 or more, "
+                                    f"not {value}")
     if facts.state.least.txn_ops < MIN_TXN_OPS:
         raise SettingsError(f"facts.state.txn_ops: must be at least {MIN_TXN_OPS}: a job that "
                             "ends takes that many changes")
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -147,6 +147,8 @@
     file.write_text(CONFIG)
     assert settings.load(str(file)).facts.teams[0].gpus_max == 4.0
     for old, new, field in (("rps = 100", "rps = -1", "facts.state.rps"),
+                            ("[facts]", "[facts]\nsize = -1", "facts.size"),
+                            ("gpus_max = 4", "gpus_max = -4", "facts.teams.*gpus_max"),
                             ("127.0.0.1:2", "nowhere", "external.state"),
                             ("lease_s = 10", "", "lease_s"), ("[facts]", "[facts", "TOML")):
         file.write_text(CONFIG.replace(old, new, 1))
