--- a/tools/cost.py
+++ b/tools/cost.py
@@ -63,7 +63,7 @@
         start = time.process_time()
         effects = self.core.step(self.now, batch)
         spent = time.process_time() - start
-        answers = []
+        answers: list[tuple] = []
         for kind, number, *args in effects:
             if kind == "grant":
                 answers.append(("done", number, 200, 1))
--- a/tools/recovery.py
+++ b/tools/recovery.py
@@ -116,9 +116,9 @@
                 row[2].append(ran.running - history.accepted[job])
     yield ("class               from s  tasks  to bound p50 p90 max   bound to running"
            "       to running")
-    for (lane, window), (bound, fetch, ran) in sorted(rows.items()):
-        yield (f"{lane:18} {window * window_s:7.0f} {len(bound):6}  "
-               + "   ".join(spread(histogram(row)) for row in (bound, fetch, ran)))
+    for (lane, window), waits in sorted(rows.items()):
+        yield (f"{lane:18} {window * window_s:7.0f} {len(waits[0]):6}  "
+               + "   ".join(spread(histogram(wait)) for wait in waits))
 
 
 def losses(history: History, at: float, until: float) -> Iterator[str]:
@@ -137,10 +137,10 @@
     yield "class               lost  not yet again   to proof p50 p90 max   to new binding"\
           "        running again 50% 95% all"
     for lane, found in sorted(rows.items()):
-        again = sorted(row[2] for row in found if row[2] is not None)
-        marks = [again[max(0, int(len(found) * share) - 1)] if len(again) >= len(found) * share
+        back = sorted(row[2] for row in found if row[2] is not None)
+        marks = [back[max(0, int(len(found) * share) - 1)] if len(back) >= len(found) * share
                  else None for share in (0.5, 0.95, 1.0)]
-        yield (f"{lane:18} {len(found):5} {len(found) - len(again):13}   "
+        yield (f"{lane:18} {len(found):5} {len(found) - len(back):13}   "
                f"{spread(histogram(row[0] for row in found))}   "
                f"{spread(histogram(row[1] for row in found if row[1] is not None))}   "
                + " ".join("     -" if mark is None else f"{mark:6.1f}" for mark in marks))
