Gangs claim the room they ask for and replace what does not come

Change: what a gang asked for counts as taken for our other gangs; what does not come within 1 s is replaced, by free room and then by work that gives way; stale offers are declined; queues go by the age of the job.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -210,3 +210,6 @@
 # Machines looked at for each task that needs room made (ratio), and DRAW_LOOKS more: the cheapest
 # to make room on are taken.
 PREEMPT_LOOKS = 4.0
+# Seconds within which a machine that shows room answers a gang's reservation, if it will: offers
+# come with the next message; after that the room is somebody else's, and other room is asked for.
+GANG_ANSWER_S = 1.0
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from pyroaring import BitMap
@@ -212,9 +212,10 @@
         return order
 
     def draw(self, spec: JobSpec, zones: Collection[str], avoid: Collection[str],
-             wanted: int) -> list[Drawn]:
+             wanted: int, left: Callable[[Machine, Room], Room] | None = None) -> list[Drawn]:
         """Draw machines with room for `wanted` tasks and some more, at random from the best
-        classes first, those that hold the image before all others."""
+        classes first, those that hold the image before all others. `left` may take off what is
+        promised of a machine's room."""
         enough = wanted * constants.DRAW_RATIO
         looks = constants.DRAW_LOOKS + math.ceil(enough)
         rows: list[Drawn] = []
@@ -236,6 +237,8 @@
                     if machine is None or machine.name in avoid:
                         continue
                     free = room(self.world, machine)
+                    if left is not None:
+                        free = left(machine, free)
                     count = times(free, spec) if has_room(free, spec) else 0
                     if count:
                         rows.append(Drawn(machine, free, with_image))
@@ -274,9 +277,9 @@
             BitMap(), *(ids for priority, ids in self.weak.items() if priority < job.priority),
             *(self.teams[team] for team in beyond if team in self.teams))
 
-    def numbers(self, machines: Iterable[Machine]) -> BitMap:
+    def numbers(self, names: Iterable[str]) -> BitMap:
         """Return a set of machines as a bitmap."""
-        return BitMap(self.ids[machine.name] for machine in machines if machine.name in self.ids)
+        return BitMap(self.ids[name] for name in names if name in self.ids)
 
     def some(self, ids: BitMap, count: int, avoid: Collection[str] = ()) -> list[Machine]:
         """Return up to `count` usable machines of a set, at random."""
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -37,7 +37,9 @@
     def _preempt(self, kept: Kept, machine: Machine, job_id: str) -> None:
         world = self.world
         job = world.replica.jobs.get(job_id)
-        if (job is None or job.spec is None or job.final or kept.stops
+        # A task that was stopped stays in the reports until it is forgotten; it stops nothing.
+        stopping = any(machine.tasks.get(task, ("exited",))[0] != "exited" for task in kept.stops)
+        if (job is None or job.spec is None or job.final or stopping
                 or not usable(world, machine)):
             return
         chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept))
@@ -100,9 +102,11 @@
                     or world.now - reservation.since > constants.RETRY_MOST_S):
                 del kept.queue[reservation.job_id]
                 continue
-            ranked.append((rank(world, job, job.spec, used), reservation.since, reservation, job))
-        ranked.sort(key=lambda row: row[:2])
-        for _, _, reservation, job in ranked:
+            # The age of the job, not of the reservation: of two gangs that wait for the same
+            # machines, one must come first at all of them.
+            ranked.append((rank(world, job, job.spec, used), job.since, job.id, reservation, job))
+        ranked.sort(key=lambda row: row[:3])
+        for *_, reservation, job in ranked:
             spec = job.spec
             assert spec is not None
             owner = world.replica.roles.get(job.team)
@@ -112,7 +116,9 @@
                 free = less(free, spec)
                 reservation.count -= 1
                 self.next_offer += 1
-                hold = constants.OFFER_HOLD_S + gather_s(spec)
+                hold = constants.OFFER_HOLD_S
+                if spec.joint:
+                    hold += gather_s(spec) + constants.PREEMPT_S
                 kept.offers[self.next_offer] = (job.id, world.now + hold, owner[2])
                 world.emit("send", owner[0], ("offer", name, job.id, self.next_offer,
                                               machine.session, world.term, world.label))
--- a/oakmux/core/owner/binding.py
+++ b/oakmux/core/owner/binding.py
@@ -4,7 +4,7 @@
 from oakmux.core.jobs import Binding, Job
 from oakmux.core.keeper import Keeper
 from oakmux.core.keeper.proof import gone
-from oakmux.core.keeper.room import gather_s, room, usable
+from oakmux.core.keeper.room import room, usable
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import stop_rest
 from oakmux.core.owner.places import choose_gang, preference, zone_allowed
@@ -85,8 +85,9 @@
                 return False
             state.offers.append(offer)
             return True
-        state.offers = [o for o in state.offers
-                        if o[0] + gather_s(spec) > self.world.now] + [offer]
+        if machine.name not in state.asked:
+            return False  # left over from a gathering that was given up
+        state.offers.append(offer)
         chosen = choose_gang(spec, state.offers)
         size = self.copies.per_chunk
         if chosen is not None and all(
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -1,34 +1,87 @@
 """Gangs: room for all tasks at once or for none, and an end for all when one is lost."""
 
 import math
+from collections import Counter
+from typing import NamedTuple
 
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import times
+from oakmux.core.keeper.room import Room, gather_s, less, times
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.places import best, make_room, reserve
 from oakmux.core.owner.state import Open
-from oakmux.core.world import World
+from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
 
 
+class Claim(NamedTuple):
+    """Room that a gang of ours has asked for; other gangs of ours count it as taken."""
+
+    until: float
+    tasks: int
+    spec: JobSpec
+
+
 class Gangs:
-    """Samples for gangs; one of them at a time may hold a part of the room that it needs."""
+    """Gathers room for gangs: what is missing is asked for, from free room first, then from work
+    that has to give way. One gang of ours at a time may hold a part of what it needs for long."""
 
     def __init__(self, world: World, index: Index, open_jobs: dict[str, Open]) -> None:
         self.world = world
         self.index = index
         self.open = open_jobs
         self.gathering = ""
+        # By machine, then by job. Two gangs of ours once saw the same room as free, each got a
+        # part of it, and both began anew: for minutes in a full fleet.
+        self.claims: dict[str, dict[str, Claim]] = {}
 
     def end_turn(self, job: Job) -> None:
         """Let another gang hold room."""
         if self.gathering == job.id:
             self.gathering = ""
 
+    def end(self, job: Job, state: Open) -> None:
+        """A gathering is over: the job is bound, or begins anew later."""
+        self.end_turn(job)
+        for name in state.asked:
+            self.claims.get(name, {}).pop(job.id, None)
+        state.asked = {}
+        state.gather_until = 0.0
+
+    def left(self, job: Job, machine: Machine, free: Room) -> Room:
+        """Return the room on a machine that other gangs of ours have not asked for."""
+        claims = self.claims.get(machine.name)
+        if not claims:
+            return free
+        for other, claim in list(claims.items()):
+            if claim.until <= self.world.now:
+                del claims[other]
+            elif other != job.id:
+                free = less(free, claim.spec, claim.tasks)
+        return free
+
+    def _ask(self, job: Job, spec: JobSpec, state: Open, chosen: dict[str, int],
+             wait_s: float) -> None:
+        """Note that machines were asked for room, and for how long an answer may take."""
+        now = self.world.now
+        for name, count in chosen.items():
+            state.asked[name] = (now + wait_s, count)
+            self.claims.setdefault(name, {})[job.id] = Claim(state.gather_until, count, spec)
+
+    def _coming(self, state: Open, zones: list[str]) -> int:
+        """Count the tasks of a gang for which room is held or may still be offered there."""
+        now = self.world.now
+        held = Counter(offer[1] for offer in state.offers if offer[6] in zones)
+        coming = sum(held.values())
+        for name, (until, count) in state.asked.items():
+            machine = self.world.machines.get(name)
+            if until > now and machine is not None and machine.zone in zones:
+                coming += max(0, count - held[name])
+        return coming
+
     def sample(self, job: Job, spec: JobSpec, state: Open) -> None:
-        """Reserve room for all tasks of a gang, in one zone where it asks for that.
+        """Ask for the room that a gang still lacks, in one zone where it asks for that.
 
         Where a zone has room for all, the one that holds the image most often is taken; else one
         where stopping work of less right makes room for all. If there is none, one gang of ours at
@@ -36,34 +89,55 @@
         a part of what the others need.
         """
         world = self.world
+        if not state.gather_until:
+            state.gather_until = world.now + gather_s(spec)
         groups: list[tuple[float, int, list[Drawn], list[str]]] = []
         all_zones = world.facts.zones
         for zones in ([[zone] for zone in all_zones] if spec.one_zone else [all_zones]):
-            rows = self.index.draw(spec, zones, state.avoid, spec.tasks)
+            coming = self._coming(state, zones)
+            if coming >= spec.tasks:
+                return
+            rows = self.index.draw(spec, zones, {*state.avoid, *state.asked},
+                                   spec.tasks - coming,
+                                   lambda machine, free: self.left(job, machine, free))
             counts = [(times(row.free, spec), row.held) for row in rows]
-            groups.append((sum(count for count, held in counts if held) + world.rng.random(),
-                           sum(count for count, _ in counts), rows, zones))
+            groups.append((sum(count for count, held in counts if held) + coming
+                           + world.rng.random(),
+                           sum(count for count, _ in counts) + coming, rows, zones))
         enough = [group for group in groups if group[1] >= spec.tasks]
         if enough:
-            _, _, rows, _ = max(enough, key=lambda group: min(group[0], spec.tasks))
-            reserve(world, job, best(world, job, spec, rows, spec.tasks))
+            self._reserve(job, spec, state,
+                          max(enough, key=lambda group: min(group[0], spec.tasks)))
             return
         groups.sort(key=lambda group: -group[1])
         if world.now >= max(state.next_wide, state.preempt_at):
             state.next_wide = world.now + constants.WIDE_S
-            for _, there, rows, zones in groups:
+            for group in groups:
+                _, there, rows, zones = group
                 fitting = self.index.fitting(spec, zones) - self.index.numbers(
-                    row.machine for row in rows)
-                if make_room(world, self.index, job, spec, state, fitting, spec.tasks - there,
-                             math.inf):
-                    reserve(world, job, best(world, job, spec, rows, there))
+                    [*(row.machine.name for row in rows), *state.asked])
+                names = make_room(world, self.index, job, spec, state, fitting,
+                                  spec.tasks - there, math.inf)
+                if names:
+                    state.gather_until = min(
+                        max(state.gather_until, world.now + constants.PREEMPT_S),
+                        state.gather_until + constants.PREEMPT_S)
+                    self._ask(job, spec, state, dict.fromkeys(names, 1), constants.PREEMPT_S)
+                    self._reserve(job, spec, state, group)
                     return
         waiting = self.open.get(self.gathering)
         if waiting is None or waiting.next_sample == math.inf:
             self.gathering = job.id
         if self.gathering == job.id:
-            _, there, rows, _ = groups[0]
-            reserve(world, job, best(world, job, spec, rows, there))
+            self._reserve(job, spec, state, groups[0])
+
+    def _reserve(self, job: Job, spec: JobSpec, state: Open,
+                 group: tuple[float, int, list[Drawn], list[str]]) -> None:
+        """Reserve what was drawn in a zone, as far as it is still missing."""
+        _, _, rows, zones = group
+        chosen = best(self.world, job, spec, rows, spec.tasks - self._coming(state, zones))
+        self._ask(job, spec, state, chosen, constants.GANG_ANSWER_S)
+        reserve(self.world, job, chosen)
 
 
 def stop_rest(copies: Copies, job: Job, spec: JobSpec, attempt: int) -> None:
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -88,13 +88,13 @@
 
 
 def make_room(world: World, index: Index, job: Job, spec: JobSpec, state: Open, among: BitMap,
-              wanted: int, most: float) -> int:
+              wanted: int, most: float) -> list[str]:
     """Ask the keepers of as many machines as tasks wait to stop work of less right, where
-    that costs less than `most` seconds; return how many were asked. For a gang, all its
+    that costs less than `most` seconds; return which were asked. For a gang, all its
     tasks must find room so. Looked at are some machines drawn from `among`, those that hold
     the image before others."""
     if world.now < state.preempt_at:
-        return 0
+        return []
     used = teams.usage(world)
     among = among & index.yielding(job, teams.beyond(world, job, spec, used))
     looks = math.ceil(constants.PREEMPT_LOOKS * wanted) + constants.DRAW_LOOKS
@@ -110,11 +110,11 @@
                 rows.append((cost, world.rng.random(), machine))
     rows.sort(key=lambda row: row[:2])
     if spec.kind == "gang" and len(rows) < wanted:
-        return 0
+        return []
     for _, _, machine in rows[:wanted]:
         state.preempt_at = world.now + constants.PREEMPT_S
         world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
-    return len(rows[:wanted])
+    return [machine.name for _, _, machine in rows[:wanted]]
 
 
 def choose_gang(spec: JobSpec, offers: list[tuple]) -> list[tuple] | None:
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -6,7 +6,7 @@
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import gather_s, times
+from oakmux.core.keeper.room import times
 from oakmux.core.owner.binding import Binder
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import Gangs
@@ -51,10 +51,9 @@
 
     def _sample_job(self, job: Job, spec: JobSpec, state: Open) -> None:
         world = self.world
-        if (spec.joint and state.offers
-                and state.offers[0][0] + gather_s(spec) <= world.now):
+        if state.gather_until and world.now >= state.gather_until:
             self.binder.release(state)
-            self.gangs.end_turn(job)
+            self.gangs.end(job, state)
             state.quiet_until = world.now + world.rng.uniform(0, constants.GANG_BACKOFF_S)
         if world.now < state.quiet_until:
             return
@@ -63,6 +62,7 @@
         if spec.kind == "gang" and zones:
             wanted = 0  # a new attempt only when every task of the old one is proven gone
         if not wanted:
+            self.gangs.end(job, state)
             state.next_sample = math.inf  # until a task of it is proven gone
             return
         if self.copies.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
--- a/oakmux/core/owner/state.py
+++ b/oakmux/core/owner/state.py
@@ -5,7 +5,8 @@
     """What an owner remembers of an unfinished job; nothing here outlives it."""
 
     __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
-                 "quiet_until", "preempt_at", "next_wide", "patient_until")
+                 "quiet_until", "preempt_at", "next_wide", "patient_until", "asked",
+                 "gather_until")
 
     def __init__(self) -> None:
         self.next_sample = 0.0
@@ -18,3 +19,7 @@
         self.preempt_at = 0.0
         self.next_wide = 0.0
         self.patient_until: float | None = None
+        # Of a gang: machines asked for room, until when an answer may come and for how many
+        # tasks; and when it lets go of what it has gathered.
+        self.asked: dict[str, tuple[float, int]] = {}
+        self.gather_until = 0.0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -569,3 +569,41 @@
     sim.command("h0", ("query", lambda s, a: answers.append(s), "job-1"))
     sim.run(2)
     assert answers == [404]
+
+
+def test_urgent_gangs_at_the_same_moment_all_get_room_in_a_full_fleet():
+    # Two gangs of one owner once saw the same room as free, or asked for the same work to stop;
+    # each got a part of it and let go of it again, for minutes on a day with 625 machines.
+    sim = quiet()
+    sim.run_s = lambda task: 200.0
+    sim.submit("job-1", spec("array", 8, "red"))
+    sim.submit("job-2", spec("array", 4, "blue"))
+    sim.run(14)
+    assert len(sim.live()) == 12
+    for core in sim.cores.values():
+        core.fleet.demand._rent = lambda *a: None
+    for job_id in ("job-3", "job-4"):
+        sim.submit(job_id, spec("gang", 2, "blue", cpus=3.0, priority=2))
+        sim.run(0.3)
+    sim.run(2)
+    started = {task for _, task, _ in sim.live() if task.startswith(("job-3/", "job-4/"))}
+    assert len(started) == 4
+
+
+def test_a_gathering_that_was_given_up_takes_no_late_offer():
+    # Offers from the queues of an earlier try once held room in two zones for one gang.
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, "red", estimate_s=200.0))
+    sim.run(8)
+    core = next(c for c in sim.cores.values() if "blue" in c.world.my_roles)
+    for other in sim.cores.values():
+        other.fleet.demand._rent = lambda *a: None
+    sim.submit("job-2", spec("gang", 6, "blue", cpus=3.0))
+    sim.run(1)
+    state, name = core.owner.open["job-2"], next(iter(core.world.machines))
+    core.owner.gangs.end(core.world.replica.jobs["job-2"], state)
+    state.quiet_until = sim.now + 5
+    session = core.world.machines[name].session
+    core.world.now = sim.now
+    core.owner.binder.offer(name, "job-2", 7, session, 1, "h9")
+    assert ("send", "h9", ("decline", name, 7)) in core.world.effects
