Keep users' changes within the burst of all controllers, at a cold start too

Change: how far users may go ahead grows from nothing over 30 s without a refusal, anew after each; a user whose change could not be sent in time is answered 503 at once; those that failed to raise the term spread out.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -30,6 +30,8 @@
 NODE_LEASE_S = 4.0
 # Seconds between renewals: three may be lost before the lease ends.
 NODE_RENEW_S = 1.0
+# Seconds for each controller over which those that failed to raise the term try again.
+TERM_SPREAD_S = 0.05
 # Seconds to wait after our node key stands before claiming, so that peers can appear.
 CLAIM_DELAY_S = 0.6
 # Seconds without word from the state service after which we call ourselves cut off.
@@ -135,6 +137,9 @@
 # Seconds' worth of its share of changes that a controller may go ahead of it for users, who else
 # wait behind an owner's transaction; what was taken ahead is made up for.
 USER_AHEAD_S = 2.0
+# Seconds without a refusal after which users' changes may go that far ahead: the state service
+# allows one second's worth in all, and all controllers start at the same moment.
+USER_AHEAD_GROWS_S = 30.0
 # Seconds an operation for the state service may wait for its turn before it is given up unsent.
 STATE_QUEUE_S = 3.0
 # Share of the limits of state service and cloud that we use (fraction), against drifting clocks.
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -128,6 +128,9 @@
             self.want_term = new <= self.raise_above
             event("term", term=new)
         elif status == 409:
+            # Others raise it too, as all do at a cold start; what fails counts as a change.
+            self.next_try = world.now + world.rng.uniform(
+                0.0, constants.TERM_SPREAD_S * world.settings.size)
             world.call(self._term_read, "get", TERM_KEY, 0)
             self.busy.add("term")
         else:
--- a/oakmux/net/pace.py
+++ b/oakmux/net/pace.py
@@ -27,6 +27,30 @@
         self.level -= cost
 
 
+class Ahead:
+    """How far users' changes may go ahead of a controller's share of the rate.
+
+    All controllers going ahead at once would break the limit that the share keeps: at a cold
+    start, after an outage, after a crash of all. So the allowance grows from nothing, and does so
+    anew whenever the service refused or did not answer; what others do is independent by then.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.since: float | None = None
+
+    def reset(self, now: float) -> None:
+        """Begin anew: something was refused."""
+        self.since = now
+
+    def allowed(self, now: float) -> float:
+        """Return the changes that may be taken ahead."""
+        if self.since is None:
+            self.since = now
+        grown = min(1.0, (now - self.since) / constants.USER_AHEAD_GROWS_S)
+        return self.rate * constants.USER_AHEAD_S * grown
+
+
 async def pause(tries: int) -> None:
     """Wait before another try: doubling, bounded, with jitter."""
     longest = min(constants.BACKOFF_FIRST_S * 2 ** min(tries, 10), constants.BACKOFF_MOST_S)
--- a/oakmux/net/state.py
+++ b/oakmux/net/state.py
@@ -10,7 +10,7 @@
 from oakmux import constants, wire
 from oakmux.core.jobs import PREFIX, value_bytes
 from oakmux.net.http import Client, NoAnswer, NotSent
-from oakmux.net.pace import Bucket, pause
+from oakmux.net.pace import Ahead, Bucket, pause
 from oakmux.settings import Settings
 
 log = logging.getLogger("oakmux.state")
@@ -35,6 +35,7 @@
         share = constants.LIMIT_SHARE / settings.size
         self.requests = Bucket(limits.rps * share)
         self.changes = Bucket(limits.write_rps * share)
+        self.ahead = Ahead(self.changes.rate)
         self.client = Client(constants.STATE_CONNECTIONS)
         self.reads = Line()
         self.writes = Line()
@@ -56,11 +57,21 @@
         if len(line.heap) >= constants.MAX_QUEUE:
             self.put(("done", op, 503, None))
             return
-        self.count += 1
         now = asyncio.get_running_loop().time()
+        if cost and priority == 0 and self._hopeless(now, cost):
+            self.put(("done", op, 503, None))  # at once, rather than when its time is over
+            return
+        self.count += 1
         heapq.heappush(line.heap, (priority, self.count, now, cost, (kind, op, *args)))
         line.woken.set()
 
+    def _hopeless(self, now: float, cost: int) -> bool:
+        """Whether a user's change would wait for its turn for longer than it may."""
+        before = sum(op[3] for op in self.writes.heap if op[0] <= 0)
+        self.changes.wait(now, 0)  # brings the level up to date
+        short = before + cost - self.changes.level - self.ahead.allowed(now)
+        return short > self.changes.rate * constants.STATE_QUEUE_S
+
     async def pump(self, line: Line) -> None:
         """Start the operations of a line as the limits allow, the most urgent first.
 
@@ -81,7 +92,7 @@
                 continue
             # A user's change goes ahead of its share: behind an owner's transaction it waited
             # for up to two seconds. The next transaction waits so much longer.
-            ahead = self.changes.rate * constants.USER_AHEAD_S if priority <= 0 else 0.0
+            ahead = self.ahead.allowed(now) if priority <= 0 else 0.0
             wait = max(self.requests.wait(now, 1),
                        self.changes.wait(now, cost - ahead) if cost else 0.0)
             if wait > 0:
@@ -136,6 +147,8 @@
         except Exception:
             log.exception("event=state_failed kind=%s", kind)
             status, result = 0, None
+        if status in (0, 503):
+            self.ahead.reset(asyncio.get_running_loop().time())
         self.put(("done", number, status, result))
 
     async def _call(self, method: str, path: str, body: Any = None,
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -320,6 +320,7 @@
     # Behind an owner's transaction of several changes, submissions waited up to two seconds.
     async def play(state, sent, put):
         state.changes.at = asyncio.get_running_loop().time()
+        state.ahead.reset(state.changes.at - 2 * constants.USER_AHEAD_GROWS_S)
         state.changes.level = -state.changes.rate
         state.submit("txn", 1, [], [("k", 1, None)], 1)
         state.submit("txn", 2, [], [("user", 1, None)], 0)
@@ -333,6 +334,43 @@
     with_state(play)
 
 
+def test_controllers_that_start_together_keep_within_the_burst_of_the_state_service():
+    # Each went two seconds ahead of its share at once: thirty to forty submissions of a cold
+    # start were refused 429. The service allows one second's worth of changes.
+    async def play(state, sent, put):
+        limit = settings_for("h0", 3).facts.state.write_rps
+        for number in range(int(limit)):
+            state.submit("txn", number, [], [("user", 1, None)], 0)
+        await turns(int(limit))
+        assert len(sent) > 0.2 * limit and 3 * len(sent) <= limit
+        # The others come in time or hear at once that they can't be served.
+        for number in range(int(4 * limit)):
+            state.submit("txn", number, [], [("user", 1, None)], 0)
+        assert sum(row[0] == "done" and row[2] == 503 for row in put) > 2 * limit
+        waiting = len(state.writes.heap)
+        assert waiting <= state.changes.rate * (constants.STATE_QUEUE_S + 1)
+
+    with_state(play)
+
+
+def test_a_refusal_takes_back_how_far_users_may_go_ahead():
+    async def play(state, sent, put):
+        now = asyncio.get_running_loop().time()
+        state.ahead.reset(now - 2 * constants.USER_AHEAD_GROWS_S)
+        assert state.ahead.allowed(now) == state.changes.rate * constants.USER_AHEAD_S
+
+        async def outage(*_):
+            return 503, b""
+
+        state.client.request = outage
+        state.submit("txn", 1, [], [("k", 1, None)], 1)
+        await turns()
+        assert ("done", 1, 503, None) in put
+        assert state.ahead.allowed(asyncio.get_running_loop().time()) < state.changes.rate
+
+    with_state(play)
+
+
 def test_changes_are_lent_once_and_only_by_who_has_them_to_spare():
     async def play(state, sent, put):
         state.changes.wait(asyncio.get_running_loop().time(), 0)
