Keep tasks away from machines that are bound to fetch another image

Change: bindings not yet reported count as fetches (of the same image: as one), also where room is made; small jobs draw room for six tasks more, so that they have a choice.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -208,9 +208,11 @@
 # Parts into which the free share of a machine's CPUs and memory is divided to tell machines apart
 # (count): finer steps draw fewer machines in vain, and make more classes to go through.
 ROOM_LEVELS = 16
-# Room that is drawn for each task that a reservation is sought for (ratio): the best of it is
-# taken. Machines drawn beyond that before a draw ends, with room found or not (count).
+# Room that is drawn for each task that a reservation is sought for (ratio), and for how many tasks
+# more, so that small jobs have a choice too: the best of it is taken. Machines drawn beyond that
+# before a draw ends, with room found or not (count).
 DRAW_RATIO = 1.5
+DRAW_MORE = 6
 DRAW_LOOKS = 24
 # Machines looked at for each task that needs room made (ratio), and DRAW_LOOKS more: the cheapest
 # to make room on are taken.
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -216,7 +216,7 @@
         """Draw machines with room for `wanted` tasks and some more, at random from the best
         classes first, those that hold the image before all others. `left` may take off what is
         promised of a machine's room."""
-        enough = wanted * constants.DRAW_RATIO
+        enough = wanted * constants.DRAW_RATIO + constants.DRAW_MORE
         looks = constants.DRAW_LOOKS + math.ceil(enough)
         rows: list[Drawn] = []
         held = self.holders.get(spec.image)
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -15,9 +15,31 @@
 from oakmux.wire import JobSpec, MachineType
 
 
+def fetches(world: World, spec: JobSpec, machine: Machine) -> tuple[bool, list[Job]]:
+    """Return whether a machine will have an image without a fetch of its own, and the jobs whose
+    other images it fetches: by its report, and by bindings that it has not reported yet. Tasks
+    bound one after the other to a fresh machine once fetched side by side, each for twice as
+    long."""
+    held = spec.image in machine.images
+    others: list[Job] = []
+    for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+        state = machine.tasks.get((f"{job_id}/{index}", binding.attempt))
+        job = world.replica.jobs.get(job_id)
+        if job is None or job.spec is None or binding.session != machine.session:
+            continue
+        if state is None and job.spec.image == spec.image:
+            held = True
+        elif state[0] == "fetching" if state is not None else (
+                job.spec.image not in machine.images):
+            others.append(job)
+    return held, others
+
+
 def fetch_s(world: World, spec: JobSpec, machine: Machine) -> float:
-    """Return the seconds until a machine has the job's image, as far as we know."""
-    return 0.0 if spec.image in machine.images else world.fetch_s(spec, machine.type)
+    """Return the seconds until a machine has the job's image, as far as we know: fetches at the
+    same time share the machine's rate."""
+    held, others = fetches(world, spec, machine)
+    return 0.0 if held else world.fetch_s(spec, machine.type) * (1 + len(others))
 
 
 def strands(spec: JobSpec, kind: MachineType, free: Room) -> bool:
@@ -42,20 +64,13 @@
     kind = world.types[machine.type]
     urgent = job.priority >= constants.URGENT
     left = max(free[0] / kind.cpus, free[1] / (kind.gpus or 1.0))
-    missing = spec.image not in machine.images
-    fetching = missing and any(
-        state[0] == "fetching" and (urgent or _urgent(world, task[0]))
-        for task, state in machine.tasks.items())
+    held, others = fetches(world, spec, machine)
+    fetching = not held and any(urgent or other.priority >= constants.URGENT for other in others)
     dearer = spec.spot and not machine.spot if spec.gpus else machine.spot
-    return (strands(spec, kind, free), missing, fetching, dearer,
+    return (strands(spec, kind, free), not held, fetching, dearer,
             machine.idle_since is not None, left)
 
 
-def _urgent(world: World, task: str) -> bool:
-    job = world.replica.jobs.get(task.partition("/")[0])
-    return job is not None and job.spec is not None and job.priority >= constants.URGENT
-
-
 def best(world: World, job: Job, spec: JobSpec, rows: list[Drawn], count: int) -> dict[str, int]:
     """Choose among drawn machines with room: image held, spot if allowed, fullest; chance
     decides between equals."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,7 +5,9 @@
 import pytest
 
 from oakmux import constants
+from oakmux.core.jobs import Binding, Job
 from oakmux.core.keeper import proof
+from oakmux.core.owner.places import fetch_s, preference
 from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Sim, spec
 
 
@@ -607,3 +609,26 @@
     core.world.now = sim.now
     core.owner.binder.offer(name, "job-2", 7, session, 1, "h9")
     assert ("send", "h9", ("decline", name, 7)) in core.world.effects
+
+
+def test_a_task_keeps_away_from_a_machine_that_is_bound_to_fetch_another_image():
+    # Bindings that a machine had not reported yet did not count: two fetches shared its rate.
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, "red", image="r"))
+    sim.run(6)
+    core = next(core for core in sim.cores.values() if "blue" in core.world.my_roles)
+    world = core.world
+    first, second = (world.machines[name] for name in sorted(world.machines)[:2])
+    for machine in (first, second):
+        machine.tasks, machine.images, machine.since = {}, {}, {}
+        world.replica.touch(machine.name)
+    bound = Binding(1, first.name, first.session, 1, first.zone)
+    world.replica.by_machine = {first.name: {("job-1", 0): bound}}
+    other = spec("array", 1, "blue", image="b", image_gb=4.0, priority=2)
+    job = Job("job-2", "blue", "queued", 1, other, 0, 1)
+    free = (4.0, 2.0, 32.0)
+    rows = [preference(world, job, other, machine, free) for machine in (first, second)]
+    assert rows[1] < rows[0]
+    assert fetch_s(world, other, first) == 2 * fetch_s(world, other, second)
+    same = spec("array", 1, "blue", image="r")
+    assert fetch_s(world, same, first) == 0.0  # one fetch serves both
