Let a team's limit go by priority; draw for gangs that must spread zone by zone

Cause: a job that its team's limit kept back got nothing while an array of the same team had tasks to start: each place below the limit went to the array's next task. A gang that must spread drew from the zone that holds its image alone, and could never be placed so. Both were found by reading, and are told as stories that failed before. Change: such a job claims what lower work of its team lets go of, if that can make up for it at all; a spreading gang draws of each zone no more than its tasks may have there. times() counts without lists.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -205,6 +205,9 @@
 # take, and the least changes it may hold: a job that ends takes two, a large gang more.
 WRITES_S = 2.0
 WRITES_LEAST = 4
+# Seconds for which a job that its team's limit keeps back is remembered: it says so anew each time
+# that it is sampled.
+LIMIT_CLAIM_S = 1.0
 # Seconds between two samplings of all fitting machines, with room or not, for one job.
 WIDE_S = 1.6
 # Seconds between two looks at whether a role should go to a controller that has fewer.
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -14,7 +14,7 @@
 
 from oakmux import constants
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import Room, has_room, room, times, usable
+from oakmux.core.keeper.room import Room, room, times, usable
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec, MachineType
 
@@ -82,12 +82,18 @@
         self.place: dict[int, Class] = {}
         self.images: dict[int, set[str]] = {}
         self.victims: dict[int, tuple[set[int], set[str]]] = {}
+        # The classes where a task finds room, by what it needs, as long as neither these nor the
+        # machine types change.
         self.orders: dict[tuple, list[Class]] = {}
+        self.types = world.types
 
     # --- keeping up ---
 
     def refresh(self) -> None:
         """Find the place of every machine of which something changed."""
+        if self.types is not self.world.types:
+            self.types = self.world.types
+            self.orders.clear()
         stale, self.world.replica.stale = self.world.replica.stale, set()
         for name in stale:
             machine = self.world.machines.get(name)
@@ -239,7 +245,7 @@
                     free = room(self.world, machine)
                     if left is not None:
                         free = left(machine, free)
-                    count = times(free, spec) if has_room(free, spec) else 0
+                    count = times(free, spec)
                     if count:
                         rows.append(Drawn(machine, free, with_image))
                         enough -= count
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from typing import Any
+from typing import Any, NamedTuple
 
 from oakmux import constants
 from oakmux.core import teams
@@ -25,6 +25,16 @@
 log = logging.getLogger("oakmux.core")
 
 
+class LimitClaim(NamedTuple):
+    """A part of a team's limit that is kept for a job of higher priority, until a time."""
+
+    until: float
+    team: str
+    priority: int
+    cpus: float
+    gpus: float
+
+
 class Copies:
     """What we changed of the records of our teams' jobs, until the state service has it."""
 
@@ -38,6 +48,7 @@
         self.in_flight = 0
         self.refused = False
         self.outgrown: set[str] = set()
+        self.limit_claims: dict[str, LimitClaim] = {}
         limits = world.facts.state.least
         self.least_bytes = value_limit(limits)
         share = limits.write_rps / world.settings.size
@@ -170,11 +181,39 @@
         return cpus, gpus
 
     def beyond_limit(self, job: Job, spec: JobSpec, tasks: int = 1) -> bool:
-        """Whether that many more tasks of a job would break its team's limit."""
+        """Whether that many more tasks of a job would break its team's limit, with what is kept
+        for jobs of higher priority that wait for it."""
         cpus, gpus = self.team_use(job.team)
+        for other, claim in list(self.limit_claims.items()):
+            if claim.until <= self.world.now:
+                del self.limit_claims[other]
+            elif claim.team == job.team and claim.priority > job.priority:
+                cpus += claim.cpus
+                gpus += claim.gpus
         return teams.beyond_limit(self.world, job.team, cpus + tasks * spec.cpus,
                                   gpus + tasks * spec.gpus)
 
+    def claim_limit(self, job: Job, spec: JobSpec, wanted: int) -> None:
+        """A job is kept back by its team's limit: what its lower work lets go of is kept for it.
+
+        Else a gang never gets in beside an array of its own team, whose next task takes each
+        place that one leaves. Nothing is kept where lower work could not make up for it.
+        """
+        now = self.world.now
+        least = spec.tasks if spec.kind == "gang" else 1
+        use = cpus, gpus = self.team_use(job.team)
+        for other in self.world.replica.active.values():
+            if other.team == job.team and other.priority < job.priority and other.spec is not None:
+                bound = len(other.bindings())
+                cpus -= bound * other.spec.cpus
+                gpus -= bound * other.spec.gpus
+        if (cpus, gpus) != use and not teams.beyond_limit(
+                self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
+            tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB))
+            self.limit_claims[job.id] = LimitClaim(
+                now + constants.LIMIT_CLAIM_S, job.team, job.priority, tasks * spec.cpus,
+                tasks * spec.gpus)
+
     # --- writing ---
 
     def flush(self) -> None:
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -97,9 +97,7 @@
             coming = self._coming(state, zones)
             if coming >= spec.tasks:
                 return
-            rows = self.index.draw(spec, zones, {*state.avoid, *state.asked},
-                                   spec.tasks - coming,
-                                   lambda machine, free: self.left(job, machine, free))
+            rows = self._draw(job, spec, state, zones, spec.tasks - coming)
             counts = [(times(row.free, spec), row.held) for row in rows]
             groups.append((sum(count for count, held in counts if held) + coming
                            + world.rng.random(),
@@ -131,6 +129,26 @@
         if self.gathering == job.id:
             self._reserve(job, spec, state, groups[0])
 
+    def _draw(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
+              missing: int) -> list[Drawn]:
+        """Draw machines with room that is still free for a gang; of a zone no more than its
+        tasks may have there."""
+        def left(machine: Machine, free: Room) -> Room:
+            return self.left(job, machine, free)
+
+        out = {*state.avoid, *state.asked}
+        if not spec.spread:
+            return self.index.draw(spec, zones, out, missing, left)
+        rows: list[Drawn] = []
+        for zone in zones:
+            most = min(missing, math.ceil(spec.tasks / 2) - self._coming(state, [zone]))
+            for row in self.index.draw(spec, [zone], out, most, left) if most > 0 else ():
+                count = min(most, times(row.free, spec))
+                if count:
+                    most -= count
+                    rows.append(row._replace(free=less((0.0, 0.0, 0.0), spec, -count)))
+        return rows
+
     def _reserve(self, job: Job, spec: JobSpec, state: Open,
                  group: tuple[float, int, list[Drawn], list[str]]) -> None:
         """Reserve what was drawn in a zone, as far as it is still missing."""
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -67,6 +67,7 @@
             return
         if self.copies.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
             self.gangs.end_turn(job)
+            self.copies.claim_limit(job, spec, wanted)
             state.next_sample = world.now + constants.RESAMPLE_S
             return
         # Room in a zone that the job's other tasks rule out must not hide that room has to be
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -646,3 +646,37 @@
     sim.kill(worker.name)
     sim.run(lease_s - 2)
     assert not any(worker.name in core.world.replica.by_machine for core in sim.cores.values())
+
+
+def test_an_urgent_gang_comes_before_its_own_teams_array_at_the_limit():
+    # The array's next task took each place below the limit that one of its tasks left.
+    sim = quiet()
+    sim.run_s = lambda task: 20.0 if task.startswith("job-2/") else 6.0 + int(task[6:]) % 8
+    sim.submit("job-1", spec("array", 90, "red"))
+    sim.run(30)  # by now its tasks end one by one
+    sim.submit("job-2", spec("gang", 4, "red", priority=2))
+    sim.run(14)
+    assert sum(task.startswith("job-2/") for _, task, _, _ in sim.start_log) == 4
+    assert any(task.startswith("job-1/") for _, task, _ in sim.live())
+
+
+def test_nothing_is_kept_of_a_limit_where_lower_work_could_not_make_up_for_it():
+    sim = quiet()
+    sim.submit("job-1", spec("service", 6, "red", priority=3))
+    sim.run(10)
+    sim.submit("job-2", spec("gang", 4, "red", priority=2))  # 6 and 4 are more than the limit
+    sim.submit("job-3", spec("array", 4, "red"))
+    sim.run(30)
+    assert asked(sim, "job-3", 1) == "done"
+
+
+def test_a_gang_that_must_spread_is_not_held_by_the_zone_that_has_its_image():
+    sim = quiet()
+    sim.submit("job-1", spec("array", 4, "red", image="x", zone="a"))
+    sim.submit("job-2", spec("service", 1, "red", zone="b"))
+    sim.run(20)
+    sim.submit("job-3", spec("gang", 2, "blue", image="x", spread=True))
+    sim.run(25)
+    zones = {sim.workers[name].zone for _, task, _, name in sim.start_log
+             if task.startswith("job-3/")}
+    assert len(zones) == 2
