--- a/oakmux/core/keeper/room.py
+++ b/oakmux/core/keeper/room.py
@@ -58,11 +58,15 @@
 
 
 def times(free: Room, spec: JobSpec) -> int:
-    """Return how many tasks fit."""
-    counts = [math.floor((have + constants.EPSILON) / need)
-              for have, need in zip(free, (spec.cpus, spec.gpus, spec.memory_gb), strict=True)
-              if need > 0]
-    return max(0, min(counts, default=1))
+    """Return how many tasks fit; 1 of a task that needs nothing."""
+    most = math.inf
+    if spec.gpus > 0:
+        most = (free[1] + constants.EPSILON) / spec.gpus
+    if spec.cpus > 0:
+        most = min(most, (free[0] + constants.EPSILON) / spec.cpus)
+    if spec.memory_gb > 0:
+        most = min(most, (free[2] + constants.EPSILON) / spec.memory_gb)
+    return 1 if most == math.inf else max(0, math.floor(most))
 
 
 def full(world: World, free: Room) -> bool:
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -6,8 +6,10 @@
 """
 
 import random
+import resource
 import time
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Any
 
 import cbor2
@@ -15,7 +17,7 @@
 from hdrh.histogram import HdrHistogram
 
 from oakmux.core.controller import Controller
-from oakmux.core.jobs import job_key, job_value
+from oakmux.core.jobs import Binding, Chunk, chunk_key, job_key, job_value
 from oakmux.core.membership import FLEET
 from oakmux.settings import (
     CloudLimits,
@@ -37,6 +39,17 @@
 HIGHEST_US = 60_000_000
 
 
+def job_spec(rng: random.Random, number: int) -> JobSpec:
+    """Return a job of one of the classes that the deployments have."""
+    kind, tasks, cpus, gpus = rng.choice((
+        ("array", 35, 10.0, 1.0), ("gang", 4, 21.0, 2.0), ("service", 4, 8.0, 1.0)))
+    return JobSpec(
+        lane="l", team=rng.choice(("red", "blue")), kind=kind, priority=1, tasks=tasks, cpus=cpus,
+        gpus=gpus, memory_gb=43.0, image=f"i{number % IMAGES}", image_gb=4.0, types=None,
+        zone=None, one_zone=kind == "gang", spread=kind == "service", spot=kind == "array",
+        estimate_s=60.0, checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+
+
 class Bench:
     """One controller and the stub round it."""
 
@@ -105,16 +118,9 @@
         rows: list[tuple[str, Any, int]] = []
         for number in range(jobs):
             self.epoch += 1
-            kind, tasks, cpus, gpus = self.rng.choice((
-                ("array", 35, 10.0, 1.0), ("gang", 4, 21.0, 2.0), ("service", 4, 8.0, 1.0)))
-            spec = JobSpec(
-                lane="l", team=self.rng.choice(("red", "blue")), kind=kind, priority=1,
-                tasks=tasks, cpus=cpus, gpus=gpus, memory_gb=43.0,
-                image=f"i{number % IMAGES}", image_gb=4.0, types=None, zone=None,
-                one_zone=kind == "gang", spread=kind == "service", spot=kind == "array",
-                estimate_s=60.0, checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+            spec = job_spec(self.rng, number)
             rows.append((job_key(f"job-{number}"),
-                         job_value("queued", spec.team, spec, number, tasks), self.epoch))
+                         job_value("queued", spec.team, spec, number, spec.tasks), self.epoch))
         self.step([("watch", rows, self.epoch, self.now)])
 
 
@@ -162,6 +168,32 @@
     return measure(run, passes)
 
 
+def load(records: int, seed: int) -> tuple[float, float]:
+    """Return the seconds in which a controller takes a list of all records, as after its start,
+    and the megabytes that it holds them in: of ten jobs nine are over, one has 35 tasks bound."""
+    rng = random.Random(seed)
+    rows: list[tuple[str, Any, int]] = []
+    for number in range(records):
+        job_id, state = f"job-{number}", "queued" if number % 10 == 0 else "done"
+        spec = job_spec(rng, number) if state == "queued" else None
+        rows.append((job_key(job_id), job_value(state, "red", spec, number, 35), number + 1))
+        if spec is not None:
+            chunk = Chunk(last=35, bound={
+                index: Binding(index + 1, f"n-{rng.randrange(600):06}", 1, 1, "a")
+                for index in range(35)})
+            rows.append((chunk_key(job_id, 0), chunk.to_value(2), number + 1))
+    bench = Bench(0, False, seed)
+    before = resident_mb()
+    spent = bench.step([("snapshot", rows, records + 1, bench.now)])
+    return spent, resident_mb() - before
+
+
+def resident_mb() -> float:
+    """Return the memory of this process in megabytes."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
 def reports(machines: int, count: int, seed: int) -> tuple[HdrHistogram, float]:
     """Reports that change what runs on a machine of ours; also bytes to one peer for each."""
     bench = Bench(machines, True, seed)
@@ -184,8 +216,11 @@
               show_default=True)
 @click.option("--jobs", default=200, show_default=True, help="Jobs that wait.")
 @click.option("--ticks", default=40, show_default=True, help="Ticks, passes and reports / 10.")
+@click.option("--records", type=int, multiple=True, default=(1000, 10_000), show_default=True,
+              help="Jobs in the records that a controller takes at its start.")
 @click.option("--seed", default=1, show_default=True)
-def main(sizes: tuple[int, ...], jobs: int, ticks: int, seed: int) -> None:
+def main(sizes: tuple[int, ...], jobs: int, ticks: int, records: tuple[int, ...],
+         seed: int) -> None:
     """Print the table."""
     click.echo("machines  what          mean ms  median ms  p99 ms")
 
@@ -201,6 +236,9 @@
         found, sent = reports(size, ticks * 10, seed)
         show(size, "report", found)
         click.echo(f"{size:8}  bytes to a peer for each changed report: {sent:.0f}")
+    for count in records:
+        spent, held = load(count, seed)
+        click.echo(f"{count:8}  records taken after a start: {spent * 1000:.0f} ms, {held:.1f} MB")
 
 
 if __name__ == "__main__":
