Let gangs take the place of lower work rather than fetch for longer than that ran

Tasks of one already preferred to stop young work where their image is; gangs of several never did. What a stop costs counted a task's fetch as work, although the image stays. Change: where a zone has room for a gang but not its image for all, room is made on holders if that costs less than the fetch (as for single tasks), for no longer than the fetch would take; a task's work counts since it runs.

--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -142,8 +142,11 @@
                 machine.images.pop(spec.image, None)  # a fetch that nobody waits for is given up
     for spec in live:
         hold_image(world, machine, spec.image, spec.image_gb)
-    machine.since = {task: machine.since.get(task, world.now)
-                     for task, state in machine.tasks.items() if state[0] != "exited"}
+    # Since when a task runs; until then since now: what stops it then loses no work but a fetch.
+    machine.since = {
+        task: machine.since.get(task, world.now)
+        if "running" == state[0] == before.get(task, ("",))[0] else world.now
+        for task, state in machine.tasks.items() if state[0] != "exited"}
     if machine.since:
         machine.idle_since = None
     elif machine.idle_since is None:
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -4,16 +4,21 @@
 from collections import Counter
 from typing import NamedTuple
 
+from pyroaring import BitMap
+
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
 from oakmux.core.keeper.room import Room, gather_s, less, times
 from oakmux.core.owner.copies import Copies
-from oakmux.core.owner.places import best, make_room, reserve
+from oakmux.core.owner.places import best, fetch_s, make_room, reserve, worth_s
 from oakmux.core.owner.state import Open
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
 
+Group = tuple[float, int, list[Drawn], list[str]]
+"""Room for a gang: tasks that hold the image there (and chance), tasks in all, machines, zones."""
+
 
 class Claim(NamedTuple):
     """Room that a gang of ours has asked for; other gangs of ours count it as taken."""
@@ -91,7 +96,7 @@
         world = self.world
         if not state.gather_until:
             state.gather_until = world.now + gather_s(spec)
-        groups: list[tuple[float, int, list[Drawn], list[str]]] = []
+        groups: list[Group] = []
         all_zones = world.facts.zones
         for zones in ([[zone] for zone in all_zones] if spec.one_zone else [all_zones]):
             coming = self._coming(state, zones)
@@ -104,8 +109,9 @@
                            sum(count for count, _ in counts) + coming, rows, zones))
         enough = [group for group in groups if group[1] >= spec.tasks]
         if enough:
-            self._reserve(job, spec, state,
-                          max(enough, key=lambda group: min(group[0], spec.tasks)))
+            group = max(enough, key=lambda group: min(group[0], spec.tasks))
+            if not self._spare_fetch(job, spec, state, group):
+                self._reserve(job, spec, state, group)
             return
         groups.sort(key=lambda group: -group[1])
         if world.now >= max(state.next_wide, state.preempt_at):
@@ -114,13 +120,7 @@
                 _, there, rows, zones = group
                 fitting = self.index.fitting(spec, zones) - self.index.numbers(
                     [*(row.machine.name for row in rows), *state.asked])
-                names = make_room(world, self.index, job, spec, state, fitting,
-                                  spec.tasks - there, math.inf)
-                if names:
-                    state.gather_until = min(
-                        max(state.gather_until, world.now + constants.PREEMPT_S),
-                        state.gather_until + constants.PREEMPT_S)
-                    self._ask(job, spec, state, dict.fromkeys(names, 1), constants.PREEMPT_S)
+                if self._make_room(job, spec, state, fitting, spec.tasks - there, math.inf):
                     self._reserve(job, spec, state, group)
                     return
         waiting = self.open.get(self.gathering)
@@ -129,6 +129,38 @@
         if self.gathering == job.id:
             self._reserve(job, spec, state, groups[0])
 
+    def _make_room(self, job: Job, spec: JobSpec, state: Open, among: BitMap, wanted: int,
+                   most: float) -> bool:
+        """Ask for work to stop on as many machines as tasks lack room; return whether it was."""
+        now = self.world.now
+        names = make_room(self.world, self.index, job, spec, state, among, wanted, most)
+        if names:
+            state.gather_until = min(max(state.gather_until, now + constants.PREEMPT_S),
+                                     state.gather_until + constants.PREEMPT_S)
+            self._ask(job, spec, state, dict.fromkeys(names, 1), constants.PREEMPT_S)
+        return bool(names)
+
+    def _spare_fetch(self, job: Job, spec: JobSpec, state: Open, group: Group) -> bool:
+        """Make room where the image is for all tasks that would fetch it, if that costs less than
+        the fetch: one task that fetches keeps the whole gang waiting."""
+        _, there, rows, zones = group
+        fetching = [row for row in rows if not row.held]
+        held = [row for row in rows if row.held]
+        missing = spec.tasks - self._coming(state, zones) - sum(
+            times(row.free, spec) for row in held)
+        if missing <= 0 or not fetching or spec.spread:
+            return False
+        if state.patient_until is None:  # tried for no longer than the fetch would take
+            state.patient_until = self.world.now + fetch_s(self.world, spec, fetching[0].machine)
+        holders = self.index.holding(spec, zones) - self.index.numbers(
+            [*(row.machine.name for row in held), *state.asked])
+        if self.world.now > state.patient_until or not self._make_room(
+                job, spec, state, holders, missing,
+                worth_s(self.world, spec, fetching[0].machine)):
+            return False
+        self._reserve(job, spec, state, (0.0, there, held, zones))
+        return True
+
     def _draw(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
               missing: int) -> list[Drawn]:
         """Draw machines with room that is still free for a gang; of a zone no more than its
@@ -150,7 +182,7 @@
         return rows
 
     def _reserve(self, job: Job, spec: JobSpec, state: Open,
-                 group: tuple[float, int, list[Drawn], list[str]]) -> None:
+                 group: Group) -> None:
         """Reserve what was drawn in a zone, as far as it is still missing."""
         _, _, rows, zones = group
         chosen = best(self.world, job, spec, rows, spec.tasks - self._coming(state, zones))
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -680,3 +680,19 @@
     zones = {sim.workers[name].zone for _, task, _, name in sim.start_log
              if task.startswith("job-3/")}
     assert len(zones) == 2
+
+
+def test_a_gang_takes_the_place_of_lower_work_rather_than_fetch_for_longer_than_that_ran():
+    # One task that fetches keeps the whole gang waiting, on machines that then stand idle.
+    sim = quiet()
+    sim.fetches = True
+    sim.run_s = lambda task: 300.0
+    sim.submit("job-1", spec("array", 8, "red", image="x", image_gb=90.0, zone="a"))
+    sim.submit("job-2", spec("service", 2, "blue", zone="b"))
+    sim.run(115)
+    holders = {w.name for w, task, _ in sim.live() if task.startswith("job-1/")}
+    for core in sim.cores.values():
+        core.fleet.demand._rent = lambda *a: None
+    sim.submit("job-3", spec("gang", 2, "blue", image="x", image_gb=90.0, priority=2))
+    sim.run(5)
+    assert {w.name for w, task, _ in sim.live() if task.startswith("job-3/")} == holders
