Write who may do what before users' changes; bound what gangs remember of machines

Cause, by reading: the raise of the term, a controller's key and its claims of roles stood in line with users' changes or behind them, where a flood of submissions to the heirs keeps the roles of a fallen controller free; what gangs claim of a machine was kept under the name of machines long gone. Change: they go first, as renewals do, and are not refused as users' are; claims of gone machines are dropped.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -231,3 +231,7 @@
 # Seconds within which a machine that shows room answers a gang's reservation, if it will: offers
 # come with the next message; after that the room is somebody else's, and other room is asked for.
 GANG_ANSWER_S = 1.0
+# Rank of an operation for the state service (lower goes first; users' are 0): what says who may do
+# what goes before all else, as renewals of leases do. Behind a flood of users' changes, the roles
+# of a controller that fell would stay without a holder.
+FIRST = -1
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -76,7 +76,7 @@
         if not self.node_written and "node" not in self.busy:
             self.busy.add("node")
             world.call(self._node_done, "txn", [], [(node_key(world.label), world.life,
-                                                     self.lease)], 1)
+                                                     self.lease)], constants.FIRST)
         if self.node_written and world.now - self.lease_since > constants.CLAIM_DELAY_S:
             self._claim()
 
@@ -116,7 +116,7 @@
         self.busy.add("term")
         new = max(value, self.raise_above, self.world.term) + 1
         self.world.call(lambda status, result: self._term_done(new, status, result),
-                        "txn", [(TERM_KEY, stamp)], [(TERM_KEY, new, None)], 0)
+                        "txn", [(TERM_KEY, stamp)], [(TERM_KEY, new, None)], constants.FIRST)
 
     def _term_done(self, new: int, status: int, result: Any) -> None:
         world = self.world
@@ -189,7 +189,7 @@
             key = role_key(role)
             value = [world.label, world.life]
             world.call(lambda s, r, role=role, value=value: self._claimed(role, value, s, r),
-                       "txn", [(key, row[2] if row else 0)], [(key, value, self.lease)], 1)
+                       "txn", [(key, row[2] if row else 0)], [(key, value, self.lease)], constants.FIRST)
         if not due and world.now >= self.next_yield:
             self.next_yield = world.now + constants.YIELD_S
             self._yield(held, nodes)
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -50,7 +50,10 @@
         """A gathering is over: the job is bound, or begins anew later."""
         self.end_turn(job)
         for name in state.asked:
-            self.claims.get(name, {}).pop(job.id, None)
+            claims = self.claims.get(name, {})
+            claims.pop(job.id, None)
+            if not claims:
+                self.claims.pop(name, None)
         state.asked = {}
         state.gather_until = 0.0
 
@@ -70,6 +73,9 @@
              wait_s: float) -> None:
         """Note that machines were asked for room, and for how long an answer may take."""
         now = self.world.now
+        if len(self.claims) > 2 * len(self.world.machines):  # of machines that are gone
+            self.claims = {name: claims for name, claims in self.claims.items()
+                           if name in self.world.machines}
         for name, count in chosen.items():
             state.asked[name] = (now + wait_s, count)
             self.claims.setdefault(name, {})[job.id] = Claim(state.gather_until, count, spec)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -388,3 +388,19 @@
         assert sent == [wire.PATH_TXN]
 
     with_state(play)
+
+
+def test_who_may_do_what_is_written_before_users_changes():
+    # Roles of a controller that fell stayed free behind a flood of submissions to its heirs.
+    async def play(state, sent, put):
+        state.changes.at = asyncio.get_running_loop().time()
+        state.changes.level = 0.0
+        for number in range(50):
+            state.submit("txn", number, [], [("user", 1, None)], 0)
+        state.submit("txn", 99, [], [("role", 1, None)], constants.FIRST)
+        assert state.writes.heap[0][4][1] == 99
+        state.changes.level = -1e6  # the share is spent for a long time
+        state.submit("txn", 100, [], [("role", 1, None)], constants.FIRST)
+        assert not any(row[1] == 100 for row in put)  # refused is what users are, not this
+
+    with_state(play)
