--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -189,7 +189,8 @@
             key = role_key(role)
             value = [world.label, world.life]
             world.call(lambda s, r, role=role, value=value: self._claimed(role, value, s, r),
-                       "txn", [(key, row[2] if row else 0)], [(key, value, self.lease)], constants.FIRST)
+                       "txn", [(key, row[2] if row else 0)], [(key, value, self.lease)],
+                       constants.FIRST)
         if not due and world.now >= self.next_yield:
             self.next_yield = world.now + constants.YIELD_S
             self._yield(held, nodes)
