--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -267,6 +267,7 @@
         self.cloud_down = False
         self.history: list[tuple[float, list[tuple]]] = []
         self.cuts: set[frozenset[str]] = set()
+        self.frozen: dict[str, list[tuple]] = {}
         self.loss = self.twice = self.slow = 0.0
         self.specs: dict[str, JobSpec] = {}
         self.told: dict[str, str] = {}
@@ -354,6 +355,11 @@
         if back is not None:
             self.after(back, lambda: self.boot(label) if self.cores[label] is None else None)
 
+    def freeze(self, label: str, seconds: float) -> None:
+        """Let a controller stand still while its clock runs on; what comes waits for it."""
+        self.frozen[label] = []
+        self.after(seconds, lambda: self.step(label, self.frozen.pop(label)))
+
     def tick(self, label: str, life: int) -> None:
         if self.lives[label] == life:
             self.step(label, [])
@@ -385,6 +391,9 @@
         core, life = self.cores[label], self.lives[label]
         if core is None:
             return
+        if label in self.frozen:
+            self.frozen[label] += commands
+            return
         for effect in core.step(self.now, commands):
             self.carry_out(label, life, effect)
         if self.recount:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -696,3 +696,23 @@
     sim.submit("job-3", spec("gang", 2, "blue", image="x", image_gb=90.0, priority=2))
     sim.run(5)
     assert {w.name for w, task, _ in sim.live() if task.startswith("job-3/")} == holders
+
+
+@pytest.mark.parametrize("seconds", [3.0, 9.0])  # within its lease, and beyond it
+def test_a_controller_that_stood_still_harms_nothing_when_it_goes_on(seconds):
+    # It answers old requests first, with old records, roles and orders (incident 93eb).
+    sim = quiet(seed=3)
+    sim.submit("job-1", spec("array", 20, "red"))
+    sim.submit("job-2", spec("gang", 3, "blue", priority=2))
+    sim.submit("job-3", spec("service", 2, "blue", spread=True))
+    for label in sim.labels:
+        sim.run(4)
+        sim.freeze(label, seconds)
+        sim.cancel("job-3") if label == sim.labels[1] else sim.query("job-1")
+        sim.run(seconds + 2)
+    sim.run(60)
+    for job_id in ("job-1", "job-2", "job-3"):
+        sim.query(job_id)
+    sim.run(2)
+    assert sim.told == {"job-1": "done", "job-2": "done", "job-3": "cancelled"}
+    assert sorted(len(core.world.my_roles) for core in sim.cores.values()) == [1, 1, 1]
