Property tests of the index of machines

Need: the index decides what is sampled; a machine in the wrong place would starve jobs without a rule being broken. Change: drawn histories (hypothesis, the same each time) of reports, bindings, drains, losses and silence; every machine must stand where a full look puts it, what is drawn must have room, and with few machines all that has room is drawn; the number looked at must not follow the fleet.

--- /dev/null
+++ b/tests/test_index.py
@@ -0,0 +1,168 @@
+"""The index of machines against a full look at all of them, over drawn histories."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oakmux.core.index import Index, class_of, may_fit
+from oakmux.core.jobs import chunk_key, job_key, job_value
+from oakmux.core.keeper.reports import take_report
+from oakmux.core.keeper.room import has_room, room, silent_s, times, usable
+from oakmux.core.world import World
+from oakmux.wire import Report
+from tests.fakes import TYPE, ZONES, settings_for, spec
+
+# The same verdict every time, and nothing kept between runs.
+settings.register_profile("same", derandomize=True, database=None, deadline=None)
+settings.load_profile("same")
+
+NAMES = [f"m{number}" for number in range(8)]
+JOBS = {
+    "job-0": spec("array", 8, "red", cpus=3.0, image="x", priority=0),
+    "job-1": spec("array", 8, "blue", gpus=2.0, image="y", priority=1),
+    "job-2": spec("service", 4, "red", image="z"),
+    "job-3": spec("array", 8, "blue", gpus=0.0, cpus=1.0, memory_gb=30.0, image="x", spot=True),
+}
+
+report = st.tuples(st.just("report"), st.sampled_from(NAMES),
+                   st.sets(st.tuples(st.sampled_from(sorted(JOBS)), st.integers(0, 3),
+                                     st.sampled_from(["running", "fetching", "exited"])),
+                           max_size=3), st.booleans())
+change = st.one_of(
+    report,
+    st.tuples(st.just("bind"), st.sampled_from(sorted(JOBS)), st.integers(0, 3),
+              st.sampled_from(NAMES)),
+    st.tuples(st.just("unbind"), st.sampled_from(sorted(JOBS))),
+    st.tuples(st.sampled_from(["drain", "undrain", "gone"]), st.sampled_from(NAMES)),
+    st.tuples(st.just("wait"), st.floats(0.1, 9.0)),
+)
+
+
+class Place:
+    """A world with machines and jobs, and the index that is looked at."""
+
+    def __init__(self) -> None:
+        self.world = World(settings_for("h0"), random.Random(1), 0)
+        self.world.types = {TYPE.name: TYPE}
+        self.world.types_changed()
+        self.index = Index(self.world)
+        self.stamp = 0
+        self.seq = 0
+        for job_id, job in JOBS.items():
+            self.write(job_key(job_id), job_value("queued", job.team, job, 0, job.tasks))
+
+    def write(self, key, value):
+        self.stamp += 1
+        self.world.replica.apply(key, value, self.stamp)
+
+    def report(self, name, tasks, notice):
+        self.seq += 1
+        number = int(name[1:])
+        states = {(f"{job}/{index}", 1): (state, "done" if state == "exited" else "", False)
+                  for job, index, state in sorted(tasks)}
+        take_report(self.world, Report(name, name, "big", ZONES[number % 3], number % 2 == 0, 1,
+                                       self.seq, 1, 9.0 if notice else None, states), "h0", 1)
+
+    def bind(self, job_id, index, name):
+        self.write(chunk_key(job_id, 0), [1, "0", [[index, 1, name, 1, 1, "a", False]]])
+
+    def unbind(self, job_id):
+        self.write(chunk_key(job_id, 0), [1, "0", []])
+
+    def drain(self, name):
+        self.world.drain(name)
+
+    def undrain(self, name):
+        self.world.undrain(name)
+
+    def gone(self, name):
+        self.world.machines.pop(name, None)
+        self.world.draining.pop(name, None)
+        self.world.replica.touch(name)
+
+    def wait(self, seconds):
+        self.world.now += seconds
+
+
+def after(history):
+    place = Place()
+    for kind, *args in history:
+        getattr(place, kind)(*args)
+    place.index.refresh()
+    return place
+
+
+@settings(max_examples=150)
+@given(st.lists(change, max_size=30))
+def test_every_machine_stands_where_a_full_look_puts_it(history):
+    place = after(history)
+    world, index = place.world, place.index
+    for machine in world.machines.values():
+        number = index.ids[machine.name]
+        where = [key for key, ids in index.classes.items() if number in ids]
+        assert len(where) <= 1
+        if usable(world, machine):
+            assert where == [class_of(TYPE, machine.zone, machine.spot, room(world, machine),
+                                      machine.idle_since is not None)]
+        elif world.now - machine.heard < silent_s(world):
+            assert where == []  # drained, noticed or sick; one that fell silent leaves when drawn
+        held = {image for image, ids in index.holders.items() if number in ids}
+        assert held == set(machine.images)
+    assert set(index.ids) == set(world.machines)
+
+
+@settings(max_examples=150)
+@given(st.lists(change, max_size=30), st.sampled_from(sorted(JOBS)), st.integers(1, 5),
+       st.sets(st.sampled_from(ZONES)))
+def test_what_is_drawn_has_room_and_what_has_room_is_drawn(history, job_id, wanted, zones):
+    place = after(history)
+    world, job = place.world, JOBS[job_id]
+    drawn = place.index.draw(job, zones, {"m5"}, wanted)
+    names = [row.machine.name for row in drawn]
+    assert len(set(names)) == len(names) and "m5" not in names
+    fitting = {m.name for m in world.machines.values()
+               if usable(world, m) and world.fits(job, m) and m.zone in zones
+               and m.name != "m5" and has_room(room(world, m), job)}
+    assert set(names) <= fitting
+    # With so few machines nothing that has room may be missed, unless there was enough.
+    if sum(times(row.free, job) for row in drawn) < wanted:
+        assert set(names) == fitting
+    held = [row.held for row in drawn]
+    assert held == sorted(held, reverse=True)  # those that hold the image come first
+
+
+@settings(max_examples=300)
+@given(st.floats(0, 8), st.integers(0, 4), st.floats(0, 64), st.floats(0.1, 8),
+       st.sampled_from([0.0, 0.5, 1.0, 2.0, 4.0]), st.floats(0.1, 64))
+def test_a_class_that_is_left_out_has_no_room(cpus, gpus, memory, need, need_gpus, need_memory):
+    job = spec(cpus=need, gpus=need_gpus, memory_gb=need_memory)
+    free = (cpus, float(gpus), memory)
+    if has_room(free, job):
+        assert may_fit(job, TYPE, class_of(TYPE, "a", False, free, True))
+
+
+def test_a_machine_that_fell_silent_leaves_when_it_is_drawn_and_comes_back_when_heard():
+    place = after([("report", "m1", set(), False)])
+    place.wait(100.0)
+    assert place.index.draw(JOBS["job-0"], ZONES, (), 1) == []
+    assert not place.index.classes and "m1" in place.world.silent
+    place.report("m1", set(), False)
+    place.index.refresh()
+    assert [row.machine.name for row in place.index.draw(JOBS["job-0"], ZONES, (), 1)] == ["m1"]
+
+
+def test_the_number_of_machines_drawn_does_not_follow_the_fleet(monkeypatch):
+    looked = []
+    for count in (60, 600):
+        place = Place()
+        for number in range(count):
+            place.report(f"m{number}", set(), False)
+        place.index.refresh()
+        seen = []
+        monkeypatch.setattr(place.index, "_fresh", lambda n, s=seen, p=place: (
+            s.append(n), p.index.machines[n])[1])
+        place.index.draw(JOBS["job-0"], ZONES, (), 4)
+        looked.append(len(seen))
+    assert looked[0] == pytest.approx(looked[1], abs=2) and looked[1] < 40
