--- /dev/null
+++ b/tests/test_regress.py
@@ -0,0 +1,95 @@
+"""The verdict on regression runs, from journal entries as recorded, torn and unfinished."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from tools import regress
+
+ROOT = Path(__file__).resolve().parent.parent
+# Recorded entries: a full score with no rule broken, one whose rough day was too slow, a run of
+# the version in production on a deployment that it was not made for, a bench that was interrupted.
+GOOD, SLOW, BROKEN, CUT = "ba8a545f", "c6a72347", "4a9605d4", "6459fd8b"
+
+
+def recorded(entry_id: str) -> dict:
+    return regress.read_entry(next((ROOT / "journal").glob(f"*-{entry_id}.json")))
+
+
+def base(figure: float, **days: float) -> regress.Base:
+    return regress.Base(figure, "0", "0", days, 100.0)
+
+
+def bad(entry: dict, against: regress.Base | None = None) -> list[str]:
+    return [row.text for row in regress.judge(entry, against) if row.bad]
+
+
+def test_a_recorded_score_that_fell_by_less_than_noise_passes():
+    assert bad(recorded(GOOD), base(0.655)) == []
+    assert bad(recorded(GOOD)) == []  # nothing to compare with
+
+
+def test_a_fall_names_the_day_and_its_weakest_aim():
+    found = regress.judge(recorded(GOOD), base(0.70, troubles=0.75))
+    assert [row.text for row in found if row.bad] == [
+        "umoja-giving-arusha-grown: 0.700 (0) -> 0.632 (ba8a545f): fell"]
+    assert any("day troubles: 0.75 -> 0.63; weakest guarantee 5 s" in row.text for row in found)
+    assert any("processor time 100 s -> " in row.text for row in found)
+
+
+def test_broken_rules_come_before_all_else():
+    found = regress.judge(recorded(BROKEN), base(1.0))
+    assert found[0].rank == 0 and "rule invented broken 12 times" in found[0].text
+    assert [row.rank for row in found] == sorted(row.rank for row in found)
+
+
+def test_a_day_too_slow_to_be_played_fails():
+    assert any("day rough: failed: too slow" in text for text in bad(recorded(SLOW)))
+
+
+@pytest.mark.parametrize("change, word", [
+    ({"restarts": 2.0}, "2 controllers ended by themselves"),
+    ({"score": None}, "not played"),
+    ({"rules": {"quota": 1}}, "rule quota broken 1 times"),
+])
+def test_a_day_that_went_wrong_fails_whatever_the_figure(change, word):
+    entry = recorded(GOOD)
+    entry["days"][0].update(change)
+    assert any(word in text for text in bad(entry, base(0.1)))
+
+
+def test_torn_and_unfinished_entries_fail_instead_of_passing_unseen(tmp_path):
+    text = next((ROOT / "journal").glob(f"*-{GOOD}.json")).read_bytes()
+    (tmp_path / "20261201T000000-aaaaaaaa.json").write_bytes(text[: len(text) // 2])
+    torn = regress.read_entry(tmp_path / "20261201T000000-aaaaaaaa.json")
+    assert any("unreadable" in row for row in bad(torn))
+    assert any("the run did not finish" in row for row in bad(recorded(CUT)))
+    empty = {**recorded(GOOD), "days": []}
+    assert any("no day was played" in row for row in bad(empty, base(0.1)))
+
+
+def test_check_reads_the_newest_score_of_each_site_and_sets_the_exit_code(tmp_path):
+    baseline, journal = tmp_path / "baseline.toml", tmp_path / "journal"
+    journal.mkdir()
+    entry = recorded(GOOD)
+    (journal / "20261201T000001-a.json").write_text(json.dumps({**entry, "score": 0.2}))
+    (journal / "20261201T000002-b.json").write_text(json.dumps(entry))
+    baseline.write_text(regress.baseline_row(entry, "abc"))
+    args = ["--baseline", str(baseline), "--journal", str(journal)]
+    assert CliRunner().invoke(regress.main, [*args, "check"]).exit_code == 0
+    (journal / "20261201T000003-c.json").write_text(json.dumps({**entry, "score": 0.2}))
+    result = CliRunner().invoke(regress.main, [*args, "check"])
+    assert result.exit_code == 1 and "fell" in result.output
+    baseline.write_text("[[site]]\nname = 3\n")
+    assert CliRunner().invoke(regress.main, [*args, "check"]).exit_code == 2
+    assert CliRunner().invoke(regress.main, ["quick", "--why", "x"],
+                              env={"OAKMUX_KIT": ""}).exit_code == 2
+
+
+def test_the_baseline_in_the_repository_names_entries_of_the_journal():
+    for (site, kind), row in regress.read_baseline(ROOT / "docs" / "baseline.toml").items():
+        entry = recorded(row.entry)
+        assert (entry["site"], regress.run_kind(entry)) == (site, kind)
+        assert entry["score"] == pytest.approx(row.figure, abs=0.001)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for those who work on oakmux; no controller loads them."""
--- /dev/null
+++ b/tools/regress.py
@@ -0,0 +1,276 @@
+"""Regression runs on the operators' bench, and the verdict on what its journal says of them.
+
+The bench and its site files stand outside the repository, in the folder that `--kit` or OAKMUX_KIT
+names; `check` needs neither, only the journal and docs/baseline.toml. All figures are from
+simulated machines.
+
+Exit codes: 0 all is well, 1 something broke or fell, 2 bad input.
+"""
+
+import json
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+ROOT = Path(__file__).resolve().parent.parent
+# A fall of a site's figure up to this is noise (the bench's own word: two runs differ by it).
+NOISE = 0.03
+# Names of site files below the kit, by the runs that play them.
+BENCH = "more/fleet/bin/fleetbench"
+USUAL = ("next/umoja-giving-arusha-grown", "next/semarang-yearbook-utility-grown",
+         "change/umoja-giving-arusha-next", "change/semarang-yearbook-utility-next")
+FLEET = ("more/fleet/umoja-giving-arusha-fleet", "more/fleet/semarang-yearbook-utility-fleet")
+FIRST = ("sites/umoja-giving-arusha", "sites/semarang-yearbook-utility")
+HUNT_DAYS = 4
+
+
+class Base(NamedTuple):
+    """What a site scored when its baseline was set."""
+
+    figure: float
+    entry: str
+    commit: str
+    days: dict[str, float]
+    cpu_s: float
+
+
+class Finding(NamedTuple):
+    """One line of the verdict; `rank` 0 is a broken rule, 1 a failed day, 2 a fall, 3 a remark."""
+
+    rank: int
+    text: str
+
+    @property
+    def bad(self) -> bool:
+        """Whether this alone fails the check."""
+        return self.rank < 3
+
+
+def read_entry(path: Path) -> dict[str, Any]:
+    """Read a journal entry; one that is torn or not ours comes back as a failed run."""
+    try:
+        entry = json.loads(path.read_bytes())
+        if not isinstance(entry, dict) or not isinstance(entry.get("days", []), list):
+            raise ValueError("not an entry")
+        return entry
+    except (OSError, ValueError) as error:
+        return {"id": path.stem.rpartition("-")[2], "cmd": "score", "ok": False, "site": None,
+                "error": f"unreadable: {error}", "days": [], "argv": []}
+
+
+def read_baseline(path: Path) -> dict[tuple[str, str], Base]:
+    """Read the baselines: {(site, "quick" or "full"): Base}; raises ValueError on a bad file."""
+    found: dict[tuple[str, str], Base] = {}
+    try:
+        for row in tomllib.loads(path.read_text()).get("site", []):
+            found[(row["name"], row["run"])] = Base(
+                float(row["figure"]), str(row["entry"]), str(row["commit"]),
+                dict(row.get("days", {})), float(row.get("cpu_s", 0.0)))
+    except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError) as error:
+        raise ValueError(f"{path}: {error!r}") from None
+    return found
+
+
+def run_kind(entry: dict[str, Any]) -> str:
+    """Return which run an entry is of: quick or full."""
+    return "quick" if "--quick" in entry.get("argv", ()) else "full"
+
+
+def cpu_s(entry: dict[str, Any]) -> float:
+    """Return the processor time of all of an entry's days, in seconds."""
+    total = 0.0
+    for day in entry.get("days", ()):
+        spent = day.get("spent") or {}
+        parts = [sum(spent[name]) for name in ("world", "processes") if name in spent]
+        total += sum(parts) if parts else day.get("wall_s") or 0.0
+    return total
+
+
+def weakest(day: dict[str, Any]) -> str:
+    """Name the aim that a day misses most."""
+    aims = [row for row in day.get("aims") or [] if row[1] is not None]
+    if not aims:
+        return "no aim counted"
+    text, worth = min(aims, key=lambda row: row[1])
+    return f"weakest {text} [{worth:.2f}]"
+
+
+def judge_days(entry: dict[str, Any]) -> Iterable[Finding]:
+    """Yield what is wrong with an entry's days whatever the baseline says."""
+    site = entry.get("site") or "unknown site"
+    at = f"{site} ({entry.get('id')})"
+    if not entry.get("ok"):
+        yield Finding(1, f"{at}: unfinished: {entry.get('error') or 'no reason given'}")
+    if entry.get("cmd") != "real" and not entry.get("days"):
+        yield Finding(1, f"{at}: no day was played")
+    for day in entry.get("days", ()):
+        name = f"{at} day {day.get('name')}"
+        for rule, count in sorted((day.get("rules") or {}).items()):
+            yield Finding(0, f"{name}: rule {rule} broken {count} times")
+        if day.get("fault"):
+            yield Finding(1, f"{name}: failed: {str(day['fault']).splitlines()[0]}")
+        elif day.get("kind") != "real" and day.get("score") is None:
+            yield Finding(1, f"{name}: not played")
+        if day.get("restarts"):
+            yield Finding(1, f"{name}: {day['restarts']:g} controllers ended by themselves")
+        if day.get("ok") is False:
+            yield Finding(1, f"{name}: failed")
+
+
+def judge(entry: dict[str, Any], base: Base | None) -> list[Finding]:
+    """Return the verdict on one entry, the gravest first."""
+    found = list(judge_days(entry))
+    site, figure = entry.get("site"), entry.get("score")
+    if figure is not None:
+        if base is None:
+            found.append(Finding(3, f"{site}: {figure:.3f}, no baseline for a {run_kind(entry)} "
+                                    "run"))
+        else:
+            found += compare(entry, base, figure)
+    return sorted(found, key=lambda row: row.rank)
+
+
+def compare(entry: dict[str, Any], base: Base, figure: float) -> Iterable[Finding]:
+    """Compare an entry with its baseline: the site, then the days behind a fall."""
+    site = entry["site"]
+    fell = base.figure - figure > NOISE
+    yield Finding(2 if fell else 3, f"{site}: {base.figure:.3f} ({base.entry}) -> {figure:.3f} "
+                                    f"({entry.get('id')}){': fell' if fell else ''}")
+    for day in entry.get("days", ()):
+        was = base.days.get(day.get("name"))
+        if fell and was is not None and day.get("score") is not None:
+            yield Finding(3, f"{site} day {day['name']}: {was:.2f} -> {day['score']:.2f}; "
+                             f"{weakest(day)}")
+    if base.cpu_s:
+        yield Finding(3, f"{site}: processor time {base.cpu_s:.0f} s -> {cpu_s(entry):.0f} s")
+
+
+def newest(journal: Path, since: set[str] = frozenset()) -> list[dict[str, Any]]:  # type: ignore[assignment]
+    """Return the newest score of each site and kind of run, and every newer hunt or real run
+    whose file's name is not in `since`."""
+    latest: dict[tuple, dict[str, Any]] = {}
+    for path in sorted(journal.glob("*.json")):
+        if path.name in since:
+            continue
+        entry = read_entry(path)
+        if entry.get("cmd") == "score":
+            latest[("score", entry.get("site"), run_kind(entry))] = entry
+        elif since and entry.get("cmd") in ("hunt", "real"):
+            latest[(entry["cmd"], entry.get("id"))] = entry
+    return list(latest.values())
+
+
+def verdict(entries: list[dict[str, Any]], bases: dict[tuple[str, str], Base]) -> int:
+    """Print the findings, broken rules first; return the exit code."""
+    found = [row for entry in entries
+             for row in judge(entry, bases.get((entry.get("site") or "", run_kind(entry))))]
+    for row in sorted(found, key=lambda row: row.rank):
+        click.echo(f"{'BAD' if row.bad else '   '} {row.text}")
+    return 1 if not entries or any(row.bad for row in found) else 0
+
+
+def baseline_row(entry: dict[str, Any], commit: str) -> str:
+    """Return an entry as a section of docs/baseline.toml."""
+    days = ", ".join(f"{json.dumps(day['name'])} = {day['score']:.3f}"
+                     for day in entry["days"] if not day["name"].startswith("fresh"))
+    return (f'[[site]]\nname = "{entry["site"]}"\nrun = "{run_kind(entry)}"\n'
+            f'figure = {entry["score"]:.3f}\nentry = "{entry["id"]}"\ncommit = "{commit}"\n'
+            f"cpu_s = {cpu_s(entry):.0f}\ndays = {{ {days} }}\n")
+
+
+def play(kit: Path, args: list[str]) -> None:
+    """Run the bench in the repository; its own output goes to ours."""
+    bench = kit / BENCH
+    if not bench.exists():
+        raise click.UsageError(f"no bench at {bench}: name the kit's folder with --kit")
+    click.echo(f"running {bench.name} {' '.join(args)}")
+    subprocess.run([str(bench), *args], cwd=ROOT, check=False)
+
+
+def sites(kit: Path, names: Iterable[str]) -> list[str]:
+    """Return the paths of site files."""
+    return [str(kit / f"{name}.toml") for name in names]
+
+
+@click.group(help=__doc__)
+@click.option("--kit", type=click.Path(file_okay=False, path_type=Path), envvar="OAKMUX_KIT",
+              help="The operators' folder with the bench and the site files.")
+@click.option("--baseline", type=click.Path(dir_okay=False, path_type=Path),
+              default=ROOT / "docs" / "baseline.toml", show_default=True)
+@click.option("--journal", type=click.Path(file_okay=False, path_type=Path),
+              default=ROOT / "journal", show_default=True)
+@click.pass_context
+def main(ctx: click.Context, kit: Path | None, baseline: Path, journal: Path) -> None:
+    """Read what all commands need."""
+    try:
+        bases = read_baseline(baseline)
+    except ValueError as error:
+        raise click.UsageError(str(error)) from None
+    ctx.obj = (kit.resolve() if kit else None, bases, journal)
+
+
+def _run(obj: tuple, runs: list[list[str]]) -> None:
+    kit, bases, journal = obj
+    before = {path.name for path in journal.glob("*.json")}
+    for args in runs:
+        play(kit, args)
+    sys.exit(verdict(newest(journal, before), bases))
+
+
+def _kit(obj: tuple) -> Path:
+    if obj[0] is None:
+        raise click.UsageError("name the kit's folder with --kit or OAKMUX_KIT")
+    return obj[0]
+
+
+@main.command()
+@click.option("--fleet", is_flag=True, help="The fleet sites too: for what touches storage, "
+              "membership, timers or messages between machines.")
+@click.option("--why", required=True, help="One sentence for the journal.")
+@click.pass_obj
+def quick(obj: tuple, fleet: bool, why: str) -> None:
+    """Play the two roughest days of each site, as before every landing."""
+    kit = _kit(obj)
+    names = USUAL + (FLEET if fleet else ())
+    _run(obj, [["score", *sites(kit, names), "--quick", "--why", why]])
+
+
+@main.command()
+@click.option("--why", required=True, help="One sentence for the journal.")
+@click.option("--days", default=HUNT_DAYS, show_default=True, help="Days of each hunt.")
+@click.pass_obj
+def full(obj: tuple, why: str, days: int) -> None:
+    """Play all sites in full, then hunt on the fleet sites, as at every third landing."""
+    kit = _kit(obj)
+    hunts = [["hunt", site, "--days", str(days), "--why", why] for site in sites(kit, FLEET)]
+    _run(obj, [["score", *sites(kit, FLEET + USUAL + FIRST), "--why", why], *hunts])
+
+
+@main.command()
+@click.pass_obj
+def check(obj: tuple) -> None:
+    """Judge the newest score of each site that has a baseline."""
+    _, bases, journal = obj
+    sys.exit(verdict([entry for entry in newest(journal)
+                      if (entry.get("site") or "", run_kind(entry)) in bases], bases))
+
+
+@main.command()
+@click.argument("entries", nargs=-1, required=True)
+@click.option("--commit", required=True, help="The commit that the entries measured.")
+@click.pass_obj
+def rows(obj: tuple, entries: tuple[str, ...], commit: str) -> None:
+    """Print journal ENTRIES as sections of the baseline, for a commit that says why."""
+    for path in sorted(obj[2].glob("*.json")):
+        entry = read_entry(path)
+        if entry.get("id") in entries and entry.get("score") is not None:
+            click.echo(baseline_row(entry, commit))
+
+
+if __name__ == "__main__":
+    main()
