--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -235,3 +235,62 @@
 # what goes before all else, as renewals of leases do. Behind a flood of users' changes, the roles
 # of a controller that fell would stay without a holder.
 FIRST = -1
+
+# --- schedules ---
+
+# Time zones kept in memory (count): tzdata has some 600 names.
+ZONES_KEPT = 700
+# Seconds round an instant in which a change of clocks is looked for: none moved them further
+# (Lord Howe half an hour, most an hour, a few two).
+FOLD_MOST_S = 3 * 3600
+# COUNT and INTERVAL of a calendar's rule at most, and instances gone through in vain (count):
+# what is walked through at every start of a role.
+RRULE_COUNT = 10_000
+# Decisions that an entry's slot keeps (count), bytes of a row's note, and bytes that a slot may
+# take: with a name of 80 characters, eight rows, and one note or two.
+ROWS_KEPT = 6
+ROW_TEXT = 24
+SLOT_BYTES = 300
+# Changes of entries that clients of calendars can ask for (count): above it they read all anew.
+CHANGES_KEPT = 5000
+# Turns shown at most by one request (count).
+SHOW_TURNS = 100
+# Entries whose next turn is computed in one tick (count): some 70 microseconds each.
+PLANS_PER_TICK = 300
+# Transactions with turns that may be on their way at a time (count).
+TURNS_IN_FLIGHT = 4
+# Rank of a turn's transaction for the state service: with the owners', behind users' changes.
+TURN_RANK = 1
+# Seconds before turns of a shard are tried again after no answer or a refusal.
+TURN_RETRY_S = 0.3
+# Seconds between two looks at whether queued turns can go.
+QUEUED_LOOK_S = 1.0
+# Seconds by which the time of day may differ from the steady clock between two ticks; and for how
+# long no turn is made after a larger step: it may be stepped back at once.
+JUMP_S = 2.0
+JUMP_HOLD_S = 5.0
+# Turns that are over at once of which each is noted before the rest is passed over (count).
+MISSED_STEPS = 50
+# Tries of a request's transaction whose guards failed, before the user is told to come back.
+DESK_TRIES = 6
+# Ids tried for one turn's job (count): more than one only if an older job has the first.
+ID_TRIES = 4
+# Seconds that a turn may be late if it is not to be caught up with: a takeover takes a few.
+NO_CATCH_UP_S = 60
+# Shards with room among which one is drawn for a new entry (count): requests that come together
+# meet less often in one record.
+SHARD_CHOICES = 4
+# Characters of an id that is reserved for the jobs of turns: the longest that a job can have.
+RESERVED_TEXT = 22
+# Characters of the word by which a turn by hand is told from others.
+WORD_TEXT = 16
+# Characters of an object's ETag.
+ETAG_TEXT = 64
+# Entries, templates and calendars of one team at most (count); bytes of a note.
+TEAM_ENTRIES = 10_000
+TEAM_TEMPLATES = 500
+TEAM_CALENDARS = 200
+NOTE_TEXT = 200
+# Seconds of a catch-up window and of jitter at most: a month, an hour.
+WINDOW_MOST_S = 31 * 86_400
+JITTER_MOST_S = 3600
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -2,8 +2,8 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol
 
 from oakmux import constants
 from oakmux.core.desk import Desk
@@ -19,10 +19,20 @@
 log = logging.getLogger("oakmux.core")
 
 
+class Part(Protocol):
+    """A subsystem that is switched on: takes commands of its own and has a turn in every tick."""
+
+    commands: dict[str, Callable[..., None]]
+
+    def tick(self) -> None:
+        """Do what is due."""
+
+
 class Controller:
     """One controller; `step` is its only entry."""
 
-    def __init__(self, settings: Settings, rng: random.Random, wall: int) -> None:
+    def __init__(self, settings: Settings, rng: random.Random, wall: int,
+                 parts: Sequence[Callable[[World], Part]] = ()) -> None:
         self.world = World(settings, rng, wall)
         self.membership = Membership(self.world)
         self.keeper = Keeper(self.world, self.membership)
@@ -49,6 +59,9 @@
             "resend": self._resend,
             "short": self._short,
         }
+        self.parts = [make(self.world) for make in parts]
+        for more in self.parts:
+            self.handlers.update(more.commands)
         self.messages: dict[str, Callable[..., None]] = {
             "heard": self._heard,
             "view": self._view,
@@ -75,7 +88,7 @@
         if world.now >= self.next_tick:
             self.next_tick = world.now + constants.TICK_S
             due += [self.membership.tick, self.owner.sampler.sample, self.fleet.tick,
-                    self._say_alive, self._settle]
+                    self._say_alive, *(more.tick for more in self.parts), self._settle]
         for part in [*due, self.owner.copies.flush, self.desk.flush]:
             try:
                 part()
@@ -120,9 +133,10 @@
         replica = world.replica
         before = world.my_roles
         won = self.membership.refresh_roles() if replica.loaded else []
-        if set(before) - set(world.my_roles) or won:
+        more = set(world.more_roles)
+        if set(before) - set(world.my_roles) - more or set(won) - more:
             self.owner.lost()
-        if won:
+        if set(won) - more:
             self.owner.binder.won()
             if FLEET in won:
                 self.fleet.won()
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -46,7 +46,7 @@
             self.unavailable(rid, "machine types are not known yet")
         else:
             never = (teams.never_fits(self.world, spec) or self._wrong_needs(job_id, spec)
-                     or self._too_large(spec))
+                     or self._too_large(spec) or self._reserved(job_id))
             if never is not None:
                 self._read(rid, job_id, lambda now: self._known(rid, now, never, 422))
             elif spec.waits_on and self.world.replica.format < 2:
@@ -75,6 +75,16 @@
                 return f"waits_on: {name} is a service"
         return None
 
+    def _reserved(self, job_id: str) -> str | None:
+        """Return why no user can have a job of this id: turns of schedules make theirs there.
+
+        Of 18 digits, all that they make: whoever had such a job before is still told its state.
+        """
+        reserved = self.world.reserved
+        if reserved and job_id.startswith(reserved) and len(job_id) == constants.RESERVED_TEXT:
+            return f"id: {reserved}... of 18 digits is kept for schedules"
+        return None
+
     def _too_large(self, spec: JobSpec) -> str | None:
         size = value_bytes(job_value("queued", spec.team, spec, self._order(), spec.tasks))
         if size <= self.most_bytes:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -8,7 +8,7 @@
 
 import logging
 import math
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 
@@ -200,6 +200,16 @@
 FORMAT_KEY = PREFIX + "format"
 
 
+class Guest(Protocol):
+    """Keeps records of a further kind, of a subsystem that is switched on."""
+
+    def keys(self) -> set[str]:
+        """Return the keys of all its records."""
+
+    def apply(self, rest: str, value: Any, stamp: int) -> None:
+        """Take one change; `rest` is the key without what is common to its kind."""
+
+
 class Replica:
     """All records as far as the watch has brought them, and what our own writes changed."""
 
@@ -230,6 +240,8 @@
         self.by_machine: dict[str, dict[tuple[str, int], Binding]] = {}
         self.loose: dict[str, dict[int, Chunk]] = {}
         self.removed: dict[str, int] = {}
+        # Keepers of records of further kinds, by the kind in their keys.
+        self.guests: dict[str, Guest] = {}
         self.changed_jobs: set[str] = set()
         self.changed_machines: set[str] = set()
         # What is bound of each team's tasks, kept up to date with every change of a chunk.
@@ -265,6 +277,8 @@
         keys.update(role_key(role) for role in self.roles)
         keys.update(node_key(label) for label in self.nodes)
         keys.update(gone_key(machine) for machine in self.gone)
+        for guest in self.guests.values():
+            keys.update(guest.keys())
         return keys
 
     def apply(self, key: str, value: Any, stamp: int) -> None:
@@ -306,6 +320,8 @@
             self.types = {row[0]: msgspec.convert(row, MachineType) for row in value}
         elif kind == "term" and value is not None and stamp > self.term[1]:
             self.term = (value, stamp)
+        elif kind in self.guests:
+            self.guests[kind].apply(rest, value, stamp)
         elif kind == "version" and value is not None:
             self.versions[rest] = value
         elif kind == "format" and value is not None and value[0] != self.format:
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -175,7 +175,7 @@
     def _claim(self) -> None:
         world = self.world
         nodes = sorted({*world.replica.nodes, world.label})
-        roles = [*world.teams, FLEET]
+        roles = [*world.teams, FLEET, *world.more_roles]
         held = {role: row[0] for role, row in world.replica.roles.items()}
         due = assign([role for role in roles if role not in held], held, nodes)
         for role in roles:
@@ -199,7 +199,7 @@
         """Give up a role when another controller has two fewer, so that it is claimed there."""
         world = self.world
         load = Counter(node for role, node in held.items() if role == FLEET or role in world.teams)
-        mine = sorted(role for role in world.my_roles if role != FLEET)
+        mine = sorted(role for role in world.my_roles if role in world.teams)
         if not mine or load[world.label] < 2 + min(load[node] for node in nodes):
             return
         # Writes of ours that come late are guarded by the key's stamp, as after a takeover.
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -92,6 +92,10 @@
         self.my_roles: dict[str, int] = {}
         self.state_heard = -1e9
         self.dirty_machines: set[str] = set()
+        # Roles beside teams and fleet, and how ids begin that jobs of users can't have, for
+        # subsystems that are switched on.
+        self.more_roles: list[str] = []
+        self.reserved = ""
         self._op = 0
         self.ops: dict[int, Any] = {}
 
--- /dev/null
+++ b/oakmux/schedules/clock.py
@@ -0,0 +1,408 @@
+"""Who makes the turns: one controller, by a role on its lease, like a team's or the fleet's.
+
+Exactly one job per turn rests on the records alone, never on the role: a turn's decision (in its
+entry's slot) and its jobs are written in one transaction, guarded by the shard's, the entry's, the
+template's and the role's versions and by the absence of the jobs. Whoever comes late, twice or
+after being deposed fails on a guard; whoever comes next goes on from the mark in the slot.
+"""
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterator
+from functools import partial
+from itertools import takewhile
+from typing import Any
+
+from oakmux import constants
+from oakmux.core.jobs import job_key, job_value, role_key
+from oakmux.core.world import World, event
+from oakmux.schedules import policy, records, templates
+from oakmux.schedules.records import Entry, Slot, Store
+from oakmux.schedules.turns import Turn, mark_at, turns
+
+CLOCK = "#clock"
+
+
+class Daytime:
+    """The time of day, from what the machine's clock said last and the steady clock since."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.said: tuple[int, float] | None = None
+        self.hold_until = 0.0
+
+    def say(self, ms: int) -> None:
+        """Take the machine's clock (ms since 1970); a step holds up turns for a moment."""
+        if self.said is not None:
+            step = ms - self.now_ms()
+            if abs(step) > constants.JUMP_S * 1000:
+                self.hold_until = self.world.now + constants.JUMP_HOLD_S
+                event("clock_jump", step_ms=step)
+        self.said = (ms, self.world.now)
+
+    def now_ms(self) -> int:
+        """Return the time of day (ms since 1970)."""
+        if self.said is None:
+            return self.world.wall + int(self.world.now * 1000)
+        return self.said[0] + int((self.world.now - self.said[1]) * 1000)
+
+    @property
+    def steady(self) -> bool:
+        """Whether the clock is known and was not just stepped."""
+        return self.said is not None and self.world.now >= self.hold_until
+
+
+class Plan:
+    """The turns of one entry that are to come: the next and the one after."""
+
+    __slots__ = ("entry", "slot", "run", "turn", "later", "tries")
+
+    def __init__(self, entry: Entry, slot: Slot) -> None:
+        self.entry = entry
+        self.slot = slot
+        self.run: Iterator[Turn] = turns(entry.rule, slot.mark)
+        if entry.until:
+            self.run = takewhile(lambda turn: turn.at <= entry.until, self.run)
+        self.turn = next(self.run, None)
+        self.later = next(self.run, None)
+        self.tries = 0
+
+    def advance(self, slot: Slot) -> None:
+        """Go on to the turn after one that is decided."""
+        self.slot = slot
+        self.turn, self.later = self.later, next(self.run, None)
+        self.tries = 0
+
+
+class Batch:
+    """Turns of one shard that are written together."""
+
+    def __init__(self, shard: int) -> None:
+        self.shard = shard
+        self.guards: dict[str, int] = {}
+        self.writes: list[tuple] = []
+        self.slots: dict[str, Slot] = {}
+        self.said: list[dict[str, Any]] = []
+        self.tries: dict[str, str] = {}  # ids of jobs that may be found taken, and whose they are
+
+
+class Clock:
+    """Makes the turns of all entries while the role is ours."""
+
+    def __init__(self, world: World, store: Store, daytime: Daytime) -> None:
+        self.world = world
+        self.store = store
+        self.daytime = daytime
+        self.held = 0  # the version of the role that the plans were made under
+        self.plans: dict[str, Plan] = {}
+        self.heap: list[tuple[int, str, int]] = []
+        self.due: dict[str, Plan] = {}
+        self.queued: set[str] = set()
+        self.to_plan: deque[str] = deque()
+        self.in_plan: set[str] = set()
+        self.flying: set[int] = set()
+        self.not_before: dict[int, float] = {}
+        self.next_look = 0.0
+        self.served = 0
+        self.tried: dict[str, int] = {}
+
+    def tick(self) -> None:
+        """Do what is due; at most so much that other work goes on."""
+        stamp = self.world.my_roles.get(CLOCK, 0)
+        if stamp != self.held:
+            self._taken(stamp)
+        if not stamp:
+            self.store.changed.clear()
+            return
+        self._again(self.store.changed)
+        self.store.changed.clear()
+        self._plan()
+        if not self.daytime.steady:
+            return
+        now_ms = self.daytime.now_ms()
+        while self.heap and self.heap[0][0] <= now_ms:
+            _, name, serial = heapq.heappop(self.heap)
+            plan = self.plans.get(name)
+            if plan is not None and id(plan) == serial:
+                self.due[name] = plan
+        if self.world.now >= self.next_look:
+            self.next_look = self.world.now + constants.QUEUED_LOOK_S
+            for name in sorted(self.queued):
+                plan = self.plans.get(name)
+                if plan is not None and not self.busy(plan.entry, plan.slot):
+                    self.due[name] = plan
+        self._write(now_ms)
+
+    def _taken(self, stamp: int) -> None:
+        """The role came or went: what was planned under it is void."""
+        self.held = stamp
+        for held in (self.plans, self.heap, self.due, self.queued, self.to_plan, self.in_plan,
+                     self.flying, self.not_before, self.tried):
+            held.clear()
+        if stamp:
+            event("clock_taken", entries=len(self.store.entries))
+            self._again(set(self.store.entries))
+
+    # --- planning ---
+
+    def _again(self, names: set[str]) -> None:
+        """Plan entries anew."""
+        for name in names:
+            self.plans.pop(name, None)
+            self.due.pop(name, None)
+            self.queued.discard(name)
+            if name not in self.in_plan:
+                self.in_plan.add(name)
+                self.to_plan.append(name)
+
+    def _plan(self) -> None:
+        for _ in range(min(len(self.to_plan), constants.PLANS_PER_TICK)):
+            name = self.to_plan.popleft()
+            self.in_plan.discard(name)
+            entry, slot = self.store.entries.get(name), self.store.slots.get(name)
+            if entry is None or slot is None or entry.paused:
+                continue
+            try:
+                plan = Plan(entry, slot)
+            except Exception as error:  # one rule that fails must not hold up all others
+                event("turns_failed", entry=name, why=repr(error)[:constants.LOG_TEXT])
+                continue
+            plan.tries = self.tried.get(name, 0)
+            self.plans[name] = plan
+            if slot.pending:
+                self.queued.add(name)
+            self._arm(plan)
+
+    def _arm(self, plan: Plan) -> None:
+        """Wait for a plan's next turn.
+
+        A turn is made once our clock says that it is past by all that the clocks of this place
+        may differ: none is early by the true time, even if ours is ahead by so much.
+        """
+        if plan.turn is not None:
+            at = (plan.turn.at * 1000 + policy.jitter_ms(plan.entry)
+                  + math.ceil(self.world.facts.skew_ms))
+            heapq.heappush(self.heap, (at, plan.entry.name, id(plan)))
+
+    # --- writing ---
+
+    def busy(self, entry: Entry, slot: Slot) -> bool:
+        """Whether jobs of an earlier turn that we know of are unfinished."""
+        return any(not job.final for job in self.live(entry, slot))
+
+    def live(self, entry: Entry, slot: Slot) -> list[Any]:
+        """Return the jobs of the turns that the slot still knows."""
+        jobs, steps = self.world.replica.jobs, 1
+        template = self.store.templates.get(entry.template)
+        if template is not None:
+            steps = len(template.steps)
+        found = []
+        for at, outcome, tries, note in slot.rows:
+            if outcome in (records.MADE, records.MANUAL):
+                turn = note if outcome == records.MANUAL else str(at)
+                names = (records.job_id(entry, turn, n, tries) for n in range(steps))
+                found += [jobs[name] for name in names if name in jobs]
+        return found
+
+    def _write(self, now_ms: int) -> None:
+        """Write what is due, shard by shard, the most urgent first."""
+        by_shard: dict[int, list[Plan]] = {}
+        for plan in self.due.values():
+            number = plan.entry.shard
+            if number not in self.flying and self.not_before.get(number, 0) <= self.world.now:
+                by_shard.setdefault(number, []).append(plan)
+        if not by_shard or len(self.flying) >= constants.TURNS_IN_FLIGHT:
+            return
+        ranked = {number: sorted((self._rank(plan), plan.entry.name, plan) for plan in plans)
+                  for number, plans in by_shard.items()}
+        for number in sorted(ranked, key=lambda n: ranked[n][0][:2]):
+            if len(self.flying) >= constants.TURNS_IN_FLIGHT:
+                break
+            batch = Batch(number)
+            for _, _, plan in ranked[number]:
+                try:
+                    more = self._take(batch, plan, now_ms)
+                except Exception as error:  # as above: the others go on
+                    event("turns_failed", entry=plan.entry.name,
+                          why=repr(error)[:constants.LOG_TEXT])
+                    self.due.pop(plan.entry.name, None)
+                    continue
+                if not more:
+                    break
+            if batch.slots:
+                self._send(batch)
+
+    def _rank(self, plan: Plan) -> tuple:
+        """Return what orders turns that are due together: priority, deadline, turn."""
+        template = self.store.templates.get(plan.entry.template)
+        priority = 0 if template is None else max(s.spec.priority for s in template.steps)
+        at = plan.turn.at if plan.turn is not None else plan.slot.pending
+        limit = math.inf if plan.entry.deadline_s is None else at + plan.entry.deadline_s
+        return -priority, limit, at
+
+    def _take(self, batch: Batch, plan: Plan, now_ms: int) -> bool:
+        """Add the turns of an entry that are over; False once the transaction is full."""
+        entry = plan.entry
+        slot = plan.slot
+        template = self.store.templates.get(entry.template)
+        refusal = templates.refusal(self.world, template)
+        if (template is not None and any(step.needs for step in template.steps)
+                and self.world.replica.format < 2):
+            return True  # an upgrade is under way: waits_on can't be recorded yet
+        while True:
+            turn, waits = plan.turn, slot.pending
+            if waits and not self.busy(entry, slot):
+                made = policy.release(slot, plan.tries)
+                at, turn = waits, None
+            elif turn is not None and self._over(plan, turn, now_ms):
+                made = policy.decide(entry, slot, turn, plan.later, now_ms,
+                                     partial(self.busy, entry, slot), plan.tries)
+                at = turn.at
+            else:
+                self.due.pop(entry.name, None)
+                return True
+            if made.make and refusal is not None:
+                made = policy.Decision(slot.noted(made.slot.mark, 0 if waits else slot.pending, at,
+                                                  records.REFUSED, note=refusal), False)
+            if not self._fits(batch, plan, made, at, now_ms):
+                return False
+            slot = made.slot
+            batch.slots[entry.name] = slot
+            batch.guards[records.entry_key(entry.name)] = self.store.stamp(
+                records.entry_key(entry.name))
+            if turn is not None:
+                plan.advance(slot)
+                if slot.rows[-1][1] == records.MISSED:
+                    self._skip_missed(plan, now_ms)
+                slot = plan.slot
+                batch.slots[entry.name] = slot
+            else:
+                plan.slot = slot
+                plan.tries = 0
+            if made.make:
+                # Turns after this one are decided once its job is in the records.
+                return True
+
+    def _over(self, plan: Plan, turn: Turn, now_ms: int) -> bool:
+        return (turn.at * 1000 + policy.jitter_ms(plan.entry)
+                + math.ceil(self.world.facts.skew_ms) <= now_ms)
+
+    def _skip_missed(self, plan: Plan, now_ms: int) -> None:
+        """Pass over turns that are long missed: each is counted, but not gone through for ever."""
+        count = 0
+        while plan.turn is not None and policy.expired(plan.entry, plan.turn, now_ms):
+            count += 1
+            slot = plan.slot
+            at, outcome, tries, _ = slot.rows[-1]
+            row = (at, outcome, tries, f"and {count} more")
+            mark = plan.turn.mark
+            if count >= constants.MISSED_STEPS:
+                row = (at, outcome, tries, f"and over {count} more")
+                since = (now_ms - policy.jitter_ms(plan.entry)) // 1000 - 1
+                mark = max(mark, mark_at(plan.entry.rule, since - policy.window_s(plan.entry)))
+            slot = Slot(slot.name, mark, slot.pending, [*slot.rows[:-1], row])
+            if count < constants.MISSED_STEPS:
+                plan.advance(slot)
+                continue
+            again = Plan(plan.entry, slot)
+            plan.slot, plan.run, plan.turn, plan.later = slot, again.run, again.turn, again.later
+            return
+
+    def _fits(self, batch: Batch, plan: Plan, made: policy.Decision, at: int,
+              now_ms: int) -> bool:
+        """Add the jobs of a decision if there is room in the transaction."""
+        limits = self.world.facts.state.least
+        if not made.make:
+            return len(batch.writes) + 1 <= limits.txn_ops
+        entry, store = plan.entry, self.store
+        template = store.templates[entry.template]
+        order = now_ms
+        writes, guards, ids = [], {}, []
+        for name, spec in templates.jobs(entry, template, str(at), plan.tries):
+            writes.append((job_key(name), job_value("queued", spec.team, spec, order, spec.tasks),
+                           None))
+            guards[job_key(name)] = 0
+            ids.append(name)
+        if made.replace:
+            for job in self.live(entry, plan.slot):
+                if not job.final and job.ready and job.spec is not None:
+                    writes.append((job_key(job.id), job_value(
+                        "cancelled", job.team, job.spec, job.order, job.tasks), None))
+                    guards[job_key(job.id)] = job.stamp
+        if len(batch.writes) + len(writes) + 1 > limits.txn_ops:
+            if batch.writes or batch.slots:
+                return False
+            # Alone and too large: jobs of several earlier turns give way, as many as fit.
+            writes = writes[: limits.txn_ops - 1]
+        batch.writes += writes
+        batch.guards.update({key: guards[key] for key, *_ in writes})
+        batch.guards[records.template_key(entry.template)] = store.stamp(
+            records.template_key(entry.template))
+        batch.tries.update(dict.fromkeys(ids, entry.name))
+        batch.said.append({"entry": entry.name, "turn": at, "jobs": ",".join(ids),
+                           "late_ms": now_ms - at * 1000, "team": entry.team})
+        return True
+
+    def _send(self, batch: Batch) -> None:
+        number = batch.shard
+        key = records.shard_key(number)
+        slots = {**self.store.shards.get(number, {}), **batch.slots}
+        value = [records.value_of(slot) for slot in slots.values()]
+        guards = {role_key(CLOCK): self.held, key: self.store.stamp(key), **batch.guards}
+        self.flying.add(number)
+        held = self.held
+        self.world.call(lambda s, r: self._sent(batch, value, held, s, r), "txn",
+                        list(guards.items()), [(key, value, None), *batch.writes],
+                        constants.TURN_RANK)
+
+    def _sent(self, batch: Batch, value: list, held: int, status: int, result: Any) -> None:
+        if held == self.held:
+            self.flying.discard(batch.shard)
+        if status != 200:
+            if held != self.held:
+                return
+            # 409: the watch brings what was in the way. No answer: the turns may still be
+            # written late; then what we try again fails on the shard's version.
+            self.not_before[batch.shard] = self.world.now + constants.TURN_RETRY_S
+            self._taken_ids(batch, status, result)
+            self._again(set(batch.slots))
+            if status == 400:
+                event("turns_refused", shard=batch.shard, jobs=len(batch.writes))
+                self.not_before[batch.shard] = self.world.now + constants.RETRY_MOST_S
+            return
+        replica, store = self.world.replica, self.store
+        for key, row, _ in batch.writes:
+            replica.apply(key, row, result[0])
+        for said in batch.said:
+            event("turn", **said)
+            self.served += 1
+        fresh = set(batch.slots) - store.changed
+        store.apply(f"m/{batch.shard}", value, result[0])
+        if held != self.held:
+            return
+        for name in fresh:  # our own decision: the plan has gone on with it already
+            plan = self.plans.get(name)
+            if plan is None or plan.slot != batch.slots[name]:
+                continue
+            store.changed.discard(name)
+            self.tried.pop(name, None)
+            self.due.pop(name, None)
+            (self.queued.add if plan.slot.pending else self.queued.discard)(name)
+            self._arm(plan)
+        if batch.said and not self.due:
+            event("turns_served", count=self.served, last=batch.said[-1]["entry"],
+                  late_ms=batch.said[-1]["late_ms"])
+
+    def _taken_ids(self, batch: Batch, status: int, result: Any) -> None:
+        """Another job has the id of one of ours, from before such ids were reserved."""
+        if status != 409 or result is None:
+            return
+        failed = set(result[1])
+        if {records.shard_key(batch.shard), role_key(CLOCK)} & failed:
+            return  # perhaps it is our own that was written without our hearing of it
+        for name, owner in batch.tries.items():
+            if job_key(name) in failed:
+                tries = min(self.tried.get(owner, 0) + 1, constants.ID_TRIES)
+                self.tried[owner] = tries
+                event("id_taken", job=name, entry=owner, tries=tries)
--- /dev/null
+++ b/oakmux/schedules/desk.py
@@ -0,0 +1,639 @@
+"""Requests about schedules: checked in full, then written with guards, then answered.
+
+What is asked is a tagged tuple (operation, arguments as a dict of plain values); what is said is
+a dict. An edit and a turn exclude each other by the versions of entry and shard: a turn is made
+either by the old entry before the edit or by the new one after it.
+"""
+
+from collections.abc import Callable
+from itertools import islice
+from typing import Any
+
+import msgspec
+
+from oakmux import constants, wire
+from oakmux.core.jobs import job_key, job_value, value_bytes, value_limit
+from oakmux.core.world import World, event
+from oakmux.schedules import records, templates, zones
+from oakmux.schedules.clock import Clock, Daytime
+from oakmux.schedules.records import (
+    CATCH_UPS,
+    MANUAL,
+    NAME,
+    OVERLAPS,
+    Calendar,
+    Entry,
+    Policy,
+    Slot,
+    Store,
+    calendar_key,
+    entry_key,
+    part_key,
+    shard_key,
+    template_key,
+    value_of,
+)
+from oakmux.schedules.turns import BadRule, Rule, cron_rule, mark_at, skipped, turns
+
+
+class Refused(Exception):
+    """A request that can't be carried out: status and reason."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+# What a request wants written: guards, writes, the answer's status and body.
+Change = tuple[dict[str, int], list[tuple], int, dict]
+
+
+class Desk:
+    """Serves one controller's requests about schedules."""
+
+    def __init__(self, world: World, store: Store, daytime: Daytime, clock: Clock) -> None:
+        self.world = world
+        self.store = store
+        self.daytime = daytime
+        self.clock = clock
+        self.again: list[tuple[float, Callable[[], None]]] = []
+        self.operations: dict[str, Callable[[Any, dict], None]] = {
+            "template": self._put_template, "template-remove": self._remove_template,
+            "templates": self._templates, "put": self._put, "check": self._check,
+            "remove": self._remove, "list": self._list, "show": self._show,
+            "next": self._next, "history": self._history, "pause": self._pause,
+            "resume": self._resume, "run-now": self._run_now, "calendars": self._calendars,
+            "calendar": self._put_calendar, "calendar-remove": self._remove_calendar,
+            "objects": self._objects, "changes": self._changes,
+        }
+
+    # --- requests ---
+
+    def request(self, rid: Any, operation: str, args: dict) -> None:
+        """Serve a request; answers at once, or when what it writes is written."""
+        world = self.world
+        serve = self.operations.get(operation)
+        if serve is None or not isinstance(args, dict):
+            self._error(rid, Refused(404, "unknown operation"))
+        elif not world.replica.loaded or world.replica.foreign:
+            self._error(rid, Refused(503, "starting"))
+        elif world.now - world.state_heard > constants.STATE_STALE_S:
+            self._error(rid, Refused(503, "no current records"))
+        else:
+            try:
+                serve(rid, args)
+            except Refused as error:
+                self._error(rid, error)
+            except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
+                self._error(rid, Refused(422, str(error)))
+            except (KeyError, TypeError, ValueError, OverflowError,
+                    msgspec.ValidationError) as error:
+                self._error(rid, Refused(400, f"bad request: {error!r}"[:constants.NOTE_TEXT]))
+
+    def _error(self, rid: Any, error: Refused) -> None:
+        self.world.emit("answer", rid, error.status, ("error", str(error)))
+
+    def _say(self, rid: Any, body: dict, status: int = 200) -> None:
+        self.world.emit("answer", rid, status, ("schedules", body))
+
+    def tick(self) -> None:
+        """Go on with what waits for newer records."""
+        due, self.again = ([row for row in self.again if row[0] <= self.world.now],
+                           [row for row in self.again if row[0] > self.world.now])
+        for _, run in due:
+            run()
+
+    def _write(self, rid: Any, build: Callable[[], Change],
+               then: Callable[[int, dict], None] | None = None, tries: int = 0) -> None:
+        """Write what `build` makes of the records; anew if they turn out to have changed."""
+        try:
+            guards, writes, status, body = build()
+        except Refused as error:
+            self._error(rid, error)
+            return
+        except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
+            self._error(rid, Refused(422, str(error)))
+            return
+        answer = then or (lambda status, body: self._say(rid, body, status))
+        if not writes:
+            answer(status, body)
+            return
+
+        def done(outcome: int, result: Any) -> None:
+            if outcome == 200:
+                for write in writes:
+                    self._apply(write[0], write[1] if len(write) > 1 else None, result[0])
+                answer(status, body)
+            elif outcome == 409 and tries < constants.DESK_TRIES:
+                # The watch brings what was in the way within a moment.
+                self.again.append((self.world.now + constants.TICK_S * (1 + tries),
+                                   lambda: self._write(rid, build, then, tries + 1)))
+            elif outcome == 400:
+                self._error(rid, Refused(413, "too large for the state service"))
+            else:
+                self._error(rid, Refused(503, "not known to be written"))
+
+        self.world.call(done, "txn", list(guards.items()), writes, 0)
+
+    def _apply(self, key: str, value: Any, stamp: int) -> None:
+        self.world.replica.apply(key, value, stamp)
+
+    # --- names ---
+
+    def _team(self, name: Any) -> str:
+        if not isinstance(name, str) or name not in self.world.teams:
+            raise Refused(422, f"unknown team {str(name)[:constants.LOG_TEXT]!r}")
+        return name
+
+    def _name(self, name: Any) -> str:
+        """Check the name of an entry, `team/name` or `team/calendar/object`."""
+        parts = name.split("/") if isinstance(name, str) else []
+        if not 2 <= len(parts) <= 3 or not all(NAME.match(part) for part in parts):
+            raise Refused(422, f"{str(name)[:constants.LOG_TEXT]!r}: a name is TEAM/NAME, "
+                               "letters, digits and _.@+=-, 80 at most")
+        if parts[0] not in self.world.teams and name not in self.store.entries:
+            self._team(parts[0])
+        return name
+
+    def _entry(self, args: dict) -> tuple[Entry, Slot]:
+        name = self._name(args.get("name"))
+        entry, slot = self.store.entries.get(name), self.store.slots.get(name)
+        if entry is None or slot is None:
+            raise Refused(404, f"no entry {name}")
+        return entry, slot
+
+    # --- templates ---
+
+    def _put_template(self, rid: Any, args: dict) -> None:
+        name = str(args["name"])
+        team, _, rest = name.partition("/")
+        self._team(team)
+        if not NAME.match(rest):
+            raise Refused(422, "a template's name is TEAM/NAME")
+        self._need_types()
+        template = templates.from_steps(args["steps"], team)
+        templates.check(self.world, template)
+        key = template_key(name)
+
+        def build() -> Change:
+            count = sum(1 for other in self.store.templates if other.startswith(team + "/"))
+            if count >= constants.TEAM_TEMPLATES and name not in self.store.templates:
+                raise Refused(422, f"{team} has {count} templates: no more are kept")
+            event("template", template=name, steps=len(template.steps))
+            return ({key: self.store.stamp(key)}, [(key, value_of(template), None)], 200,
+                    {"name": name, "steps": len(template.steps)})
+
+        if args.get("dry"):
+            self._say(rid, {"name": name, "steps": len(template.steps)})
+        else:
+            self._write(rid, build)
+
+    def _need_types(self) -> None:
+        if not self.world.types:
+            raise Refused(503, "machine types are not known yet")
+
+    def _remove_template(self, rid: Any, args: dict) -> None:
+        name = str(args["name"])
+        key = template_key(name)
+
+        def build() -> Change:
+            if name not in self.store.templates:
+                raise Refused(404, f"no template {name}")
+            users = sorted(self.store.users.get(name, ()))
+            if users:
+                raise Refused(409, f"{users[0]} uses it" + (
+                    f", and {len(users) - 1} more" if len(users) > 1 else ""))
+            return {key: self.store.stamp(key)}, [(key,)], 200, {"removed": name}
+
+        self._write(rid, build)
+
+    def _templates(self, rid: Any, args: dict) -> None:
+        prefix = str(args.get("prefix", ""))
+        rows = [{"name": name, "steps": [[s.name, wire.job_words(s.spec), list(s.needs)]
+                                         for s in template.steps],
+                 "used_by": len(self.store.users.get(name, ()))}
+                for name, template in sorted(self.store.templates.items())
+                if name.startswith(prefix)]
+        self._say(rid, {"templates": rows[:constants.SHOW_TURNS]})
+
+    # --- entries ---
+
+    def _policy(self, args: dict) -> Policy:
+        made = Policy(str(args.get("overlap", "skip")), str(args.get("catch_up", "all")),
+                      int(args.get("window_s", Policy().window_s)), int(args.get("jitter_s", 0)))
+        if made.overlap not in OVERLAPS:
+            raise Refused(422, f"overlap: one of {', '.join(OVERLAPS)}")
+        if made.catch_up not in CATCH_UPS:
+            raise Refused(422, f"catch_up: one of {', '.join(CATCH_UPS)}")
+        if not 0 < made.window_s <= constants.WINDOW_MOST_S:
+            raise Refused(422, f"window_s: 1 to {constants.WINDOW_MOST_S}")
+        if not 0 <= made.jitter_s <= constants.JITTER_MOST_S:
+            raise Refused(422, f"jitter_s: 0 to {constants.JITTER_MOST_S}")
+        return made
+
+    def _made(self, args: dict) -> Entry:
+        """Return an entry from a request, checked in full."""
+        name = self._name(args.get("name"))
+        rule = args["rule"]
+        if isinstance(rule, dict):
+            made = cron_rule(str(rule["cron"]), str(rule.get("zone", "UTC")))
+        else:
+            made = msgspec.convert(rule, Rule)
+            if made.kind not in ("cron", "calendar"):
+                raise Refused(422, f"unknown kind of rule {made.kind[:constants.LOG_TEXT]!r}")
+        zones.zone(made.zone)
+        template = str(args["template"])
+        if template not in self.store.templates:
+            raise Refused(422, f"no template {template[:constants.LOG_TEXT]}")
+        if template.partition("/")[0] != name.partition("/")[0]:
+            raise Refused(422, f"{template} is another team's template")
+        self._need_types()
+        templates.check(self.world, self.store.templates[template])
+        until, deadline = int(args.get("until") or 0), args.get("deadline_s")
+        if not 0 <= until < 10**11 or deadline is not None and not 0 < deadline < 1e12:
+            raise Refused(422, "until or deadline_s: out of range")
+        return Entry(name, made, template, self._policy(args.get("policy") or {}), until,
+                     bool(args.get("paused")), self.daytime.now_ms(),
+                     deadline_s=None if deadline is None else float(deadline),
+                     note=str(args.get("note", ""))[:constants.NOTE_TEXT],
+                     etag=str(args.get("etag", ""))[:constants.ETAG_TEXT])
+
+    def _now_s(self) -> int:
+        """Return the time (s) up to which, by any clock here, turns may not have been made."""
+        return (self.daytime.now_ms() - int(self.world.facts.skew_ms)) // 1000
+
+    def _fresh_slot(self, entry: Entry, old: Slot | None) -> Slot:
+        """Return where turns begin: those before the edit are over or dropped."""
+        since = self._now_s()
+        rows = old.rows if old is not None else []
+        since = max([since, *(row[0] for row in rows if row[1] != MANUAL)])
+        return Slot(entry.name, mark_at(entry.rule, since), 0 if old is None else old.pending,
+                    rows)
+
+    def _shard(self, number_of_new: int) -> tuple[int, int]:
+        """Return a shard with room, and for how many of the new entries."""
+        capacity = max(1, value_limit(self.world.facts.state.least) // constants.SLOT_BYTES)
+        found: list[int] = []
+        number = 0
+        while len(found) < constants.SHARD_CHOICES:
+            if len(self.store.shards.get(number, ())) < capacity:
+                found.append(number)
+            number += 1
+        chosen = self.world.rng.choice(found)
+        return chosen, min(number_of_new, capacity - len(self.store.shards.get(chosen, ())))
+
+    def _check(self, rid: Any, args: dict) -> None:
+        """Check entries as `put` does, without storing any; tells each one's next turn."""
+        rows = []
+        for row in args["entries"]:
+            try:
+                entry = self._made(row)
+                rows.append({"name": entry.name, "next": self._turns(
+                    entry, mark_at(entry.rule, self._now_s()), 1)})
+            except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
+                rows.append({"name": str(row.get("name")), "error": str(error)})
+            except Refused as error:
+                if error.status >= 500:
+                    raise
+                rows.append({"name": str(row.get("name")), "error": str(error)})
+        self._say(rid, {"entries": rows})
+
+    def _put(self, rid: Any, args: dict) -> None:
+        """Store entries; each is whole or not there, and the answer says which were stored."""
+        entries = [self._made(row) for row in args["entries"]]
+        if len({entry.name for entry in entries}) < len(entries):
+            raise Refused(422, "two entries of one name")
+        texts = {entries[0].name: str(args["text"])} if "text" in args and entries else {}
+        self._put_more(rid, entries, args, texts, [])
+
+    def _put_more(self, rid: Any, left: list[Entry], args: dict, texts: dict[str, str],
+                  stored: list[str]) -> None:
+        if not left:
+            self._say(rid, {"stored": stored, "etag": args.get("etag", "")})
+            return
+        now: list[Entry] = []
+
+        def build() -> Change:
+            now.clear()
+            old = self.store.entries.get(left[0].name)
+            if old is not None:
+                now.append(left[0])
+                return self._replacing(left[0], old, args, texts.get(left[0].name))
+            if args.get("if_match"):
+                raise Refused(412, "no such entry")
+            number, room = self._shard(len(left))
+            limits = self.world.facts.state.least
+            guards = {shard_key(number): self.store.stamp(shard_key(number))}
+            writes: list[tuple] = []
+            slots = dict(self.store.shards.get(number, {}))
+            for entry in left[:room]:
+                if entry.name in self.store.entries:
+                    break
+                self._count(entry, len(now))
+                parts = self._parts(entry.name, texts.get(entry.name, ""))
+                if len(writes) + 2 + len(parts) > limits.txn_ops:
+                    break
+                made = msgspec.structs.replace(entry, shard=number, parts=len(parts))
+                guards[entry_key(entry.name)] = 0
+                guards[template_key(entry.template)] = self.store.stamp(
+                    template_key(entry.template))
+                writes += [(entry_key(entry.name), self._sized(made), None), *parts]
+                slots[entry.name] = self._fresh_slot(entry, None)
+                now.append(entry)
+            if not now:
+                raise Refused(413, "too large for the state service")
+            value = [value_of(slot) for slot in slots.values()]
+            return guards, [(shard_key(number), value, None), *writes], 201, {}
+
+        def done(_: int, __: dict) -> None:
+            for entry in now:
+                event("entry", entry=entry.name, rule=entry.rule.kind,
+                      template=entry.template)
+            self._put_more(rid, left[len(now):], args, texts,
+                           [*stored, *(entry.name for entry in now)])
+
+        self._write(rid, build, done)
+
+    def _count(self, entry: Entry, more: int) -> None:
+        prefix = entry.team + "/"
+        count = sum(1 for name in self.store.entries if name.startswith(prefix)) + more
+        if count >= constants.TEAM_ENTRIES:
+            raise Refused(422, f"{entry.team} has {count} entries: no more are kept")
+
+    def _sized(self, entry: Entry) -> Any:
+        value = value_of(entry)
+        size, most = value_bytes(value), value_limit(self.world.facts.state.least)
+        if size > most:
+            raise Refused(413, f"{entry.name}: {size} bytes: a record holds {most}")
+        return value
+
+    def _parts(self, name: str, text: str) -> list[tuple]:
+        """Return the writes of a calendar object's text, cut so that each fits a record."""
+        limits = self.world.facts.state.least
+        most = value_limit(limits)
+        parts: list[tuple] = []
+        rest = text
+        while rest:
+            cut = min(len(rest), most - 2)
+            while value_bytes(rest[:cut]) > most:
+                cut = cut * 9 // 10
+            parts.append((part_key(name, len(parts)), rest[:cut], None))
+            rest = rest[cut:]
+            if len(parts) + 2 > limits.txn_ops:
+                raise Refused(413, "too large for the state service")
+        return parts
+
+    def _replacing(self, entry: Entry, old: Entry, args: dict, text: str | None) -> Change:
+        """Change an entry. An edit that changes no time keeps the place among its turns."""
+        store, key = self.store, entry_key(entry.name)
+        wanted = args.get("if_match")
+        if args.get("if_absent") or wanted and wanted not in (old.etag, "*"):
+            raise Refused(412, f"{entry.name} has changed" if wanted else "it exists")
+        parts = self._parts(entry.name, text or "")
+        made = msgspec.structs.replace(entry, born=old.born, shard=old.shard, parts=len(parts))
+        if made == old and not parts:
+            return {}, [], 200, {}
+        guards = {key: store.stamp(key),
+                  template_key(entry.template): store.stamp(template_key(entry.template))}
+        writes = [(key, self._sized(made), None), *parts,
+                  *((part_key(entry.name, n),) for n in range(len(parts), old.parts))]
+        if (made.rule, made.until) != (old.rule, old.until):
+            slot = self._fresh_slot(made, store.slots.get(entry.name))
+            self._with_slot(guards, writes, old.shard, entry.name, slot)
+        return guards, writes, 200, {}
+
+    def _with_slot(self, guards: dict[str, int], writes: list[tuple], number: int, name: str,
+                   slot: Slot | None) -> None:
+        """Add to a change that an entry's slot becomes another, or goes."""
+        key = shard_key(number)
+        slots = {**self.store.shards.get(number, {})}
+        slots.pop(name, None)
+        if slot is not None:
+            slots[name] = slot
+        guards[key] = self.store.stamp(key)
+        writes.append((key, [value_of(row) for row in slots.values()], None))
+
+    def _remove(self, rid: Any, args: dict) -> None:
+        def build() -> Change:
+            entry, _ = self._entry(args)
+            wanted = args.get("if_match")
+            if wanted and wanted not in (entry.etag, "*"):
+                raise Refused(412, f"{entry.name} has changed")
+            key = entry_key(entry.name)
+            guards = {key: self.store.stamp(key)}
+            writes: list[tuple] = [(key,), *((part_key(entry.name, n),)
+                                             for n in range(entry.parts))]
+            self._with_slot(guards, writes, entry.shard, entry.name, None)
+            event("entry_removed", entry=entry.name)
+            return guards, writes, 200, {"removed": entry.name}
+
+        self._write(rid, build)
+
+    def _pause(self, rid: Any, args: dict) -> None:
+        self._paused(rid, args, True)
+
+    def _resume(self, rid: Any, args: dict) -> None:
+        self._paused(rid, args, False)
+
+    def _paused(self, rid: Any, args: dict, paused: bool) -> None:
+        """Pause or resume; turns of a pause are not made up for."""
+        def build() -> Change:
+            entry, slot = self._entry(args)
+            body = {"name": entry.name, "paused": paused}
+            if entry.paused == paused:
+                return {}, [], 200, body
+            key = entry_key(entry.name)
+            made = msgspec.structs.replace(entry, paused=paused)
+            guards, writes = {key: self.store.stamp(key)}, [(key, value_of(made), None)]
+            if not paused:
+                self._with_slot(guards, writes, entry.shard, entry.name,
+                                self._fresh_slot(made, slot))
+            event("entry_paused" if paused else "entry_resumed", entry=entry.name)
+            return guards, writes, 200, body
+
+        self._write(rid, build)
+
+    def _run_now(self, rid: Any, args: dict) -> None:
+        """Make one turn by hand. Asked again with the same word, the same jobs are told."""
+        word = str(args["word"])
+        if not NAME.match(word) or len(word) > constants.WORD_TEXT:
+            raise Refused(400, "word: up to 16 letters and digits")
+
+        def build() -> Change:
+            entry, slot = self._entry(args)
+            template = self.store.templates.get(entry.template)
+            refusal = templates.refusal(self.world, template)
+            if refusal is not None or template is None:
+                raise Refused(422, refusal or "no template")
+            turn = f"hand:{word}"
+            made = list(templates.jobs(entry, template, turn))
+            body = {"name": entry.name, "jobs": [name for name, _ in made]}
+            if made[0][0] in self.world.replica.jobs:
+                return {}, [], 200, body
+            if any(spec.waits_on for _, spec in made) and self.world.replica.format < 2:
+                raise Refused(503, "an upgrade is under way: waits_on can't be recorded yet")
+            guards = {entry_key(entry.name): self.store.stamp(entry_key(entry.name)),
+                      template_key(entry.template): self.store.stamp(
+                          template_key(entry.template))}
+            writes: list[tuple] = []
+            for name, spec in made:
+                guards[job_key(name)] = 0
+                writes.append((job_key(name), job_value(
+                    "queued", spec.team, spec, self.daytime.now_ms(), spec.tasks), None))
+            at = self.daytime.now_ms() // 1000
+            self._with_slot(guards, writes, entry.shard, entry.name, slot.noted(
+                slot.mark, slot.pending, at, MANUAL, note=turn))
+            event("turn", entry=entry.name, turn=turn, jobs=",".join(body["jobs"]), by="hand")
+            return guards, writes, 201, body
+
+        self._write(rid, build)
+
+    # --- showing ---
+
+    def _list(self, rid: Any, args: dict) -> None:
+        prefix, after = str(args.get("prefix", "")), str(args.get("after", ""))
+        names = sorted(n for n in self.store.entries if n.startswith(prefix) and n > after)
+        rows = [self._row(self.store.entries[name]) for name in names[:constants.SHOW_TURNS]]
+        self._say(rid, {"entries": rows, "more": len(names) > len(rows)})
+
+    def _row(self, entry: Entry) -> dict:
+        slot = self.store.slots.get(entry.name)
+        last = slot.rows[-1] if slot is not None and slot.rows else None
+        rule = entry.rule
+        return {"name": entry.name, "rule": rule.text or "once", "kind": rule.kind,
+                "zone": rule.zone, "template": entry.template, "paused": entry.paused,
+                "note": entry.note,
+                "next": [] if slot is None or entry.paused else self._turns(entry, slot.mark, 1),
+                "last": None if last is None else {"turn": last[0],
+                                                   "outcome": records.OUTCOMES[last[1]]}}
+
+    def _turns(self, entry: Entry, mark: int, count: int) -> list[dict]:
+        found = []
+        for turn in islice(turns(entry.rule, mark), count):
+            if entry.until and turn.at > entry.until:
+                break
+            found.append({"at": turn.at, "why": turn.why,
+                          "local": zones.local(turn.at, entry.rule.zone).isoformat()})
+        return found
+
+    def _show(self, rid: Any, args: dict) -> None:
+        entry, slot = self._entry(args)
+        until = zones.local(entry.until, entry.rule.zone).isoformat() if entry.until else None
+        self._say(rid, {**self._row(entry), "policy": msgspec.structs.asdict(entry.policy),
+                        "until": until, "deadline_s": entry.deadline_s,
+                        "pending": slot.pending or None, "rule_record": value_of(entry.rule)})
+
+    def _next(self, rid: Any, args: dict) -> None:
+        entry, slot = self._entry(args)
+        count = max(1, min(int(args.get("count", 10)), constants.SHOW_TURNS))
+        mark = max(slot.mark, mark_at(entry.rule, int(args["since"]))) if "since" in args \
+            else slot.mark
+        rows = self._turns(entry, mark, count)
+        gaps = []
+        for one, other in zip(rows, rows[1:], strict=False):
+            gaps += [f"{zones.from_wall(wall):%Y-%m-%d %H:%M} is not shown: clocks go ahead"
+                     for wall in skipped(entry.rule, one["at"], other["at"])]
+        self._say(rid, {"name": entry.name, "zone": entry.rule.zone, "paused": entry.paused,
+                        "turns": rows, "skipped": gaps})
+
+    def _history(self, rid: Any, args: dict) -> None:
+        entry, slot = self._entry(args)
+        template = self.store.templates.get(entry.template)
+        steps = 1 if template is None else len(template.steps)
+        jobs = self.world.replica.jobs
+        rows = []
+        for at, outcome, tries, note in slot.rows:
+            turn = note if outcome == MANUAL else str(at)
+            made = outcome in (records.MADE, MANUAL)
+            ids = [records.job_id(entry, turn, n, tries) for n in range(steps)] if made else []
+            rows.append({"turn": at, "local": zones.local(at, entry.rule.zone).isoformat(),
+                         "outcome": records.OUTCOMES[outcome], "note": "" if made else note,
+                         "jobs": {name: jobs[name].state for name in ids if name in jobs}})
+        self._say(rid, {"name": entry.name, "turns": rows})
+
+    # --- calendars ---
+
+    def _calendars(self, rid: Any, args: dict) -> None:
+        team = self._team(args["team"])
+        found = {name.partition("/")[2]: calendar for name, calendar
+                 in self.store.calendars.items() if name.startswith(team + "/")}
+        rows = [{"name": name, "title": calendar.title, "zone": calendar.zone,
+                 "template": calendar.template} for name, calendar in sorted(found.items())]
+        self._say(rid, {"calendars": rows, "epoch": self.world.replica.epoch})
+
+    def _put_calendar(self, rid: Any, args: dict) -> None:
+        name = str(args["name"])
+        team, _, rest = name.partition("/")
+        self._team(team)
+        if not NAME.match(rest):
+            raise Refused(422, "a calendar's name is TEAM/NAME")
+        made = Calendar(str(args.get("title") or rest)[:constants.NOTE_TEXT],
+                        str(args.get("zone") or "UTC"), str(args.get("template") or ""))
+        zones.zone(made.zone)
+        if made.template and made.template not in self.store.templates:
+            raise Refused(422, f"no template {made.template}")
+        key = calendar_key(name)
+
+        def build() -> Change:
+            if args.get("if_absent") and name in self.store.calendars:
+                raise Refused(405, "it exists")
+            count = sum(1 for other in self.store.calendars if other.startswith(team + "/"))
+            if count >= constants.TEAM_CALENDARS and name not in self.store.calendars:
+                raise Refused(422, f"{team} has {count} calendars: no more are kept")
+            return ({key: self.store.stamp(key)}, [(key, value_of(made), None)], 201,
+                    {"name": name})
+
+        self._write(rid, build)
+
+    def _remove_calendar(self, rid: Any, args: dict) -> None:
+        name = str(args["name"])
+        key = calendar_key(name)
+
+        def build() -> Change:
+            if name not in self.store.calendars:
+                raise Refused(404, f"no calendar {name}")
+            if any(entry.startswith(name + "/") for entry in self.store.entries):
+                raise Refused(409, "it has entries: remove them first")
+            return {key: self.store.stamp(key)}, [(key,)], 200, {"removed": name}
+
+        self._write(rid, build)
+
+    def _objects(self, rid: Any, args: dict) -> None:
+        """Tell a calendar's objects: all, or those named; with their text if asked for."""
+        calendar = str(args["calendar"])
+        if calendar not in self.store.calendars:
+            raise Refused(404, f"no calendar {calendar}")
+        wanted = args.get("names")
+        names = (sorted(n for n in self.store.entries if n.startswith(calendar + "/"))
+                 if wanted is None else [f"{calendar}/{name}" for name in wanted])
+        rows = []
+        for name in names:
+            entry = self.store.entries.get(name)
+            if entry is None:
+                rows.append({"name": name.rpartition("/")[2], "etag": None})
+                continue
+            text = self.store.text(entry) if args.get("text") else ""
+            if text is None:
+                raise Refused(503, "not all of an object has come yet")
+            rows.append({"name": name.rpartition("/")[2], "etag": entry.etag, "text": text})
+        template = self.store.calendars[calendar].template
+        self._say(rid, {"objects": rows, "epoch": self.world.replica.epoch,
+                        "zone": self.store.calendars[calendar].zone, "template": template,
+                        "title": self.store.calendars[calendar].title})
+
+    def _changes(self, rid: Any, args: dict) -> None:
+        """Tell which objects of a calendar changed since a revision, if that is still known."""
+        calendar, since = str(args["calendar"]), int(args["since"])
+        if calendar not in self.store.calendars:
+            raise Refused(404, f"no calendar {calendar}")
+        if not self.store.log_since <= since <= self.world.replica.epoch:
+            raise Refused(410, "changes since then are not known any more")
+        names = dict.fromkeys(name for stamp, name in self.store.log
+                              if stamp > since and name.startswith(calendar + "/"))
+        rows = []
+        for name in names:
+            entry = self.store.entries.get(name)
+            rows.append({"name": name.rpartition("/")[2],
+                         "etag": None if entry is None else entry.etag})
+        self._say(rid, {"objects": rows, "epoch": self.world.replica.epoch})
+
--- /dev/null
+++ b/oakmux/schedules/policy.py
@@ -0,0 +1,63 @@
+"""What becomes of one turn: a decision from an entry, its slot and the time, nothing else."""
+
+import hashlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+from oakmux import constants
+from oakmux.schedules import records
+from oakmux.schedules.records import Entry, Slot
+from oakmux.schedules.turns import Turn
+
+
+class Decision(NamedTuple):
+    """One turn's outcome: the slot after it, whether to make its jobs, which jobs give way."""
+
+    slot: Slot
+    make: bool
+    replace: bool = False
+
+
+def jitter_ms(entry: Entry) -> int:
+    """Return by how much all turns of an entry are late on purpose (ms): always the same."""
+    if not entry.policy.jitter_s:
+        return 0
+    digest = hashlib.blake2b(entry.name.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) % (entry.policy.jitter_s * 1000)
+
+
+def window_s(entry: Entry) -> int:
+    """Return how late a turn may still be made (s); without catching up, the grace."""
+    most = entry.policy.window_s
+    return min(most, constants.NO_CATCH_UP_S) if entry.policy.catch_up == "none" else most
+
+
+def expired(entry: Entry, turn: Turn, now_ms: int) -> bool:
+    """Whether a turn is too late to be made."""
+    return now_ms - turn.at * 1000 - jitter_ms(entry) > window_s(entry) * 1000
+
+
+def decide(entry: Entry, slot: Slot, turn: Turn, later: Turn | None, now_ms: int,
+           busy: Callable[[], bool], tries: int = 0) -> Decision:
+    """Decide on the next turn of an entry; `later` is the turn after it.
+
+    `busy` tells whether jobs of an earlier turn may still run; it is asked only if it matters.
+    Of several turns that are over, `last` makes the latest.
+    """
+    overtaken = (entry.policy.catch_up == "last" and later is not None
+                 and later.at * 1000 + jitter_ms(entry) <= now_ms)
+    if overtaken or expired(entry, turn, now_ms):
+        return Decision(slot.noted(turn.mark, slot.pending, turn.at, records.MISSED,
+                                   note="overtaken" if overtaken else ""), False)
+    overlap = entry.policy.overlap
+    if overlap in ("skip", "queue") and (slot.pending or busy()):
+        if overlap == "queue" and not slot.pending:
+            return Decision(slot.noted(turn.mark, turn.at, turn.at, records.QUEUED), False)
+        return Decision(slot.noted(turn.mark, slot.pending, turn.at, records.SKIPPED), False)
+    made = slot.noted(turn.mark, slot.pending, turn.at, records.MADE, tries)
+    return Decision(made, True, overlap == "replace")
+
+
+def release(slot: Slot, tries: int = 0) -> Decision:
+    """Make the turn that waited for the one before."""
+    return Decision(slot.noted(slot.mark, 0, slot.pending, records.MADE, tries), True)
--- /dev/null
+++ b/oakmux/schedules/records.py
@@ -0,0 +1,246 @@
+"""Records of schedules, as the state service holds them, and a copy of all of them.
+
+Keys below `ox/s/`: e/<entry> (rule, template, policy), t/<team>/<template> (steps of a turn),
+m/<shard> (of some entries: how far their turns are decided), c/<team>/<calendar>,
+p/<entry>/<part> (a calendar object's text as its client sent it). What moves with every turn
+stands in shards: many entries to a record, so that a turn costs little more than its job.
+"""
+
+import hashlib
+import re
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from oakmux import constants
+from oakmux.core.jobs import PREFIX
+from oakmux.schedules.turns import Rule
+from oakmux.wire import JobSpec
+
+KIND = "s"
+NAME = re.compile(r"[A-Za-z0-9_.@+=-]{1,80}\Z")
+OVERLAPS = ("skip", "queue", "allow", "replace")
+CATCH_UPS = ("all", "last", "none")
+# Ids of jobs that turns make: 18 digits of which the first two are these. Others may not use them.
+RESERVED = "job-97"
+MADE, SKIPPED, QUEUED, MISSED, REFUSED, MANUAL = "m", "s", "q", "x", "r", "h"
+OUTCOMES = {MADE: "made", SKIPPED: "skipped: the one before still ran", QUEUED: "queued",
+            MISSED: "missed: too late to catch up", REFUSED: "refused", MANUAL: "by hand"}
+
+
+class Step(msgspec.Struct, frozen=True, array_like=True):
+    """One job of a template; it waits on the steps before it whose numbers `needs` gives."""
+
+    name: str
+    spec: JobSpec
+    needs: tuple[int, ...] = ()
+
+
+class Template(msgspec.Struct, frozen=True, array_like=True):
+    """What a turn submits."""
+
+    steps: tuple[Step, ...]
+
+
+class Policy(msgspec.Struct, frozen=True, array_like=True):
+    """What to do when turns meet or come late; times in seconds."""
+
+    overlap: str = "skip"
+    catch_up: str = "all"
+    window_s: int = 3600
+    jitter_s: int = 0
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One line of a cron table, one calendar object, or one schedule made by hand."""
+
+    name: str
+    rule: Rule
+    template: str
+    policy: Policy = Policy()
+    until: int = 0  # s since 1970 after which there are no more turns; 0: no end
+    paused: bool = False
+    born: int = 0  # ms; part of the ids of its jobs, so that a namesake has others
+    shard: int = 0
+    deadline_s: float | None = None
+    note: str = ""
+    parts: int = 0
+    etag: str = ""
+
+    @property
+    def team(self) -> str:
+        """The team whose guarantee and limit apply."""
+        return self.name.partition("/")[0]
+
+
+class Calendar(msgspec.Struct, frozen=True, array_like=True):
+    """A calendar of a team: its title, the zone of times without one, the usual template."""
+
+    title: str
+    zone: str
+    template: str = ""
+
+
+class Slot(msgspec.Struct, array_like=True):
+    """How far an entry's turns are decided, and the last decisions.
+
+    `mark` orders turns (see `turns`); `pending` is the turn (s) that waits for the one before.
+    A row is [turn (s), outcome, tries of its id, note].
+    """
+
+    name: str
+    mark: int
+    pending: int = 0
+    rows: list[tuple[int, str, int, str]] = []
+
+    def noted(self, mark: int, pending: int, at: int, outcome: str, tries: int = 0,
+              note: str = "") -> "Slot":
+        """Return the slot after one more decision; old rows fall away."""
+        rows = [row for row in self.rows if not (row[0] == at and row[1] == QUEUED)]
+        rows.append((at, outcome, tries, note[:constants.ROW_TEXT]))
+        return Slot(self.name, mark, pending, rows[-constants.ROWS_KEPT:])
+
+
+def entry_key(name: str) -> str:
+    """Return the key of an entry."""
+    return f"{PREFIX}{KIND}/e/{name}"
+
+
+def template_key(name: str) -> str:
+    """Return the key of a template, named `team/template`."""
+    return f"{PREFIX}{KIND}/t/{name}"
+
+
+def shard_key(number: int) -> str:
+    """Return the key of a shard."""
+    return f"{PREFIX}{KIND}/m/{number}"
+
+
+def calendar_key(name: str) -> str:
+    """Return the key of a calendar, named `team/calendar`."""
+    return f"{PREFIX}{KIND}/c/{name}"
+
+
+def part_key(name: str, number: int) -> str:
+    """Return the key of a part of a calendar object's text."""
+    return f"{PREFIX}{KIND}/p/{name}/{number}"
+
+
+def value_of(record: Any) -> Any:
+    """Return a record as the state service takes it."""
+    return msgspec.to_builtins(record)
+
+
+def job_id(entry: Entry, turn: str, step: int, tries: int) -> str:
+    """Return the id of a job that a turn makes: it follows from entry and turn alone.
+
+    `tries` counts ids that were found taken: by a job from before schedules were switched on.
+    """
+    text = f"{entry.name}|{entry.born}|{turn}|{step}|{tries}"
+    number = int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest()) % 10**16
+    return f"{RESERVED}{number:016d}"
+
+
+class Store:
+    """All records of schedules as far as the watch has brought them, and our own writes."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.templates: dict[str, Template] = {}
+        self.calendars: dict[str, Calendar] = {}
+        self.slots: dict[str, Slot] = {}
+        self.shards: dict[int, dict[str, Slot]] = {}
+        self.parts: dict[str, str] = {}
+        self.users: dict[str, set[str]] = {}
+        self.stamps: dict[str, int] = {}
+        self.removed: dict[str, int] = {}
+        # Entries whose rule, template or slot changed, until the clock has taken note.
+        self.changed: set[str] = set()
+        # Recent changes of entries (revision, name), for clients that ask what is new; and the
+        # revision from which on all of them are here.
+        self.log: deque[tuple[int, str]] = deque(maxlen=constants.CHANGES_KEPT)
+        self.log_since = 0
+
+    def keys(self) -> set[str]:
+        """Return the keys of all records that stand."""
+        return set(self.stamps)
+
+    def stamp(self, key: str) -> int:
+        """Return a key's version for a guard; 0: there is none."""
+        return self.stamps.get(key, 0)
+
+    def apply(self, rest: str, value: Any, stamp: int) -> None:
+        """Take one change of the key `ox/s/<rest>`; older news than we have is dropped."""
+        key = f"{PREFIX}{KIND}/{rest}"
+        if stamp <= max(self.stamps.get(key, 0), self.removed.get(key, 0)):
+            return
+        kind, _, name = rest.partition("/")
+        take: Callable[[str, Any, int], None] | None = {
+            "e": self._entry, "t": self._template, "m": self._shard, "c": self._calendar,
+            "p": self._part}.get(kind)
+        if take is None:
+            return  # of a later version
+        take(name, value, stamp)
+        if value is None:
+            self.stamps.pop(key, None)
+            self.removed[key] = stamp
+            if len(self.removed) > constants.CHANGES_KEPT:
+                del self.removed[next(iter(self.removed))]
+        else:
+            self.stamps[key] = stamp
+
+    def _entry(self, name: str, value: Any, stamp: int) -> None:
+        old = self.entries.get(name)
+        if old is not None:
+            self.users.get(old.template, set()).discard(name)
+        if value is None:
+            self.entries.pop(name, None)
+        else:
+            entry = msgspec.convert(value, Entry)
+            self.entries[name] = entry
+            self.users.setdefault(entry.template, set()).add(name)
+        self.changed.add(name)
+        if len(self.log) == self.log.maxlen:
+            self.log_since = self.log[0][0]
+        self.log.append((stamp, name))
+
+    def _template(self, name: str, value: Any, _: int) -> None:
+        if value is None:
+            self.templates.pop(name, None)
+        else:
+            self.templates[name] = msgspec.convert(value, Template)
+        self.changed.update(self.users.get(name, ()))
+
+    def _calendar(self, name: str, value: Any, _: int) -> None:
+        if value is None:
+            self.calendars.pop(name, None)
+        else:
+            self.calendars[name] = msgspec.convert(value, Calendar)
+
+    def _part(self, name: str, value: Any, _: int) -> None:
+        if value is None:
+            self.parts.pop(name, None)
+        else:
+            self.parts[name] = str(value)
+
+    def _shard(self, name: str, value: Any, _: int) -> None:
+        number = int(name)
+        old = self.shards.get(number, {})
+        new = {}
+        if value is not None:
+            new = {slot.name: slot for slot in msgspec.convert(value, list[Slot])}
+        for gone in set(old) - set(new):
+            self.slots.pop(gone, None)
+            self.changed.add(gone)
+        for slot_name, slot in new.items():
+            if old.get(slot_name) != slot:
+                self.slots[slot_name] = slot
+                self.changed.add(slot_name)
+        self.shards[number] = new
+
+    def text(self, entry: Entry) -> str | None:
+        """Return a calendar object's text, or None while parts of it are missing."""
+        found = [self.parts.get(f"{entry.name}/{n}") for n in range(entry.parts)]
+        return None if None in found else "".join(part or "" for part in found)
--- /dev/null
+++ b/oakmux/schedules/templates.py
@@ -0,0 +1,105 @@
+"""Templates: what a turn submits, checked when it is stored and again when its turn comes."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from oakmux import constants, wire
+from oakmux.core import teams
+from oakmux.core.jobs import job_value, value_bytes, value_limit
+from oakmux.core.world import World
+from oakmux.schedules.records import NAME, Entry, Step, Template, job_id, value_of
+from oakmux.wire import JobSpec
+
+
+class BadTemplate(ValueError):
+    """A template that could never run; the text says why."""
+
+
+def from_steps(rows: Any, team: str) -> Template:
+    """Return a template from rows of [name, submission, needed names]; raises BadTemplate.
+
+    A step may wait only on steps before it, so that no chain can come back to itself.
+    """
+    if not isinstance(rows, list) or not 0 < len(rows) <= wire.MAX_TEXT:
+        raise BadTemplate("a template needs one job or more")
+    names: dict[str, int] = {}
+    steps: list[Step] = []
+    for row in rows:
+        try:
+            name, job, needs = row
+        except (TypeError, ValueError):
+            raise BadTemplate("a step is a name, a job and what it waits on") from None
+        if not isinstance(name, str) or not NAME.match(name) or name in names:
+            raise BadTemplate(f"step {str(name)[:constants.LOG_TEXT]!r}: not a name of its own")
+        if not isinstance(job, dict) or not isinstance(needs, list):
+            raise BadTemplate(f"{name}: not a job")
+        if name in needs:
+            raise BadTemplate(f"{name}: waits on itself")
+        unknown = [need for need in needs if need not in names]
+        if unknown:
+            raise BadTemplate(f"{name}: waits on {str(unknown[0])[:constants.LOG_TEXT]!r}, which "
+                              "is not a step before it")
+        try:
+            spec = wire.parse_job({**job, "id": "job-0"})
+        except wire.Malformed as error:
+            raise BadTemplate(f"{name}: {error}") from None
+        if spec.waits_on:
+            raise BadTemplate(f"{name}: waits_on names steps, not jobs")
+        if spec.team != team:
+            raise BadTemplate(f"{name}: is of team {spec.team}, not {team}")
+        if any(steps[names[need]].spec.kind == "service" for need in needs):
+            raise BadTemplate(f"{name}: waits on a service, which never ends")
+        names[name] = len(steps)
+        steps.append(Step(name, spec, tuple(names[need] for need in needs)))
+    return Template(tuple(steps))
+
+
+def check(world: World, template: Template) -> None:
+    """Refuse a template that could never run here; raises BadTemplate.
+
+    The turn's record and all its jobs go into one transaction; should earlier jobs have to give
+    way, so do their cancellations.
+    """
+    limits = world.facts.state.least
+    if 2 * len(template.steps) + 1 > limits.txn_ops and len(template.steps) > 1:
+        most = max(1, (limits.txn_ops - 1) // 2)
+        raise BadTemplate(f"{len(template.steps)} jobs: a turn can make {most} here")
+    for step in template.steps:
+        why = teams.never_fits(world, step.spec)
+        if why is not None:
+            raise BadTemplate(f"{step.name}: {why}")
+        waits = tuple("job-" + "9" * 18 for _ in step.needs)
+        spec = msgspec.structs.replace(step.spec, waits_on=waits)
+        size = value_bytes(job_value("queued", spec.team, spec, 10**13, spec.tasks))
+        if size > value_limit(limits):
+            raise BadTemplate(f"{step.name}: description of {size} bytes: "
+                              f"a record holds {value_limit(limits)}")
+    size = value_bytes(value_of(template))
+    if size > value_limit(limits):
+        raise BadTemplate(f"template of {size} bytes: a record holds {value_limit(limits)}")
+
+
+def refusal(world: World, template: Template | None) -> str | None:
+    """Return why a turn can't be made now: its template or team has gone, or fits no more."""
+    if template is None:
+        return "no template"
+    for step in template.steps:
+        why = teams.never_fits(world, step.spec) if world.types else None
+        if why is not None:
+            return why
+    return None
+
+
+def jobs(entry: Entry, template: Template, turn: str,
+         tries: int = 0) -> Iterator[tuple[str, JobSpec]]:
+    """Yield (id, job) of a turn, each after those that it waits on."""
+    ids = [job_id(entry, turn, n, tries) for n in range(len(template.steps))]
+    for own, step in zip(ids, template.steps, strict=True):
+        changes: dict[str, Any] = {}
+        if step.needs:
+            changes["waits_on"] = tuple(ids[n] for n in step.needs)
+        if entry.deadline_s is not None:
+            changes["deadline_s"] = entry.deadline_s
+        yield own, msgspec.structs.replace(step.spec, **changes) if changes else step.spec
--- /dev/null
+++ b/oakmux/schedules/turns.py
@@ -0,0 +1,272 @@
+"""When the turns of a rule are: cron expressions and recurrences of calendars, without state.
+
+Every turn has a mark, which orders the turns of one rule and tells them apart, and an instant. The
+mark of a rule that names hours and minutes is wall time: should the zone's own rules change, the
+turn of a day stays the turn of that day. The mark of a cron expression whose minute or hour is a
+star is the instant: it means "every so often", also in an hour that clocks show twice.
+"""
+
+import heapq
+import re
+from collections.abc import Iterator
+from datetime import UTC, datetime, timedelta
+from typing import NamedTuple
+
+import msgspec
+from cronsim import CronSim, CronSimError
+from dateutil import rrule
+
+from oakmux import constants
+from oakmux.schedules import zones
+
+ALIASES = {"@hourly": "0 * * * *", "@daily": "0 0 * * *", "@midnight": "0 0 * * *",
+           "@weekly": "0 0 * * 0", "@monthly": "0 0 1 * *", "@yearly": "0 0 1 1 *",
+           "@annually": "0 0 1 1 *"}
+STEPS = {"HOURLY": timedelta(hours=1), "DAILY": timedelta(days=1), "WEEKLY": timedelta(weeks=1)}
+RULE_PART = re.compile(r"([A-Z]+)=([A-Z0-9+,:-]+)\Z")
+
+
+class BadRule(ValueError):
+    """A rule that can't be kept; the text says why."""
+
+
+class Rule(msgspec.Struct, frozen=True, array_like=True):
+    """When to run. Wall times are seconds as of `zones.as_wall`.
+
+    A cron rule is its five fields in `text`. A calendar's rule is its RRULE (or none), the first
+    turn, RDATEs, EXDATEs, and instances that are moved to another wall time or cancelled (None).
+    """
+
+    kind: str
+    zone: str
+    text: str = ""
+    start: int = 0
+    more: tuple[int, ...] = ()
+    without: tuple[int, ...] = ()
+    moved: tuple[tuple[int, int | None], ...] = ()
+
+
+class Turn(NamedTuple):
+    """One turn: what orders it, when it is (s, UTC), and what a change of clocks did to it."""
+
+    mark: int
+    at: int
+    why: str = ""
+
+
+def cron_rule(text: str, zone: str) -> Rule:
+    """Return the rule of a cron expression or alias; raises BadRule."""
+    fields = ALIASES.get(text.strip().lower(), text).split()
+    if fields == ["@reboot"]:
+        raise BadRule("@reboot: nothing is booted here; submit a job instead")
+    if len(fields) != 5:
+        raise BadRule(f"five fields are needed, not {len(fields)}")
+    made = Rule("cron", zone, " ".join(fields))
+    try:
+        next(turns(made, 0))
+    except CronSimError as error:
+        raise BadRule(str(error)) from None
+    except StopIteration:
+        raise BadRule("no such day ever comes") from None
+    return made
+
+
+def by_instant(rule: Rule) -> bool:
+    """Whether the rule means "every so often" rather than certain times of the day."""
+    return rule.kind == "cron" and any(
+        field.startswith("*") for field in rule.text.split()[:2])
+
+
+def mark_at(rule: Rule, at: int) -> int:
+    """Return the mark up to which all turns are over at an instant (s)."""
+    return at if by_instant(rule) else zones.reached(at, rule.zone)
+
+
+def turns(rule: Rule, after: int) -> Iterator[Turn]:
+    """Yield the turns whose mark is above `after`, in order."""
+    if rule.kind == "cron":
+        return _cron(rule, after)
+    return _calendar(rule, after)
+
+
+def _cron(rule: Rule, after: int) -> Iterator[Turn]:
+    zone = zones.zone(rule.zone)
+    stars = by_instant(rule)
+    since = (datetime.fromtimestamp(after, UTC).astimezone(zone) if stars
+             else zones.from_wall(after).replace(tzinfo=zone))
+    if not stars:
+        # A wall time that clocks never show is taken from before the gap: its turn, moved to the
+        # gap's end, has that end for its mark.
+        since = since.astimezone(UTC).astimezone(zone)
+    last = after
+    for moment in CronSim(rule.text, since):
+        at = int(moment.timestamp())
+        mark = at if stars else zones.as_wall(moment)
+        if mark > last:
+            last = mark
+            yield Turn(mark, at, _why_cron(rule, moment, stars))
+
+
+def _why_cron(rule: Rule, moment: datetime, stars: bool) -> str:
+    change = zones.change_near(int(moment.timestamp()), rule.zone)
+    if change is None:
+        return ""
+    before, after = change
+    if after < before:
+        twice = moment.replace(fold=0).utcoffset() != moment.replace(fold=1).utcoffset()
+        if twice:
+            return ("clocks show this hour twice: " +
+                    ("so often runs in both" if stars else "only the first counts"))
+        return ""
+    start = moment - (after - before)
+    shown = zones.as_wall(moment) % 3600 == 0 and start.utcoffset() != moment.utcoffset()
+    if not stars and shown and not _names(rule, moment):
+        return "its time is not shown that day: clocks go ahead, so at the gap's end"
+    return ""
+
+
+def _names(rule: Rule, moment: datetime) -> bool:
+    """Whether the expression itself names this hour and minute."""
+    day = moment.replace(tzinfo=None)
+    first = next(CronSim(rule.text, day - timedelta(minutes=1)), None)
+    return first == day
+
+
+def skipped(rule: Rule, start: int, end: int) -> list[int]:
+    """Return the wall times in a span of instants (s) that a star rule would have had in a gap."""
+    if rule.kind != "cron" or not by_instant(rule):
+        return []
+    change = zones.change_near((start + end) // 2, rule.zone)
+    if change is None or change[1] <= change[0]:
+        return []
+    low, high = start, end
+    while high - low > 1:
+        middle = (low + high) // 2
+        if zones.local(middle, rule.zone).utcoffset() == change[0]:
+            low = middle
+        else:
+            high = middle
+    first = zones.as_wall(zones.local(low, rule.zone))
+    last = zones.as_wall(zones.local(high, rule.zone))
+    found: list[int] = []
+    for moment in CronSim(rule.text, zones.from_wall(first)):
+        wall = zones.as_wall(moment)
+        if wall >= last or len(found) >= constants.SHOW_TURNS:
+            break
+        found.append(wall)
+    return found
+
+
+# --- calendars ---
+
+
+def check_recurrence(text: str, start: int) -> None:
+    """Refuse a RRULE that we can't keep; raises BadRule."""
+    if not text:
+        return
+    parts = {}
+    for part in text.upper().split(";"):
+        match = RULE_PART.match(part)
+        if match is None:
+            raise BadRule(f"RRULE: {part[:constants.LOG_TEXT]!r} is not a part of a rule")
+        parts[match[1]] = match[2]
+    freq = parts.get("FREQ", "")
+    if freq not in (*STEPS, "MONTHLY", "YEARLY"):
+        raise BadRule(f"RRULE: FREQ={freq or 'none'}: hours are the finest that is kept")
+    if "COUNT" in parts and "UNTIL" in parts:
+        raise BadRule("RRULE: COUNT and UNTIL exclude each other")
+    for name in ("COUNT", "INTERVAL"):
+        value = parts.get(name, "1")
+        if not value.isdigit() or not 0 < int(value) <= constants.RRULE_COUNT:
+            raise BadRule(f"RRULE: {name} must be 1 to {constants.RRULE_COUNT}")
+    if "BYSECOND" in parts or "BYMINUTE" in parts and freq == "HOURLY":
+        raise BadRule("RRULE: minutes are not the finest that is kept")
+    try:
+        rrule.rrulestr(text.upper(), dtstart=zones.from_wall(start))
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        raise BadRule(f"RRULE: {error}") from None
+
+
+def _parse(text: str, start: int) -> rrule.rrule:
+    made = rrule.rrulestr(text.upper(), dtstart=zones.from_wall(start))
+    assert isinstance(made, rrule.rrule)
+    return made
+
+
+def _instances(rule: Rule, after: int) -> Iterator[int]:
+    """Yield the wall times of a RRULE in order, those before `after` left out where it is cheap.
+
+    A rule by hours, days or weeks without COUNT is started a whole number of its own intervals
+    later: the same instances, without going through years of them.
+    """
+    start = rule.start
+    text = rule.text.upper()
+    freq = next((part[5:] for part in text.split(";") if part.startswith("FREQ=")), "")
+    if freq in STEPS and "COUNT=" not in text:
+        interval = next((int(p[9:]) for p in text.split(";") if p.startswith("INTERVAL=")), 1)
+        unit = int(STEPS[freq].total_seconds()) * interval
+        start += max(0, (after - start) // unit - 1) * unit
+    # The first instance is the start itself, whether the rule names it or not.
+    if start == rule.start:
+        yield start
+    seen = 0
+    for moment in _parse(rule.text, start):
+        wall = zones.as_wall(moment)
+        seen += 1
+        if wall <= rule.start or wall <= after:
+            if seen > constants.RRULE_COUNT:
+                return
+            continue
+        seen = 0
+        yield wall
+
+
+def _calendar(rule: Rule, after: int) -> Iterator[Turn]:
+    """Yield turns in the order of their instants, each instant once.
+
+    The mark is the wall time that clocks show at the turn.
+    """
+    moved = dict(rule.moved)
+    gone = set(rule.without)
+    extra = sorted({w for w in rule.more if w not in moved and w not in gone}
+                   | {new for new in moved.values() if new is not None})
+    reach = int(constants.FOLD_MOST_S)
+    regular = (_instances(rule, after - reach) if rule.text else iter([rule.start]))
+    plain = (wall for wall in regular if wall not in moved and wall not in gone)
+    last = after
+    held: list[Turn] = []  # one that clocks skip may come after others that are later on paper
+    for wall in _merge(extra, plain):
+        while held and held[0].mark <= wall:
+            turn = heapq.heappop(held)
+            if turn.mark > last:
+                last = turn.mark
+                yield turn
+        at = zones.instant(wall, rule.zone)
+        shown = zones.as_wall(zones.local(at, rule.zone))
+        if shown > last:
+            heapq.heappush(held, Turn(shown, at, _why_wall(wall, shown, at, rule.zone)))
+    while held:
+        turn = heapq.heappop(held)
+        if turn.mark > last:
+            last = turn.mark
+            yield turn
+
+
+def _merge(extra: list[int], plain: Iterator[int]) -> Iterator[int]:
+    """Merge two ascending runs of wall times."""
+    queue = list(reversed(extra))
+    for wall in plain:
+        while queue and queue[-1] <= wall:
+            yield queue.pop()
+        yield wall
+    while queue:
+        yield queue.pop()
+
+
+def _why_wall(wall: int, shown: int, at: int, zone: str) -> str:
+    if shown != wall:
+        return f"{zones.from_wall(wall):%H:%M} is not shown that day: clocks go ahead"
+    moment = zones.local(at, zone)
+    if moment.utcoffset() != moment.replace(fold=1).utcoffset():
+        return "clocks show this hour twice: only the first counts"
+    return ""
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -305,6 +305,8 @@
                 "machines": answer[5]}
     if tag == "peer":
         return list(answer)
+    if tag == "schedules":
+        return answer[1]
     raise ValueError(f"unknown answer {tag}")
 
 
@@ -438,6 +440,22 @@
     return made
 
 
+def job_words(spec: JobSpec) -> dict:
+    """Return a job in the command line's words, without an id."""
+    priority = {level: name for name, level in PRIORITIES.items()}[spec.priority]
+    row = {"lane": spec.lane, "owner": spec.team, "pieces": spec.tasks, "vcpus": spec.cpus,
+           "accelerators": spec.gpus, "memory_gb": spec.memory_gb, "bundle": spec.image,
+           "size_gb": spec.image_gb, "flavours": spec.types, "site": spec.zone,
+           "together": spec.one_zone, "spread": spec.spread, "loaner": spec.spot,
+           "guess_s": spec.estimate_s, "save_every_s": spec.checkpoint_s,
+           "save_cost_s": spec.save_s, "due_s": spec.deadline_s}
+    words = {platform: word for word, platform in JOB_FIELDS.items()}
+    made = {words[name]: value for name, value in row.items() if value is not None}
+    kind = {inside: platform for platform, inside in KINDS.items()}[spec.kind]
+    return {**made, "kind": {v: k for k, v in KIND_WORDS.items()}[kind],
+            "priority": {v: k for k, v in PRIORITY_WORDS.items()}[priority]}
+
+
 def job_state(value: Any) -> tuple[str, str, int, int]:
     """Return (job, state, done, running) of an answer to a user."""
     if not isinstance(value, dict):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -69,6 +69,7 @@
         self.too_large = 0
 
     def put(self, key: str, value: Any, lease: int | None) -> None:
+        self.sim.written(key, value)
         self.rows[key] = (value, self.epoch, lease)
         self.log.append((key, value, self.epoch))
 
@@ -250,7 +251,8 @@
     """Controllers, fakes and the rules, checked whenever something happens."""
 
     def __init__(self, seed: int = 1, count: int = 3, coming: ComingLimits | None = None,
-                 old: tuple[str, ...] = ()) -> None:
+                 old: tuple[str, ...] = (), parts: tuple = ()) -> None:
+        self.parts = parts
         self.rng = random.Random(seed)
         self.coming = coming
         self.old = set(old)
@@ -339,8 +341,8 @@
     def boot(self, label: str) -> None:
         self.lives[label] += 1
         life = self.lives[label]
-        core = Controller(settings_for(label, len(self.labels), self.coming),
-                          random.Random(self.rng.random()), 0)
+        core = Controller(self.settings(label),
+                          random.Random(self.rng.random()), 0, self.parts)
         if label in self.old:
             make_old(core)
         self.cores[label] = core
@@ -349,6 +351,10 @@
         self.follow(label, life, None)
         self.tick(label, life)
 
+    def settings(self, label: str) -> Settings:
+        """Return a controller's settings."""
+        return settings_for(label, len(self.labels), self.coming)
+
     def crash(self, label: str, back: float | None = 3.0) -> None:
         self.cores[label] = None
         self.lives[label] += 1
@@ -362,9 +368,13 @@
 
     def tick(self, label: str, life: int) -> None:
         if self.lives[label] == life:
-            self.step(label, [])
+            self.step(label, self.clock_says(label))
             self.after(constants.TICK_S, lambda: self.tick(label, life))
 
+    def clock_says(self, label: str) -> list[tuple]:
+        """Return what a controller hears of the time of day at a tick."""
+        return []
+
     def follow(self, label: str, life: int, since: int | None) -> None:
         """Stand in for the watch: news every 20 ms while the state service can be reached."""
         if self.lives[label] != life:
@@ -451,6 +461,9 @@
 
         self.ask(label, peer, serve, done, None, 2.0)
 
+    def written(self, key: str, value: Any) -> None:
+        """The state service wrote a key."""
+
     # --- cloud ---
 
     def list_machines(self) -> None:
--- /dev/null
+++ b/tests/test_schedules.py
@@ -0,0 +1,372 @@
+"""Short stories of turns: each is made once, on time, whatever dies."""
+
+import random
+from collections import Counter
+from zoneinfo import ZoneInfo
+
+import pytest
+
+from oakmux.core.jobs import job_key, job_value
+from oakmux.schedules import records, zones
+from tests.fakes import spec
+from tests.timed import JOB, SKEW_MS, Timed, seconds, settled
+
+
+def names(sim: Timed) -> list[str]:
+    """Return the entries whose turns were made, one for each turn."""
+    store = sim.cores[sim.holder()].parts[0].store
+    found = {}
+    for name, entry in store.entries.items():
+        for at, outcome, tries, note in store.slots[name].rows:
+            if outcome in ("m", "h"):
+                found[records.job_id(entry, note if outcome == "h" else str(at), 0, tries)] = name
+    return [found.get(job, "?") for _, job in sim.made]
+
+
+def every_minute(sim: Timed, count: int, text: str = "* * * * *", **policy) -> None:
+    """Store so many entries."""
+    for n in range(count):
+        status, body = sim.cron(f"red/n{n:03d}", text, **{"overlap": "allow", **policy})
+        assert status == 200, body
+
+
+def test_a_turn_is_made_once_and_on_time():
+    sim = settled("2026-12-01T02:59:40+00:00")
+    assert sim.cron("red/nightly", "0 3 * * *")[0] == 200
+    sim.run(40)
+    (at, job), = sim.made
+    assert 0 <= at - seconds("2026-12-01T03:00:00+00:00") < 0.6
+    assert sim.past("red/nightly") == [("2026-12-01T03:00", "made")]
+    sim.run(15)
+    sim.query(job)
+    sim.run(2)
+    assert sim.told[job] == "done"
+
+
+@pytest.mark.parametrize("start, before, turn", [
+    ("2026-03-29T00:59:30+00:00", "2026-03-29", "03:00"),  # 02:30 is not shown that day
+    ("2026-10-25T00:29:30+00:00", "2026-10-25", "02:30"),  # shown twice: the first counts
+])
+def test_a_change_of_clocks_neither_loses_nor_doubles_a_turn(start, before, turn):
+    sim = settled(start)
+    sim.cron("red/night", "30 2 * * *", "Europe/Berlin")
+    sim.cron("red/often", "*/30 * * * *", "Europe/Berlin", overlap="allow")
+    sim.run(80)
+    assert sim.past("red/night") == [(f"{before}T{turn}", "made")]
+    sim.crash(sim.holder())  # whoever takes over meets the hour for the second time
+    for _ in range(2):
+        sim.skip(1740)
+        sim.run(60)
+    assert sim.past("red/night") == [(f"{before}T{turn}", "made")]
+    assert len(sim.past("red/often")) == 3 and len(sim.made) == 4
+
+
+def test_a_burst_goes_on_under_another_holder():
+    sim = settled("2026-12-01T02:59:20+00:00")
+    every_minute(sim, 60, "0 3 * * *")
+    sim.until("2026-12-01T03:00:00+00:00")
+    sim.run(0.104)
+    assert 0 < len(sim.made) < 60
+    sim.crash(sim.holder(), back=None)
+    sim.run(12)
+    assert sorted(names(sim)) == [f"red/n{n:03d}" for n in range(60)]
+
+
+def test_a_holder_that_is_cut_off_writes_nothing_late():
+    sim = settled("2026-12-01T02:59:40+00:00", seed=4)
+    every_minute(sim, 20, "0 3 * * *")
+    sim.until("2026-12-01T02:59:59+00:00")
+    old = sim.holder()
+    sim.cuts.add(frozenset((old, "state")))  # what it sends arrives up to 40 s later
+    sim.run(15)
+    assert sim.holder() != old
+    assert sorted(names(sim)) == [f"red/n{n:03d}" for n in range(20)]
+    sim.cuts.clear()
+    sim.run(60)
+    assert len(sim.made) == 20
+
+
+def test_turns_wait_for_the_state_service():
+    sim = settled("2026-12-01T02:59:40+00:00")
+    every_minute(sim, 5, "0 3 * * *")
+    sim.until("2026-12-01T02:59:55+00:00")
+    sim.state.outage(30)
+    sim.run(29)
+    assert not sim.made
+    sim.run(15)
+    assert sorted(names(sim)) == [f"red/n{n:03d}" for n in range(5)]
+    assert max(at for at, _ in sim.made) < seconds("2026-12-01T03:00:40+00:00")
+
+
+def test_after_all_were_down_the_window_decides():
+    sim = settled("2026-12-01T23:58:00+00:00")
+    every_minute(sim, 1, "* * * * *", catch_up="all", window_s=150)
+    sim.cron("red/last", "* * * * *", overlap="allow", catch_up="last")
+    sim.cron("red/none", "* * * * *", overlap="allow", catch_up="none")
+    sim.cron("red/daily", "0 0 * * *")
+    sim.run(3)
+    sim.made.clear()
+    for label in sim.labels:
+        sim.crash(label, back=250)  # from 23:58 until 00:02
+    sim.until("2026-12-02T00:02:50+00:00")
+    made = Counter(names(sim))
+    # Back at 00:02:13 or so: 23:59 is too late by then for a window of 150 s.
+    assert made["red/n000"] == 3 and made["red/daily"] == 1
+    assert made["red/last"] == 1 and made["red/none"] == 1
+    assert ("2026-12-01T23:59", "missed: too late to catch up") in sim.past("red/n000")
+    assert [row for row in sim.past("red/last") if row[1] == "made"] == [
+        ("2026-12-02T00:02", "made")]
+
+
+def test_years_of_missed_turns_are_passed_over_at_once():
+    sim = settled("2026-12-01T10:00:30+00:00")
+    every_minute(sim, 1, window_s=120)
+    for label in sim.labels:
+        sim.crash(label, back=30)
+    sim.run(20)
+    sim.skip(400 * 86_400)  # the machines stood in a cellar
+    sim.run(90)
+    rows = sim.past("red/n000")
+    assert [row for row in rows if "missed" in row[1]][0] == (
+        "2026-12-01T10:01", "missed: too late to catch up")
+    assert [row[1] for row in rows[-3:]] == ["made"] * 3
+    assert rows[-1][0].startswith("2028-01-05")
+
+
+@pytest.mark.parametrize("overlap, outcomes", [
+    ("skip", ["made", "skipped: the one before still ran", "skipped: the one before still ran"]),
+    ("queue", ["made", "skipped: the one before still ran", "made"]),
+    ("allow", ["made", "made", "made"]), ("replace", ["made", "made", "made"]),
+])
+def test_a_turn_that_meets_the_one_before(overlap, outcomes):
+    sim = settled("2026-12-01T03:00:30+00:00")
+    sim.template("red/long", guess_s=140.0)
+    sim.cron("red/n", "* * * * *", template="red/long", overlap=overlap)
+    sim.run(60 * 3 - 20)
+    rows = sim.past("red/n")
+    if overlap == "queue":
+        # The second waits, the third finds one waiting; the second goes when the first is over.
+        assert [row[1] for row in rows] == ["made", "queued", outcomes[1]]
+        sim.until("2026-12-01T03:03:50+00:00")
+        assert sorted(row[1] for row in sim.past("red/n")) == sorted(outcomes)
+        assert len(sim.made) == 2
+    else:
+        assert [row[1] for row in rows] == outcomes
+    jobs = sim.cores["h0"].world.replica.jobs
+    states = [jobs[job].state for _, job in sim.made]
+    if overlap == "replace":
+        assert states[:2] == ["cancelled"] * 2
+        for _, job in sim.made:
+            sim.asked_cancel.add(job)
+        sim.run(25)
+        assert len(sim.live()) == 1
+    elif overlap == "allow":
+        assert states == ["queued"] * 3
+
+
+def test_an_edit_a_pause_and_a_removal_meet_a_turn():
+    sim = settled("2026-12-01T02:59:30+00:00")
+    for name in ("edit", "same", "pause", "remove", "later"):
+        sim.cron(f"red/{name}", "0 3 * * *", overlap="allow")
+    sim.until("2026-12-01T02:59:58+00:00")
+    assert sim.cron("red/edit", "1 3 * * *", overlap="allow")[0] == 200
+    assert sim.cron("red/same", "0 3 * * *", overlap="skip")[0] == 200  # no time changes
+    assert sim.ask_for("pause", name="red/pause")[0] == 200
+    assert sim.ask_for("remove", name="red/remove")[0] == 200
+    sim.run(4)
+    assert sorted(names(sim)) == ["red/later", "red/same"]
+    # Once made, an edit back, a new namesake and the end of the pause make nothing again.
+    sim.cron("red/later", "0 3 * * *", "Etc/UTC", overlap="allow")
+    sim.cron("red/remove", "0 3 * * *")
+    sim.ask_for("resume", name="red/pause")
+    sim.until("2026-12-01T03:02:00+00:00")
+    assert sorted(names(sim)) == ["red/edit", "red/later", "red/same"]
+
+
+def test_requests_that_meet_a_turn_in_the_same_record_are_carried_out():
+    sim = settled("2026-12-01T02:59:30+00:00")
+    every_minute(sim, 20, "0 3 * * *")
+    sim.until("2026-12-01T03:00:00+00:00")
+    for n in range(10):
+        for label, what in zip(sim.labels, ("pause", "remove", "run-now"), strict=True):
+            sim.command(label, ("schedules", lambda *a: None, what,
+                                {"name": f"red/n{n:03d}", "word": f"w{n}"}))
+        sim.run(0.02)
+    sim.run(10)
+    counts = Counter(job for _, job in sim.made)
+    assert set(counts.values()) == {1}
+    assert sum(1 for name in names(sim) if name >= "red/n010") == 10
+
+
+def test_clocks_that_differ_make_no_turn_early_nor_twice():
+    sim = settled("2026-12-01T03:00:30+00:00")
+    every_minute(sim, 3)
+    for at in range(6):
+        for n, label in enumerate(sim.labels):  # some behind, some ahead, wandering
+            sim.offsets[label] = SKEW_MS / 1000 * ((n + at) % 3 - 1) / 2
+        sim.run(25)
+        sim.crash(sim.holder())
+        sim.run(35)
+    assert len(sim.made) == 18 and len({job for _, job in sim.made}) == 18
+    assert max(sim.late()) < 8.0
+    assert min(Counter(names(sim)).values()) == 6
+
+
+def test_a_clock_that_is_stepped_holds_turns_for_a_moment():
+    sim = settled("2026-12-01T03:00:20+00:00")
+    every_minute(sim, 1)
+    sim.offsets = dict.fromkeys(sim.labels, 600.0)
+    sim.run(2)
+    sim.offsets = {}
+    sim.run(100)
+    assert len(sim.made) == 2  # of 03:01 and 03:02; none of those ten minutes ahead
+    assert names(sim) == ["red/n000"] * 2
+
+
+def test_a_zone_whose_rules_change_between_versions(monkeypatch):
+    sim = settled("2026-11-30T18:59:30+00:00")  # 01:59:30 in Jakarta
+    sim.cron("red/night", "0 2,5 * * *", "Asia/Jakarta")
+    sim.run(60)
+    real = zones.zone
+    monkeypatch.setattr(zones, "zone", lambda name: ZoneInfo("Asia/Dhaka")
+                        if name == "Asia/Jakarta" else real(name))
+    for label in sim.labels:
+        sim.crash(label)
+    for _ in range(5):  # at the new rules' 02:00, an hour on, nothing is made again
+        sim.run(60)
+        sim.skip(3540)
+    sim.run(10)
+    assert [row[0] for row in sim.past("red/night")] == ["2026-12-01T01:00", "2026-12-01T05:00"]
+    assert len(sim.made) == 2
+
+
+def test_a_template_whose_team_has_gone():
+    sim = settled("2026-12-01T03:00:30+00:00")
+    sim.template("blue/t")
+    sim.cron("blue/n", "* * * * *", template="blue/t")
+    sim.gone_teams.add("blue")
+    for label in sim.labels:
+        sim.crash(label)
+    sim.run(90)
+    assert [row[1] for row in sim.past("blue/n")][-1] == "refused" and not sim.made
+    sim.gone_teams.clear()
+    for label in sim.labels:
+        sim.crash(label)
+    sim.run(60)
+    assert [row[1] for row in sim.past("blue/n")][-1] == "made"
+
+
+def test_an_id_that_an_older_job_has():
+    sim = settled("2026-12-01T02:59:30+00:00")
+    sim.cron("red/n", "0 3 * * *")
+    entry = sim.cores["h0"].parts[0].store.entries["red/n"]
+    taken = records.job_id(entry, str(seconds("2026-12-01T03:00:00+00:00")), 0, 0)
+    old = spec(gpus=0.0)
+    sim.specs[taken] = old
+    sim.state.epoch += 1
+    sim.state.put(job_key(taken), job_value("queued", "red", old, 0, 1), None)
+    sim.run(50)
+    (_, job), = sim.made
+    assert job != taken and sim.past("red/n") == [("2026-12-01T03:00", "made")]
+
+
+def test_users_can_not_have_the_id_of_a_turn():
+    sim = settled("2026-12-01T03:00:30+00:00")
+    every_minute(sim, 1)
+    sim.submit("job-970000000000000001", spec())
+    sim.submit("job-97", spec(gpus=0.0))  # of fewer digits: as good as any
+    sim.run(45)
+    assert sim.refusals == {"job-970000000000000001": 422}
+    (_, job), = sim.made
+    sim.submit(job, spec())  # who asks for a turn's job is told its state
+    sim.run(5)
+    assert job not in sim.refusals
+
+
+def test_a_chain_of_templates():
+    sim = settled("2026-12-01T02:59:30+00:00")
+    status, body = sim.template("red/chain", ["first", JOB, []], ["then", JOB, ["first"]])
+    assert status == 200, body
+    sim.cron("red/n", "0 3 * * *", template="red/chain")
+    sim.run(60)
+    (_, first), (_, then) = sim.made
+    assert sim.specs[then].waits_on == (first,)
+    for job in (first, then):
+        sim.query(job)
+    sim.run(3)
+    assert sim.told[first] == sim.told[then] == "done"
+
+
+def test_a_turn_by_hand_is_made_once():
+    sim = settled("2026-12-01T03:00:30+00:00")
+    sim.cron("red/n", "0 5 * * *")
+    sim.ask_for("pause", name="red/n")
+    told = [sim.ask_for("run-now", label, name="red/n", word="w1") for label in sim.labels]
+    assert [status for status, _ in told] == [201, 200, 200]
+    assert len({tuple(body["jobs"]) for _, body in told}) == 1 and len(sim.made) == 1
+    assert sim.ask_for("run-now", name="red/n", word="w2")[0] == 201
+    assert sim.past("red/n")[-1][1] == "by hand"
+
+
+@pytest.mark.parametrize("what, status, word", [
+    (dict(name="green/t", steps=[["a", {**JOB, "owner": "green"}, []]]), 422, "unknown team"),
+    (dict(name="red/t2", steps=[["a", {**JOB, "vcpus": 99.0}, []]]), 422, "fits no"),
+    (dict(name="red/t2", steps=[["a", {**JOB, "accelerators": 4.0, "shape": "ensemble",
+                                       "pieces": 3}, []]]), 422, "limit"),
+    (dict(name="red/t2", steps=[["a", JOB, ["a"]]]), 422, "itself"),
+    (dict(name="red/t2", steps=[["a", JOB, ["b"]], ["b", JOB, ["a"]]]), 422, "before it"),
+    (dict(name="red/t2", steps=[[str(n), JOB, []] for n in range(9)]), 422, "a turn can make"),
+    (dict(name="red/t2", steps=[]), 422, "one job"),
+    (dict(name="red/t2"), 400, "steps"),
+])
+def test_a_template_that_could_never_run_is_refused_when_it_is_stored(what, status, word):
+    sim = settled("2026-12-01T03:00:30+00:00")
+    got, body = sim.ask_for("template", **what)
+    assert got == status and word in body
+
+
+@pytest.mark.parametrize("text, zone, more, word", [
+    ("61 * * * *", "UTC", {}, "minute"), ("@reboot", "UTC", {}, "booted"),
+    ("0 0 30 2 *", "UTC", {}, "day"), ("* * * *", "UTC", {}, "five"),
+    ("0 3 * * *", "Mars/Base", {}, "zone"), ("0 3 * * *", "UTC", {"overlap": "no"}, "overlap"),
+    ("0 3 * * *", "UTC", {"window_s": 0}, "window"), ("0 3 * * *", "UTC", {"t": 1}, "template"),
+])
+def test_an_entry_that_could_never_run_is_refused(text, zone, more, word):
+    sim = settled("2026-12-01T03:00:30+00:00")
+    template = "red/none" if more.pop("t", None) else "red/t"
+    status, body = sim.cron("red/n", text, zone, template, **more)
+    assert status == 422 and word in body
+    assert sim.ask_for("list", prefix="red/")[1]["entries"] == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_storms_lose_and_double_nothing(seed):
+    rng = random.Random(seed)
+    sim = settled("2026-12-01T03:00:30+00:00", seed=seed + 1)
+    every_minute(sim, 8, jitter_s=5)
+    sim.run(5)
+    sim.loss = sim.twice = sim.slow = 0.02
+    for _ in range(6):
+        label = rng.choice(sim.labels)
+        trouble = rng.randrange(5)
+        if trouble == 0 and sim.cores[label]:
+            sim.crash(label, back=rng.uniform(1, 20))
+        elif trouble == 1 and label not in sim.frozen:
+            sim.freeze(label, rng.uniform(1, 12))
+        elif trouble == 2:
+            cut = frozenset((label, "state"))
+            sim.cuts.add(cut)
+            sim.after(rng.uniform(2, 25), lambda cut=cut: sim.cuts.discard(cut))
+        elif trouble == 3 and not sim.state.down:
+            sim.state.outage(rng.uniform(2, 20))
+        sim.run(rng.uniform(10, 40))
+    sim.loss = sim.twice = sim.slow = 0.0
+    sim.run(45)
+    sim.run(60 - (sim.start + sim.now) % 60 + 12)
+    last = int((sim.start + sim.now) // 60 * 60)
+    first = int(sim.start // 60 * 60 + 60)
+    store = next(core for core in sim.cores.values() if core).parts[0].store
+    expected = {records.job_id(entry, str(at), 0, 0) for entry in store.entries.values()
+                for at in range(first, last + 1, 60)}
+    made = [job for _, job in sim.made]
+    assert len(made) == len(set(made)) and set(made) == expected
