--- a/oakmux/cli.py
+++ b/oakmux/cli.py
@@ -115,7 +115,23 @@
     return f"{text}, waits on {', '.join(waits_on)}" if waits_on else text
 
 
-@click.group()
+class Commands(click.Group):
+    """The commands, and those of subsystems, which are loaded only when they are named."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*super().list_commands(ctx), "schedule"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command."""
+        if cmd_name == "schedule":
+            from oakmux.schedules.commands import schedule
+
+            return schedule
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=Commands)
 @click.version_option(__version__)
 @click.option("--server", "servers", multiple=True, metavar="HOST:PORT",
               help="A controller's public address; may be given several times.")
@@ -134,11 +150,13 @@
 
 @main.command()
 @click.argument("config", type=click.Path())
-def serve(config: str) -> None:
+@click.option("--schedules", type=click.Path(), metavar="FILE",
+              help="Keep cron tables and calendars, by these settings (INI).")
+def serve(config: str, schedules: str | None) -> None:
     """Run a controller with the platform's settings file CONFIG until killed."""
     from oakmux import service  # the service is not needed by the other commands
 
-    sys.exit(service.serve(config))
+    sys.exit(service.serve(config, schedules))
 
 
 @main.command("check-config")
--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -277,6 +277,8 @@
 ID_TRIES = 4
 # Seconds that a turn may be late if it is not to be caught up with: a takeover takes a few.
 NO_CATCH_UP_S = 60
+# Characters of a cron table at most: some ten thousand lines.
+CRONTAB_BYTES = 1024 * 1024
 # Shards with room among which one is drawn for a new entry (count): requests that come together
 # meet less often in one record.
 SHARD_CHOICES = 4
@@ -290,7 +292,26 @@
 TEAM_ENTRIES = 10_000
 TEAM_TEMPLATES = 500
 TEAM_CALENDARS = 200
+# Objects of one calendar at most (count): a list of all is one answer.
+CALENDAR_OBJECTS = 2000
+# Bytes of a calendar object, and of any request of a calendar's client.
+DAV_BODY = 64 * 1024
+# Headers of such a request (count), bytes of all of them together.
+DAV_HEADERS = 100
+DAV_HEADER_BYTES = 16 * 1024
+# Seconds after which a client hears that its request was not served in time.
+DAV_TIMEOUT_S = 8.0
+# Verified tokens kept in memory (count): the salted hash is computed once for each.
+TOKENS_KEPT = 1000
+# Bytes of a token and of its salt.
+TOKEN_BYTES = 32
+SALT_BYTES = 16
 NOTE_TEXT = 200
 # Seconds of a catch-up window and of jitter at most: a month, an hour.
 WINDOW_MOST_S = 31 * 86_400
 JITTER_MOST_S = 3600
+# Characters of a word in an imported entry's name; entries in one request of the command line,
+# checked or stored: an answer comes within seconds also where changes are few.
+SLUG_TEXT = 30
+CHECK_BATCH = 40
+PUT_BATCH = 8
--- a/oakmux/net/http.py
+++ b/oakmux/net/http.py
@@ -118,9 +118,9 @@
         if self.current is not None:  # pipelining is not allowed
             raise httptools.HttpParserError("pipelined")
         self.keep = self.parser.should_keep_alive()
-        request = Request(self.parser.get_method().decode("ascii", "replace"),
-                          self.url.decode("latin-1"), b"".join(self.chunks),
-                          self.size > self.max_body, self)
+        request = self.request(self.parser.get_method().decode("ascii", "replace"),
+                               self.url.decode("latin-1"), b"".join(self.chunks),
+                               self.size > self.max_body)
         self.chunks = []
         self.current = request
         try:
@@ -129,6 +129,10 @@
             log.exception("event=request_failed path=%s", request.path)
             request.respond(500, b"")
 
+    def request(self, method: str, path: str, body: bytes, too_large: bool) -> Request:
+        """Return what the handler gets."""
+        return Request(method, path, body, too_large, self)
+
     def send(self, request: Request, status: int, body: bytes, retry_after: int | None) -> None:
         """Write the answer of the current request."""
         if self.transport is None or self.current is not request:
--- a/oakmux/net/users.py
+++ b/oakmux/net/users.py
@@ -17,6 +17,8 @@
 
     def __init__(self, put: Callable[[tuple], bool]) -> None:
         self.put = put
+        # Who serves further paths, by how they begin, for subsystems that are switched on.
+        self.more: dict[str, Callable[[Request, str], None]] = {}
 
     def refuse(self, request: Request, status: int, reason: str) -> None:
         """Answer an error at once."""
@@ -51,7 +53,12 @@
             else:
                 self._route(request, "GET", lambda: self._job(request, "query", rest))
         else:
-            self.refuse(request, 404, "unknown path")
+            prefix = next((one for one in self.more if path.startswith(one)), None)
+            if prefix is None:
+                self.refuse(request, 404, "unknown path")
+            else:
+                serve, rest = self.more[prefix], path.removeprefix(prefix)
+                self._route(request, "POST", lambda: serve(request, rest))
 
     def _route(self, request: Request, method: str, serve: Callable[[], None]) -> None:
         if request.method != method:
--- /dev/null
+++ b/oakmux/schedules/commands.py
@@ -0,0 +1,528 @@
+"""`oakmux schedule`: cron tables, calendars, templates and their turns, from the command line."""
+
+import hashlib
+import re
+import secrets
+import tomllib
+from collections import Counter
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from oakmux import cli, constants, wire
+from oakmux.cli import EXIT_BAD, EXIT_FAILED, Context, fail
+
+PATH = "/oakmux/schedules/"
+WORD = re.compile(r"[^A-Za-z0-9_]+")
+
+
+def call(context: Context, operation: str, **args: Any) -> dict:
+    """Ask the controllers; ends with the reason if they refuse."""
+    status, answer = cli.ask(context, "POST", PATH + operation, args)
+    if status not in (200, 201):
+        if status == 404 and cli.reason(answer) == "unknown path":
+            fail("these controllers run without schedules (serve --schedules FILE)", EXIT_FAILED)
+        fail(f"refused ({status}): {cli.reason(answer)}", EXIT_FAILED)
+    return answer if isinstance(answer, dict) else {}
+
+
+def need(name: str) -> Any:
+    """Return a module of this package that needs further libraries, or end with a hint."""
+    import importlib
+
+    try:
+        return importlib.import_module(f"oakmux.schedules.{name}")
+    except ImportError as error:
+        fail(f"{error.name} is missing: pip install 'oakmux[schedules]'", EXIT_BAD)
+
+
+def read_toml(path: str) -> dict:
+    """Read a TOML file or end with one line."""
+    try:
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        fail(f"{path}: {error}", EXIT_BAD)
+
+
+def policy_options(command: Any) -> Any:
+    """Add the options that say what happens when turns meet or come late."""
+    for option in reversed((
+            click.option("--overlap", type=click.Choice(("skip", "queue", "allow", "replace")),
+                         default="skip", show_default=True,
+                         help="What a turn does while the one before still runs."),
+            click.option("--catch-up", type=click.Choice(("all", "last", "none")), default="all",
+                         show_default=True, help="Which turns of an outage are made after it."),
+            click.option("--window-s", type=int, default=3600, show_default=True,
+                         help="How late a turn may be made."),
+            click.option("--jitter-s", type=int, default=0, show_default=True,
+                         help="Spread entries over so much time, each always by the same."))):
+        command = option(command)
+    return command
+
+
+def policy(overlap: str, catch_up: str, window_s: int, jitter_s: int) -> dict:
+    """Return the options as a request has them."""
+    return {"overlap": overlap, "catch_up": catch_up, "window_s": window_s, "jitter_s": jitter_s}
+
+
+def when(row: dict) -> str:
+    """Return a turn for people."""
+    return row["local"] + (f"  ({row['why']})" if row.get("why") else "")
+
+
+@click.group()
+def schedule() -> None:
+    """Cron tables and calendars: turns that submit jobs.
+
+    Names are TEAM/NAME. A turn submits the jobs of a template; see `schedule template`.
+    """
+
+
+# --- templates and calendars ---
+
+
+@schedule.group()
+def template() -> None:
+    """What a turn submits: a job, or a chain of jobs that wait on one another."""
+
+
+def steps_of(value: dict) -> list[list]:
+    """Return the steps of a template's file: one job's fields, or [[jobs]] with names."""
+    jobs = value.get("jobs") if "jobs" in value else [{"name": "main", **value}]
+    if not isinstance(jobs, list) or not all(isinstance(job, dict) for job in jobs):
+        fail("jobs: a list of tables is expected", EXIT_BAD)
+    extra = sorted(set(value) - {"jobs"}) if "jobs" in value else []
+    if extra:
+        fail(f"{extra[0]}: beside [[jobs]] there are no fields", EXIT_BAD)
+    rows = []
+    for number, job in enumerate(jobs):
+        job = dict(job)
+        name, needs = str(job.pop("name", f"step{number}")), job.pop("waits_on", [])
+        unknown = sorted(set(job) - set(wire.JOB_FIELDS))
+        if unknown:
+            fail(f"{name}: unknown field {unknown[0]}", EXIT_BAD)
+        if "team" not in job:
+            fail(f"{name}: a job needs team", EXIT_BAD)
+        made = cli.to_wire({**job, "id": "job-0"})
+        del made["id"]
+        rows.append([name, made, needs])
+    return rows
+
+
+@template.command("put")
+@click.argument("name")
+@click.argument("file", type=click.Path())
+@click.option("--check", "dry", is_flag=True, help="Only check it.")
+@click.pass_obj
+def template_put(context: Context, name: str, file: str, dry: bool) -> None:
+    """Store the template NAME (TEAM/NAME) from the TOML FILE; it is checked in full."""
+    answer = call(context, "template", name=name, steps=steps_of(read_toml(file)), dry=dry)
+    context.show(answer, f"{name}: {'good' if dry else 'stored'}, {answer['steps']} job(s)")
+
+
+@template.command("list")
+@click.argument("prefix", default="")
+@click.pass_obj
+def template_list(context: Context, prefix: str) -> None:
+    """Show templates whose names begin with PREFIX."""
+    rows = call(context, "templates", prefix=prefix)["templates"]
+    context.show(rows, "\n".join(
+        f"{row['name']}: {', '.join(step[0] for step in row['steps'])} "
+        f"(used by {row['used_by']})" for row in rows) or "no templates")
+
+
+@template.command("remove")
+@click.argument("name")
+@click.pass_obj
+def template_remove(context: Context, name: str) -> None:
+    """Remove a template that no entry uses."""
+    context.show(call(context, "template-remove", name=name), f"{name}: removed")
+
+
+@schedule.group()
+def calendar() -> None:
+    """Calendars that clients can write to over CalDAV."""
+
+
+@calendar.command("add")
+@click.argument("name")
+@click.option("--title", default="")
+@click.option("--zone", default="UTC", show_default=True, help="Zone of times without one.")
+@click.option("--template", "usual", default="",
+              help="Template (TEAM/NAME) of events that name none.")
+@click.pass_obj
+def calendar_add(context: Context, name: str, title: str, zone: str, usual: str) -> None:
+    """Add the calendar NAME (TEAM/NAME), or change it."""
+    answer = call(context, "calendar", name=name, title=title, zone=zone, template=usual)
+    context.show(answer, f"{name}: stored")
+
+
+@calendar.command("list")
+@click.argument("team")
+@click.pass_obj
+def calendar_list(context: Context, team: str) -> None:
+    """Show a team's calendars."""
+    rows = call(context, "calendars", team=team)["calendars"]
+    context.show(rows, "\n".join(f"{team}/{row['name']}: {row['title']} ({row['zone']}, template "
+                                 f"{row['template'] or 'none'})" for row in rows)
+                 or "no calendars")
+
+
+@calendar.command("remove")
+@click.argument("name")
+@click.pass_obj
+def calendar_remove(context: Context, name: str) -> None:
+    """Remove a calendar that has no entries."""
+    context.show(call(context, "calendar-remove", name=name), f"{name}: removed")
+
+
+@schedule.command()
+@click.argument("team")
+@click.pass_obj
+def token(context: Context, team: str) -> None:
+    """Make a token with which calendars' clients may write TEAM's calendars.
+
+    The token is shown once; the line goes into the file of tokens of every controller.
+    """
+    made, row = need("dav.tokens").make(team)
+    context.show({"token": made, "line": row}, f"token: {made}\nline for the file: {row}")
+
+
+# --- entries ---
+
+
+@schedule.command()
+@click.argument("name")
+@click.option("--cron", "text", help="Five fields, or @daily and its like.")
+@click.option("--at", "moment", help="A single turn, in ISO form, like 2026-12-24T18:00.")
+@click.option("--zone", default="UTC", show_default=True)
+@click.option("--template", "what", required=True, help="TEAM/NAME of what a turn submits.")
+@click.option("--until", help="No turns after this time (ISO form, in the zone).")
+@click.option("--deadline-s", type=float, help="When a turn's jobs should be complete.")
+@click.option("--note", default="")
+@policy_options
+@click.pass_obj
+def add(context: Context, name: str, text: str | None, moment: str | None, zone: str, what: str,
+        until: str | None, deadline_s: float | None, note: str, **given: Any) -> None:
+    """Store the entry NAME (TEAM/NAME), or change it. An edit counts from now on."""
+    if (text is None) == (moment is None):
+        fail("one of --cron and --at is needed", EXIT_BAD)
+    rule: Any = {"cron": text, "zone": zone}
+    if moment is not None:
+        rule = ["calendar", zone, "", wall(moment)]
+    entry = {"name": name, "rule": rule, "template": what, "policy": policy(**given),
+             "note": note, "deadline_s": deadline_s}
+    if until:
+        zones = need("zones")
+        try:
+            entry["until"] = zones.instant(wall(until), zone)
+        except zones.UnknownZone as error:
+            fail(str(error), EXIT_BAD)
+    answer = call(context, "put", entries=[entry])
+    upcoming = call(context, "next", name=name, count=1)["turns"]
+    context.show(answer, f"{name}: stored, next turn "
+                         + (when(upcoming[0]) if upcoming else "never"))
+
+
+def wall(text: str) -> int:
+    """Return a time without a zone as wall seconds."""
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError:
+        fail(f"{text}: not a time like 2026-12-24T18:00", EXIT_BAD)
+    if moment.tzinfo is not None:
+        fail(f"{text}: give the zone with --zone", EXIT_BAD)
+    return int(need("zones").as_wall(moment))
+
+
+def slug(text: str) -> str:
+    """Return what of a text may stand in a name."""
+    return WORD.sub("-", text).strip("-")[:constants.SLUG_TEXT] or "entry"
+
+
+class Importing:
+    """A table's lines on their way to entries."""
+
+    def __init__(self, team: str, prefix: str, usual: str | None, mapping: dict) -> None:
+        self.team = team
+        self.prefix = prefix
+        self.usual = usual
+        self.commands = mapping.get("commands", {})
+        self.users = mapping.get("users", {})
+        self.names: Counter[str] = Counter()
+
+    def entry(self, line: Any, rules: dict) -> dict:
+        """Return the entry of a line of a cron table; its name follows from what it says."""
+        program = line.command.split()[0] if line.command.split() else ""
+        team = self.users.get(line.user, self.team)
+        what = (self.commands.get(line.command) or self.commands.get(program)
+                or self.commands.get(Path(program).name)
+                or line.environment.get("OAKMUX_TEMPLATE") or self.usual
+                or slug(Path(program).stem))
+        note = line.command + (f" <<< {line.stdin!r}" if line.stdin else "")
+        return {"name": self.name(team, Path(program).stem, "|".join(
+            (line.user, line.rule.text, line.rule.zone, line.command, line.stdin))),
+            "rule": {"cron": line.rule.text, "zone": line.rule.zone},
+            "template": what if "/" in what else f"{team}/{what}", "policy": rules,
+            "note": note[:constants.NOTE_TEXT]}
+
+    def name(self, team: str, word: str, text: str) -> str:
+        """Return a name that stays the same as long as the line does."""
+        digest = hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
+        made = f"{team}/{self.prefix}.{slug(word)}.{digest}"
+        self.names[made] += 1
+        return made if self.names[made] == 1 else f"{made}.{self.names[made]}"
+
+
+def objects_of(text: str, zone: str) -> list[tuple[str, Any]]:
+    """Return (UID, object or error's text) of a file with many events."""
+    calendars = need("calendars")
+    from icalendar import Calendar as Parsed  # there, since `calendars` is
+
+    try:
+        parsed = Parsed.from_ical(text)
+    except ValueError as error:
+        fail(f"not iCalendar: {error}", EXIT_BAD)
+    groups: dict[str, list] = {}
+    for part in parsed.subcomponents:
+        if part.name != "VTIMEZONE":
+            groups.setdefault(str(part.get("UID", "")), []).append(part)
+    found: list[tuple[str, Any]] = []
+    for uid, parts in groups.items():
+        one = Parsed()
+        one.add("VERSION", "2.0")
+        for part in [p for p in parsed.subcomponents if p.name == "VTIMEZONE"] + parts:
+            one.add_component(part)
+        try:
+            found.append((uid, calendars.parse(one.to_ical().decode(), zone)))
+        except calendars.BadCalendar as error:
+            found.append((uid, str(error)))
+    return found
+
+
+def rows_of(file: str, importing: Importing, zone: str, system: bool,
+            rules: dict) -> tuple[list[tuple[str, dict]], list[str]]:
+    """Return ([(where, entry)], [problem]) of a cron table or a calendar's file."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fail(f"{file}: {error}", EXIT_BAD)
+    if text.lstrip().upper().startswith("BEGIN:VCALENDAR"):
+        rows, problems = [], []
+        for uid, found in objects_of(text, zone):
+            if isinstance(found, str):
+                problems.append(f"{file}: UID {uid}: {found}")
+                continue
+            what = found.template or importing.usual or slug(found.note)
+            rows.append((f"UID {uid}", {
+                "name": importing.name(importing.team, found.note, uid),
+                "rule": wire.plain(found.rule), "policy": {**rules, **found.policy},
+                "template": what if "/" in what else f"{importing.team}/{what}",
+                "note": found.note, "deadline_s": found.deadline_s, "paused": found.off}))
+        return rows, problems
+    zones, crontab = need("zones"), need("crontab")
+    try:
+        zones.zone(zone)
+    except zones.UnknownZone as error:
+        fail(str(error), EXIT_BAD)
+    lines, bad = crontab.parse(text, zone, system)
+    return ([(f"line {line.number}", importing.entry(line, rules)) for line in lines],
+            [f"{file}: {problem.text}" for problem in bad])
+
+
+def batches(rows: list, size: int) -> list[list]:
+    """Cut a list."""
+    return [rows[n:n + size] for n in range(0, len(rows), size)]
+
+
+def checked(context: Context, file: str, rows: list[tuple[str, dict]]) -> list[str]:
+    """Let the controllers check entries; return the problems that they find."""
+    problems = []
+    for batch in batches(rows, constants.CHECK_BATCH):
+        answer = call(context, "check", entries=[entry for _, entry in batch])
+        problems += [f"{file}: {where}: {row['error']}" for (where, _), row
+                     in zip(batch, answer["entries"], strict=True) if "error" in row]
+        bad = {row["name"] for row in answer["entries"] if "error" in row}
+        for row in list(rows):
+            if row[1]["name"] in bad:
+                rows.remove(row)
+    return problems
+
+
+def importer(context: Context, file: str, team: str, prefix: str | None, usual: str | None,
+             mapping: str | None, zone: str, system: bool, given: dict
+             ) -> tuple[list[tuple[str, dict]], list[str], str]:
+    """Read and check a file; returns entries, problems and how their names begin."""
+    importing = Importing(team, prefix or slug(Path(file).stem), usual,
+                          read_toml(mapping) if mapping else {})
+    rows, problems = rows_of(file, importing, zone, system, policy(**given))
+    return rows, problems + checked(context, file, rows), f"{team}/{importing.prefix}."
+
+
+def import_options(command: Any) -> Any:
+    """Add the options of `import` and `check`."""
+    for option in reversed((
+            click.argument("file", type=click.Path()),
+            click.option("--team", required=True, help="Team of the entries."),
+            click.option("--template", "usual",
+                         help="Template of lines that name none; else the command's own name."),
+            click.option("--map", "mapping", type=click.Path(),
+                         help="TOML: [commands] command = template, [users] user = team."),
+            click.option("--prefix", help="How the entries' names begin (default: the file's)."),
+            click.option("--zone", default="UTC", show_default=True,
+                         help="Zone of lines without CRON_TZ or TZ, and of floating times."),
+            click.option("--system", is_flag=True, help="The table has a column for the user."))):
+        command = option(command)
+    return command
+
+
+@schedule.command("import")
+@import_options
+@click.option("--skip-bad", is_flag=True, help="Store the good entries, say what is left out.")
+@click.option("--prune", is_flag=True,
+              help="Remove entries of an earlier import that the file has no more.")
+@policy_options
+@click.pass_obj
+def import_file(context: Context, file: str, team: str, usual: str | None, mapping: str | None,
+                prefix: str | None, zone: str, system: bool, skip_bad: bool, prune: bool,
+                **given: Any) -> None:
+    """Store the entries of a cron table or an iCalendar FILE: all of them, or none.
+
+    All lines are checked, here and by a controller, before the first is stored. Imported again,
+    lines that did not change go on where they are.
+    """
+    rows, problems, begin = importer(context, file, team, prefix, usual, mapping, zone, system,
+                                     given)
+    for problem in problems:
+        click.echo(problem, err=True)
+    if problems and not skip_bad:
+        fail(f"nothing stored: {len(problems)} bad of {len(problems) + len(rows)}", EXIT_BAD)
+    for batch in batches([entry for _, entry in rows], constants.PUT_BATCH):
+        call(context, "put", entries=batch)
+    removed = []
+    if prune:
+        kept = {entry["name"] for _, entry in rows}
+        removed = [name for name in all_names(context, begin) if name not in kept]
+        for name in removed:
+            call(context, "remove", name=name)
+    context.show({"stored": [entry["name"] for _, entry in rows], "left_out": problems,
+                  "removed": removed},
+                 f"{len(rows)} entries stored, {len(problems)} left out, {len(removed)} removed")
+
+
+@schedule.command()
+@import_options
+@policy_options
+@click.pass_obj
+def check(context: Context, file: str, team: str, usual: str | None, mapping: str | None,
+          prefix: str | None, zone: str, system: bool, **given: Any) -> None:
+    """Check a cron table or an iCalendar FILE as `import` does, and store nothing."""
+    rows, problems, _ = importer(context, file, team, prefix, usual, mapping, zone, system, given)
+    context.show({"good": [entry["name"] for _, entry in rows], "problems": problems},
+                 "\n".join([*problems, f"{len(rows)} good, {len(problems)} bad"]))
+    if problems:
+        context_exit(EXIT_BAD)
+
+
+def context_exit(code: int) -> None:
+    """End with a code after all was shown."""
+    click.get_current_context().exit(code)
+
+
+def all_rows(context: Context, prefix: str) -> list[dict]:
+    """Return all entries whose names begin so."""
+    rows: list[dict] = []
+    while True:
+        answer = call(context, "list", prefix=prefix, after=rows[-1]["name"] if rows else "")
+        rows += answer["entries"]
+        if not answer["more"] or not answer["entries"]:
+            return rows
+
+
+def all_names(context: Context, prefix: str) -> list[str]:
+    """Return the names of all entries that begin so."""
+    return [row["name"] for row in all_rows(context, prefix)]
+
+
+@schedule.command("list")
+@click.argument("prefix", default="")
+@click.pass_obj
+def list_entries(context: Context, prefix: str) -> None:
+    """Show entries whose names begin with PREFIX (like a team and a slash)."""
+    rows = all_rows(context, prefix)
+    context.show(rows, "\n".join(
+        f"{row['name']}: {row['rule']} {row['zone']} -> {row['template']}, "
+        + ("paused" if row["paused"] else
+           f"next {when(row['next'][0])}" if row["next"] else "no turns to come")
+        + (f", last {row['last']['outcome']}" if row["last"] else "") for row in rows)
+        or "no entries")
+
+
+@schedule.command()
+@click.argument("name")
+@click.pass_obj
+def show(context: Context, name: str) -> None:
+    """Show all that an entry says."""
+    answer = call(context, "show", name=name)
+    context.show(answer, "\n".join(f"{key}: {value}" for key, value in answer.items()
+                                   if key != "rule_record"))
+
+
+@schedule.command("next")
+@click.argument("name")
+@click.option("--count", default=10, show_default=True)
+@click.pass_obj
+def next_turns(context: Context, name: str, count: int) -> None:
+    """Show the turns to come, and what a change of clocks does to them."""
+    answer = call(context, "next", name=name, count=count)
+    lines = [when(row) for row in answer["turns"]] or ["no turns to come"]
+    if answer["paused"]:
+        lines.insert(0, "paused: none of these will be made until it is resumed")
+    context.show(answer, "\n".join([*lines, *answer["skipped"]]))
+
+
+@schedule.command()
+@click.argument("name")
+@click.pass_obj
+def history(context: Context, name: str) -> None:
+    """Show the last turns, what became of each, and their jobs."""
+    rows = call(context, "history", name=name)["turns"]
+    context.show(rows, "\n".join(
+        f"{row['local']}  {row['outcome']}{' ' + row['note'] if row['note'] else ''}"
+        + "".join(f"  {job}: {state}" for job, state in row["jobs"].items()) for row in rows)
+        or "no turns yet")
+
+
+@schedule.command()
+@click.argument("name")
+@click.pass_obj
+def pause(context: Context, name: str) -> None:
+    """Make no turns until the entry is resumed; those of the pause are not made up for."""
+    context.show(call(context, "pause", name=name), f"{name}: paused")
+
+
+@schedule.command()
+@click.argument("name")
+@click.pass_obj
+def resume(context: Context, name: str) -> None:
+    """Make turns again, from now on."""
+    context.show(call(context, "resume", name=name), f"{name}: resumed")
+
+
+@schedule.command("run-now")
+@click.argument("name")
+@click.pass_obj
+def run_now(context: Context, name: str) -> None:
+    """Make one turn by hand, at once, also of a paused entry."""
+    answer = call(context, "run-now", name=name, word=secrets.token_hex(8))
+    context.show(answer, f"{name}: {', '.join(answer['jobs'])}")
+
+
+@schedule.command()
+@click.argument("name")
+@click.pass_obj
+def remove(context: Context, name: str) -> None:
+    """Remove an entry. Jobs that its turns made go on."""
+    context.show(call(context, "remove", name=name), f"{name}: removed")
--- /dev/null
+++ b/oakmux/schedules/dav/tokens.py
@@ -0,0 +1,88 @@
+"""Tokens of calendars' clients: each is for one team, and kept only as a salted hash.
+
+A token is 32 random bytes, made by `oakmux schedule token`: nobody guesses it, so that one salted
+hash is enough and a slow one would only cost the controller.
+"""
+
+import base64
+import hashlib
+import hmac
+import secrets
+from pathlib import Path
+
+from oakmux import constants
+
+
+class BadTokens(ValueError):
+    """A file of tokens that can't be used; the text says which line and why."""
+
+
+def _hash(salt: bytes, token: str) -> bytes:
+    return hashlib.blake2b(token.encode(), salt=salt, person=b"oakmux-dav").digest()
+
+
+def make(team: str) -> tuple[str, str]:
+    """Return a new token and the line of the file that lets it in."""
+    token = secrets.token_urlsafe(constants.TOKEN_BYTES)
+    salt = secrets.token_bytes(constants.SALT_BYTES)
+    return token, f"{team} {salt.hex()} {_hash(salt, token).hex()}"
+
+
+class Tokens:
+    """Which token is which team's."""
+
+    def __init__(self, rows: list[tuple[str, bytes, bytes]]) -> None:
+        self.rows = rows
+        self._secret = secrets.token_bytes(constants.TOKEN_BYTES)
+        self._known: dict[bytes, str] = {}
+
+    def team(self, token: str) -> str | None:
+        """Return whose a token is, or None. All rows are looked at, found or not."""
+        quick = hmac.digest(self._secret, token.encode(), "sha256")
+        if quick in self._known:
+            return self._known[quick]
+        found = None
+        for team, salt, hashed in self.rows:
+            if hmac.compare_digest(_hash(salt, token), hashed):
+                found = team
+        if found is not None:
+            if len(self._known) >= constants.TOKENS_KEPT:
+                self._known.clear()
+            self._known[quick] = found
+        return found
+
+
+def credentials(header: str) -> str | None:
+    """Return the token in an Authorization header: Basic (as the password) or Bearer."""
+    scheme, _, rest = header.partition(" ")
+    if scheme.lower() == "bearer":
+        return rest.strip() or None
+    if scheme.lower() != "basic":
+        return None
+    try:
+        text = base64.b64decode(rest.strip(), validate=True).decode()
+    except ValueError:
+        return None
+    return text.partition(":")[2] or None
+
+
+def load(path: str) -> Tokens:
+    """Read a file of tokens: TEAM SALT HASH a line, # for comments; raises BadTokens."""
+    try:
+        lines = Path(path).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadTokens(f"tokens: {error}") from None
+    rows = []
+    for number, line in enumerate(lines, 1):
+        fields = line.split("#")[0].split()
+        if not fields:
+            continue
+        try:
+            team, salt, hashed = fields
+            row = (team, bytes.fromhex(salt), bytes.fromhex(hashed))
+        except ValueError:
+            raise BadTokens(f"tokens: {path}, line {number}: not TEAM SALT HASH") from None
+        if len(row[1]) != constants.SALT_BYTES or len(row[2]) != 64:
+            raise BadTokens(f"tokens: {path}, line {number}: not a hash made by oakmux")
+        rows.append(row)
+    return Tokens(rows)
--- /dev/null
+++ b/oakmux/schedules/dav/xml.py
@@ -0,0 +1,115 @@
+"""XML of WebDAV (RFC 4918) and CalDAV (RFC 4791): requests read, answers written.
+
+No request may declare a document type, entities or references to anything outside.
+"""
+
+from typing import NamedTuple
+from xml.etree.ElementTree import Element, ParseError, SubElement, register_namespace, tostring
+
+from defusedxml import DefusedXmlException
+from defusedxml.ElementTree import fromstring
+
+DAV, CAL, CS = "{DAV:}", "{urn:ietf:params:xml:ns:caldav}", "{http://calendarserver.org/ns/}"
+register_namespace("D", "DAV:")
+register_namespace("C", CAL[1:-1])
+register_namespace("CS", CS[1:-1])
+
+
+class BadXml(ValueError):
+    """A body that can't be read; the text says why."""
+
+
+class Prop(NamedTuple):
+    """A property's value: text, elements, or both."""
+
+    text: str = ""
+    children: tuple[Element, ...] = ()
+
+
+def read(body: bytes, *tags: str) -> Element:
+    """Return the root of a body, which must be one of these; raises BadXml."""
+    try:
+        root = fromstring(body, forbid_dtd=True)
+    except (ParseError, DefusedXmlException, ValueError, LookupError) as error:
+        raise BadXml(f"not acceptable XML: {type(error).__name__}") from None
+    if root.tag not in tags:
+        raise BadXml("not what this method takes")
+    return root
+
+
+def wanted(root: Element) -> list[str] | None:
+    """Return the properties that a request names, or None for all."""
+    props = root.find(DAV + "prop")
+    if props is None:
+        return None
+    return [child.tag for child in props if isinstance(child.tag, str)]
+
+
+def element(tag: str, text: str = "", *children: Element) -> Element:
+    """Return an element."""
+    made = Element(tag)
+    made.text = text or None
+    made.extend(children)
+    return made
+
+
+def href(path: str) -> Element:
+    """Return a reference."""
+    return element(DAV + "href", path)
+
+
+class Multistatus:
+    """An answer about many resources."""
+
+    def __init__(self) -> None:
+        self.root = Element(DAV + "multistatus")
+
+    def found(self, path: str, have: dict[str, Prop], names: list[str] | None) -> None:
+        """Add a resource: the properties that it has of those asked for, and those it lacks."""
+        asked = list(have) if names is None else names
+        response = SubElement(self.root, DAV + "response")
+        response.append(href(path))
+        for status, tags in (("200 OK", [tag for tag in asked if tag in have]),
+                             ("404 Not Found", [tag for tag in asked if tag not in have])):
+            if not tags and (status != "200 OK" or asked):
+                continue
+            stat = SubElement(response, DAV + "propstat")
+            props = SubElement(stat, DAV + "prop")
+            for tag in tags:
+                value = have.get(tag, Prop())
+                props.append(element(tag, value.text, *value.children))
+            stat.append(element(DAV + "status", f"HTTP/1.1 {status}"))
+
+    def gone(self, path: str) -> None:
+        """Add a resource that there is not, or no more."""
+        response = SubElement(self.root, DAV + "response")
+        response.append(href(path))
+        response.append(element(DAV + "status", "HTTP/1.1 404 Not Found"))
+
+    def refused(self, path: str, names: list[str]) -> None:
+        """Add a resource whose properties can't be changed so."""
+        response = SubElement(self.root, DAV + "response")
+        response.append(href(path))
+        stat = SubElement(response, DAV + "propstat")
+        stat.append(element(DAV + "prop", "", *(element(tag) for tag in names)))
+        stat.append(element(DAV + "status", "HTTP/1.1 403 Forbidden"))
+
+    def body(self, token: str = "") -> bytes:
+        """Return the body, with a token for what changes later."""
+        if token:
+            self.root.append(element(DAV + "sync-token", token))
+        return render(self.root)
+
+
+def render(root: Element) -> bytes:
+    """Return a document."""
+    return tostring(root, encoding="utf-8", xml_declaration=True)
+
+
+def error(condition: str, text: str = "") -> bytes:
+    """Return the body that names a failed condition, with a reason for people."""
+    root = Element(DAV + "error")
+    root.append(element(condition))
+    if text:
+        root.append(element(DAV + "responsedescription", text))
+    return render(root)
--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -256,7 +256,9 @@
                      bool(args.get("paused")), self.daytime.now_ms(),
                      deadline_s=None if deadline is None else float(deadline),
                      note=str(args.get("note", ""))[:constants.NOTE_TEXT],
-                     etag=str(args.get("etag", ""))[:constants.ETAG_TEXT])
+                     etag=str(args.get("etag", ""))[:constants.ETAG_TEXT],
+                     component=str(args.get("component", ""))[:constants.ETAG_TEXT],
+                     uid=str(args.get("uid", ""))[:constants.NOTE_TEXT])
 
     def _now_s(self) -> int:
         """Return the time (s) up to which, by any clock here, turns may not have been made."""
@@ -330,6 +332,7 @@
                 if entry.name in self.store.entries:
                     break
                 self._count(entry, len(now))
+                self._one_uid(entry)
                 parts = self._parts(entry.name, texts.get(entry.name, ""))
                 if len(writes) + 2 + len(parts) > limits.txn_ops:
                     break
@@ -359,6 +362,20 @@
         count = sum(1 for name in self.store.entries if name.startswith(prefix)) + more
         if count >= constants.TEAM_ENTRIES:
             raise Refused(422, f"{entry.team} has {count} entries: no more are kept")
+        calendar = entry.name.rpartition("/")[0] + "/"
+        if calendar != prefix:
+            count = sum(1 for name in self.store.entries if name.startswith(calendar)) + more
+            if count >= constants.CALENDAR_OBJECTS:
+                raise Refused(422, f"the calendar has {count} entries: no more are kept")
+
+    def _one_uid(self, entry: Entry) -> None:
+        """Refuse a second object of a calendar with a UID that it has (RFC 4791, 5.3.2.1)."""
+        if not entry.uid:
+            return
+        calendar = entry.name.rpartition("/")[0] + "/"
+        for name, other in self.store.entries.items():
+            if other.uid == entry.uid and name != entry.name and name.startswith(calendar):
+                raise Refused(422, f"{name} has this UID")
 
     def _sized(self, entry: Entry) -> Any:
         value = value_of(entry)
@@ -389,6 +406,7 @@
         wanted = args.get("if_match")
         if args.get("if_absent") or wanted and wanted not in (old.etag, "*"):
             raise Refused(412, f"{entry.name} has changed" if wanted else "it exists")
+        self._one_uid(entry)
         parts = self._parts(entry.name, text or "")
         made = msgspec.structs.replace(entry, born=old.born, shard=old.shard, parts=len(parts))
         if made == old and not parts:
@@ -612,6 +630,8 @@
             if entry is None:
                 rows.append({"name": name.rpartition("/")[2], "etag": None})
                 continue
+            if not self._matches(entry, args):
+                continue
             text = self.store.text(entry) if args.get("text") else ""
             if text is None:
                 raise Refused(503, "not all of an object has come yet")
@@ -621,6 +641,21 @@
                         "zone": self.store.calendars[calendar].zone, "template": template,
                         "title": self.store.calendars[calendar].title})
 
+    def _matches(self, entry: Entry, args: dict) -> bool:
+        """Whether an object is of the component and has a turn in the span that are asked for."""
+        if args.get("component") and args["component"] != entry.component:
+            return False
+        for name, text in (args.get("texts") or {}).items():
+            value = {"UID": entry.uid, "SUMMARY": entry.note}[name]
+            if str(text).lower() not in value.lower():
+                return False
+        start, end = args.get("start"), args.get("end")
+        if start is None and end is None:
+            return True
+        since = int(start) - 1 if start is not None else 0
+        turn = next(turns(entry.rule, mark_at(entry.rule, since)), None)
+        return turn is not None and (end is None or turn.at < int(end))
+
     def _changes(self, rid: Any, args: dict) -> None:
         """Tell which objects of a calendar changed since a revision, if that is still known."""
         calendar, since = str(args["calendar"]), int(args["since"])
--- /dev/null
+++ b/oakmux/schedules/plugin.py
@@ -0,0 +1,114 @@
+"""Joins schedules to a process: the operator's settings, requests, the clock, the listener."""
+
+import configparser
+import ssl
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from oakmux import constants, settings, wire
+from oakmux.core.controller import Part
+from oakmux.core.world import World
+from oakmux.net.http import Request
+from oakmux.schedules import zones
+from oakmux.schedules.dav import tokens
+from oakmux.schedules.dav.serve import Dav
+from oakmux.schedules.part import Schedules
+
+PATH = "/oakmux/schedules/"
+SECTIONS = {"schedules": {"enabled"},
+            "caldav": {"listen", "certificate", "key", "tokens", "plain"}}
+
+
+class CalDav(msgspec.Struct, frozen=True):
+    """Where calendars' clients are served, with what certificate and whose tokens."""
+
+    listen: str
+    tokens: tokens.Tokens
+    context: ssl.SSLContext | None
+
+
+class Plugin:
+    """Schedules, outside the core."""
+
+    parts: Sequence[Callable[[World], Part]] = (Schedules,)
+
+    def __init__(self, caldav: CalDav | None) -> None:
+        self.caldav = caldav
+
+    def paths(self, offer: Callable[[tuple], bool]) -> dict[str, Callable[[Request, str], None]]:
+        """Serve requests of the command line at the public address."""
+        def serve(request: Request, operation: str) -> None:
+            try:
+                args = wire.decode(request.body) if request.body else {}
+            except wire.Malformed as error:
+                request.respond(400, wire.encode({"error": str(error)}))
+                return
+            if not offer(("schedules", request, operation, args)):
+                request.respond(503, wire.encode({"error": "busy"}), constants.RETRY_AFTER_S)
+
+        return {PATH: serve}
+
+    async def start(self, offer: Callable[[tuple], bool], most: int) -> None:
+        """Open the listener for calendars' clients, if there is to be one."""
+        if self.caldav is not None:
+            await Dav(offer, self.caldav.tokens).listen(
+                self.caldav.listen, self.caldav.context, max(1, most // 4))
+
+    def tick(self) -> list[tuple]:
+        """Tell the core the time of day."""
+        return [("time", int(time.time() * 1000))]
+
+
+def load(path: str) -> Plugin:
+    """Read the operator's settings for schedules (INI); raises SettingsError with one line."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise settings.SettingsError(f"{path}: {error.strerror}") from None
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise settings.SettingsError(f"{path}: {str(error).splitlines()[0]}") from None
+    for section in parser.sections():
+        if section not in SECTIONS:
+            raise settings.SettingsError(f"{path}: unknown section [{section}]")
+        for name in parser[section]:
+            if name not in SECTIONS[section]:
+                raise settings.SettingsError(f"{path}: [{section}] {name}: unknown setting")
+    try:
+        if not parser.getboolean("schedules", "enabled", fallback=True):
+            raise settings.SettingsError(f"{path}: [schedules] enabled: to switch schedules off, "
+                                         "start without this file")
+        plain = parser.getboolean("caldav", "plain", fallback=False)
+    except ValueError as error:
+        raise settings.SettingsError(f"{path}: {error}") from None
+    zones.zone("UTC")
+    if not parser.has_section("caldav"):
+        return Plugin(None)
+    row = parser["caldav"]
+    for name in ("listen", "tokens"):
+        if not row.get(name):
+            raise settings.SettingsError(f"{path}: [caldav] {name}: is missing")
+    try:
+        settings.split_addr(row["listen"])
+        known = tokens.load(str(Path(path).parent / row["tokens"]))
+        context = None if plain else _tls(Path(path).parent, row)
+    except (ValueError, tokens.BadTokens) as error:
+        raise settings.SettingsError(f"{path}: [caldav] {error}") from None
+    return Plugin(CalDav(row["listen"], known, context))
+
+
+def _tls(folder: Path, row: configparser.SectionProxy) -> ssl.SSLContext:
+    for name in ("certificate", "key"):
+        if not row.get(name):
+            raise ValueError(f"{name}: is missing; for a listener without TLS, behind a proxy of "
+                             "your own, say plain = yes")
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(folder / row["certificate"], folder / row["key"])
+    except (OSError, ssl.SSLError) as error:
+        raise ValueError(f"certificate or key: {error}") from None
+    return context
--- a/oakmux/schedules/records.py
+++ b/oakmux/schedules/records.py
@@ -68,6 +68,8 @@
     note: str = ""
     parts: int = 0
     etag: str = ""
+    component: str = ""  # VEVENT or VTODO, of a calendar object
+    uid: str = ""
 
     @property
     def team(self) -> str:
--- a/oakmux/service.py
+++ b/oakmux/service.py
@@ -7,10 +7,12 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Protocol
 
 from oakmux import constants, settings
-from oakmux.core.controller import Controller
+from oakmux.core.controller import Controller, Part
+from oakmux.core.world import World
 from oakmux.net.cloud import Cloud
 from oakmux.net.http import Request, ServerProtocol
 from oakmux.net.peers import Peer
@@ -23,18 +25,38 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
+class Plugin(Protocol):
+    """A subsystem that is switched on, outside the core."""
+
+    parts: Sequence[Callable[[World], Part]]
+
+    def paths(self, offer: Callable[[tuple], bool]
+              ) -> dict[str, Callable[[Request, str], None]]:
+        """Return who serves further paths of the public address, by how they begin."""
+
+    async def start(self, offer: Callable[[tuple], bool], most: int) -> None:
+        """Open what it listens on, for at most so many connections."""
+
+    def tick(self) -> list[tuple]:
+        """Return commands for the core, ten times a second."""
+
+
 class Service:
     """One controller process."""
 
-    def __init__(self, conf: settings.Settings) -> None:
+    def __init__(self, conf: settings.Settings, plugins: Sequence[Plugin] = ()) -> None:
         self.conf = conf
+        self.plugins = plugins
         self.loop = asyncio.get_running_loop()
         wall = int(time.time() * 1000) - int(self.loop.time() * 1000)
-        self.core = Controller(conf, random.Random(), wall)
+        self.core = Controller(conf, random.Random(), wall,
+                               [part for plugin in plugins for part in plugin.parts])
         self.commands: list[tuple] = []
         self.scheduled = False
         self.tasks: set[asyncio.Task] = set()
         self.front = Front(self.offer)
+        for plugin in plugins:
+            self.front.more.update(plugin.paths(self.offer))
         self.state = State(conf, self.put)
         self.cloud = Cloud(conf, self.put)
         self.workers = Workers(self.put)
@@ -110,6 +132,8 @@
         await self.listen(self.conf.public_addr, self.front.public, most, constants.MAX_BODY)
         await self.listen(self.conf.internal_addr, self.front.internal,
                           constants.PEER_CONNECTIONS * 4 * self.conf.size, constants.PEER_BODY)
+        for plugin in self.plugins:
+            await plugin.start(self.offer, most)
         log.info("event=started label=%s public=%s", self.conf.label, self.conf.public_addr)
         self.spawn(self.state.pump(self.state.reads))
         self.spawn(self.state.pump(self.state.writes))
@@ -118,6 +142,9 @@
         for peer in self.peers.values():
             self.spawn(peer.pump())
         while True:
+            for plugin in self.plugins:
+                for command in plugin.tick():
+                    self.put(command)
             if not self.scheduled:
                 self.turn()
             await asyncio.sleep(constants.TICK_S)
@@ -131,17 +158,31 @@
     logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
-def serve(path: str) -> int:
-    """Run a controller with a settings file; return the exit code."""
+def load_schedules(path: str) -> Plugin:
+    """Return the subsystem of cron tables and calendars; raises SettingsError."""
+    try:
+        from oakmux.schedules import plugin  # not needed, and not installed, where it is off
+    except ImportError as error:
+        raise settings.SettingsError(f"{path}: schedules need {error.name}: "
+                                     "install requirements-schedules.txt") from None
+    return plugin.load(path)
+
+
+def serve(path: str, schedules: str | None = None) -> int:
+    """Run a controller with the platform's settings file, and with schedules if the operator's
+    file for them is given; return the exit code."""
+    plugins: list[Plugin] = []
     try:
         conf = settings.load(path)
+        if schedules is not None:
+            plugins.append(load_schedules(schedules))
     except settings.SettingsError as error:
         print(f"oakmux: {error}", file=sys.stderr)
         return 2
     set_up_logging()
 
     async def run() -> None:
-        await Service(conf).run()
+        await Service(conf, plugins).run()
 
     try:
         asyncio.run(run())
@@ -157,4 +198,7 @@
     """Parse the platform's command line."""
     parser = argparse.ArgumentParser(prog="run.py", description="Run an oakmux controller.")
     parser.add_argument("--config", required=True, help="the platform's settings file (TOML)")
-    return serve(parser.parse_args(argv).config)
+    parser.add_argument("--schedules", metavar="FILE",
+                        help="keep cron tables and calendars, by the operator's settings (INI)")
+    given = parser.parse_args(argv)
+    return serve(given.config, given.schedules)
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -440,6 +440,11 @@
     return made
 
 
+def plain(record: Any) -> Any:
+    """Return a record as values that a body can hold."""
+    return msgspec.to_builtins(record)
+
+
 def job_words(spec: JobSpec) -> dict:
     """Return a job in the command line's words, without an id."""
     priority = {level: name for name, level in PRIORITIES.items()}[spec.priority]
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,83 @@
+"""A real process on loopback: a deployment on the fakes, in real time, with both listeners.
+
+Prints one JSON line with its ports and tokens once it serves.
+"""
+
+import asyncio
+import json
+import socket
+import sys
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from oakmux import wire
+from oakmux.net.http import Request, ServerProtocol
+from oakmux.net.users import Front
+from oakmux.schedules import plugin
+from oakmux.schedules.dav import tokens
+from tests.timed import Timed
+
+DATA = Path(__file__).parent / "data"
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def write_settings(folder: Path, port: int, teams: list[str]) -> tuple[str, dict[str, str]]:
+    """Write the operator's files; return the INI's path and a token for each team."""
+    made = {team: tokens.make(team) for team in teams}
+    (folder / "tokens").write_text("# who may write\n" + "\n".join(
+        row for _, row in made.values()) + "\n")
+    for suffix in ("pem", "key"):
+        (folder / f"c.{suffix}").write_text((DATA / f"loopback-only.{suffix}").read_text())
+    ini = folder / "schedules.ini"
+    ini.write_text(f"[schedules]\nenabled = yes\n[caldav]\nlisten = 127.0.0.1:{port}\n"
+                   "certificate = c.pem\nkey = c.key\ntokens = tokens\n")
+    return str(ini), {team: token for team, (token, _) in made.items()}
+
+
+async def main(folder: str) -> None:
+    """Serve until killed."""
+    sim = Timed(datetime.now(UTC).isoformat())
+    sim.run(12)
+    sim.start = int(time.time()) - int(sim.now)
+    status, body = sim.template()
+    assert status == 200, body
+    sim.template("blue/t")
+
+    def offer(command: tuple) -> bool:
+        kind, rid, *rest = command
+
+        def answer(status: int, value: Any) -> None:
+            if isinstance(rid, Request):
+                front.answer(rid, status, value)
+            else:
+                rid.respond(status, wire.encode(wire.answer_body(value)))
+
+        sim.command("h0", (kind, answer, *rest))
+        return True
+
+    dav, public = free_port(), free_port()
+    ini, made = write_settings(Path(folder), dav, ["red", "blue"])
+    front = Front(offer)
+    extra = plugin.load(ini)
+    front.more.update(extra.paths(offer))
+    live: set[ServerProtocol] = set()
+    await asyncio.get_running_loop().create_server(
+        lambda: ServerProtocol(front.public, live, 100), "127.0.0.1", public)
+    await extra.start(offer, 400)
+    print(json.dumps({"dav": dav, "public": public, "tokens": made}), flush=True)
+    begin, since = time.monotonic(), sim.now
+    while True:
+        sim.run(max(0.0, since + time.monotonic() - begin - sim.now))
+        await asyncio.sleep(0.01)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1]))
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,216 @@
+"""Stories of clients: a calendar's client over TLS and the command line, on loopback."""
+
+import base64
+import json
+import ssl
+import subprocess
+import sys
+from datetime import UTC, datetime, timedelta
+from http.client import HTTPSConnection
+
+import caldav
+import pytest
+from caldav.lib import error as dav_error
+from click.testing import CliRunner
+
+from oakmux.cli import main
+from tests.loopback import DATA
+
+CERT = str(DATA / "loopback-only.pem")
+EVENT = """BEGIN:VCALENDAR
+VERSION:2.0
+PRODID:-//test//EN
+BEGIN:VEVENT
+UID:{uid}
+DTSTAMP:20260101T000000Z
+DTSTART;TZID=Europe/Berlin:20260105T023000
+RRULE:FREQ=DAILY
+SUMMARY:nightly match
+X-OAKMUX-TEMPLATE:{template}
+END:VEVENT
+END:VCALENDAR
+"""
+
+
+@pytest.fixture(scope="module")
+def service(tmp_path_factory):
+    folder = str(tmp_path_factory.mktemp("loopback"))
+    process = subprocess.Popen([sys.executable, "-m", "tests.loopback", folder],
+                               stdout=subprocess.PIPE, text=True)
+    assert process.stdout is not None
+    yield json.loads(process.stdout.readline())
+    process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+def client(service: dict, team: str = "red", token: str | None = None) -> caldav.DAVClient:
+    return caldav.DAVClient(url=f"https://localhost:{service['dav']}/dav/", username=team,
+                            password=token or service["tokens"][team], ssl_verify_cert=CERT)
+
+
+def raw(service: dict, method: str, path: str, body: bytes = b"", team: str = "red",
+        **headers: str) -> tuple[int, bytes]:
+    """Make a request of any kind; return status and body."""
+    context = ssl.create_default_context(cafile=CERT)
+    conn = HTTPSConnection("localhost", service["dav"], timeout=10, context=context)
+    login = base64.b64encode(f"{team}:{service['tokens'][team]}".encode()).decode()
+    conn.request(method, path, body, {"Authorization": f"Basic {login}",
+                                      **{k.replace("_", "-"): v for k, v in headers.items()}})
+    answer = conn.getresponse()
+    data = answer.read()
+    conn.close()
+    return answer.status, data
+
+
+def event(uid: str = "a", template: str = "t") -> str:
+    return EVENT.format(uid=uid, template=template)
+
+
+def run(service: dict, *args: str, code: int = 0) -> str:
+    """Run the command line; return what it printed."""
+    result = CliRunner().invoke(main, ["--server", f"127.0.0.1:{service['public']}", *args],
+                                catch_exceptions=False)
+    assert result.exit_code == code, result.output
+    return result.output
+
+
+def test_a_client_keeps_a_calendar(service):
+    principal = client(service).principal()
+    calendar = principal.make_calendar(name="Nightly runs", cal_id="nightly")
+    assert [str(one.url) for one in principal.calendars()] == [str(calendar.url)]
+    made = calendar.save_event(event("one"))
+    assert [one.icalendar_component["UID"] for one in calendar.events()] == ["one"]
+    found = calendar.search(start=datetime.now(UTC), end=datetime.now(UTC) + timedelta(days=3),
+                            event=True, expand=False)
+    assert len(found) == 1
+    token = calendar.objects_by_sync_token(load_objects=False).sync_token
+    second = calendar.save_event(event("two"))
+    changed = calendar.objects_by_sync_token(sync_token=token, load_objects=False)
+    assert [str(one.url) for one in changed] == [str(second.url)]
+    made.delete()
+    with pytest.raises(dav_error.NotFoundError):
+        made.load()
+    status, body = raw(service, "PUT", "/dav/red/nightly/other.ics", event("two").encode())
+    assert status == 403 and "has this UID" in body.decode()
+    entry = json.loads(run(service, "--json", "schedule", "list", "red/nightly/"))
+    assert [row["rule"] for row in entry] == ["FREQ=DAILY"]
+    run(service, "schedule", "calendar", "remove", "red/nightly", code=1)
+    second.delete()
+    calendar.delete()
+    assert principal.calendars() == []
+
+
+def test_who_may_not_is_told_so(service):
+    with pytest.raises(dav_error.AuthorizationError):
+        client(service, token="wrong").principal()
+    client(service, "blue").principal().make_calendar(name="B", cal_id="own")
+    assert raw(service, "GET", "/dav/blue/own/a.ics")[0] == 403
+    assert raw(service, "PUT", "/dav/blue/own/a.ics", event().encode())[0] == 403
+    assert raw(service, "PROPFIND", "/dav/blue/", Depth="1")[0] == 403
+    assert raw(service, "GET", "/dav/blue/own/a.ics", team="blue")[0] == 404
+
+
+def test_edits_that_meet_are_not_lost(service):
+    client(service).principal().make_calendar(name="Edits", cal_id="edits")
+    path = "/dav/red/edits/a.ics"
+    assert raw(service, "PUT", path, event().encode(), If_None_Match="*")[0] == 201
+    assert raw(service, "PUT", path, event().encode(), If_None_Match="*")[0] == 412
+    assert raw(service, "PUT", path, event().encode(), If_Match='"no"')[0] == 412
+    assert raw(service, "DELETE", path, If_Match='"no"')[0] == 412
+    assert raw(service, "GET", path)[1].decode() == event()
+
+
+@pytest.mark.parametrize("text, status, word", [
+    ("rubbish", 400, "iCalendar"), ("\x00\x01", 400, "iCalendar"),
+    (EVENT.format(uid="x", template="nowhere"), 403, "no template"),
+    (event().replace("FREQ=DAILY", "FREQ=SECONDLY"), 403, "finest"),
+    (event().replace("FREQ=DAILY", "FREQ=DAILY;BYDAY=XX"), 400, ""),
+    (event().replace("Europe/Berlin", "Mars/Base"), 403, "zone"),
+    (event().replace("UID:a\n", ""), 403, "UID"),
+    (event().replace("VEVENT", "VJOURNAL"), 403, "VEVENT"),
+    (event() + "X" * 70_000, 413, ""),
+])
+def test_an_object_that_can_not_be_kept_is_refused_whole(service, text, status, word):
+    raw(service, "MKCALENDAR", "/dav/red/bad/")
+    got, body = raw(service, "PUT", "/dav/red/bad/a.ics", text.encode())
+    assert got == status and word in body.decode()
+    assert raw(service, "GET", "/dav/red/bad/a.ics")[0] == 404
+    assert json.loads(run(service, "--json", "schedule", "list", "red/bad/")) == []
+
+
+@pytest.mark.parametrize("method, path, body, status", [
+    ("PROPFIND", "/dav/red/", b"<a", 400),
+    ("PROPFIND", "/dav/red/", b'<!DOCTYPE a [<!ENTITY x "y">]><propfind xmlns="DAV:">&x;'
+     b"</propfind>", 400),
+    ("PROPFIND", "/dav/red/", b'<!DOCTYPE a SYSTEM "file:///etc/passwd"><a/>', 400),
+    ("PROPFIND", "/dav/red/", b"<a>" * 16_000, 400),
+    ("REPORT", "/dav/red/none/", b"<x/>", 400), ("GET", "/dav/red/%00/../..", b"", 404),
+    ("BREW", "/dav/red/", b"", 400), ("LOCK", "/dav/red/", b"", 501),
+    ("PUT", "/dav/red/none/a.ics", event().encode(), 404),
+    ("PUT", "/dav/red/edits/" + "a" * 200, event().encode(), 403),
+    ("GET", "/dav/red/", b"", 405), ("DELETE", "/dav/red/", b"", 403), ("GET", "/x", b"", 404),
+])
+def test_a_bad_request_is_answered_and_nothing_ends(service, method, path, body, status):
+    assert raw(service, method, path, body)[0] == status
+    assert raw(service, "OPTIONS", "/dav/")[0] == 200
+
+
+TABLE = """# as it stood on the old machine
+MAILTO=""
+CRON_TZ=Asia/Jakarta
+OAKMUX_TEMPLATE=t
+30 2 * * 1-5 /opt/recon/nightly --all
+@weekly /opt/archive/print.sh %season%2026
+"""
+
+
+def test_a_cron_table_is_imported_whole_or_not_at_all(service, tmp_path):
+    table = tmp_path / "old.tab"
+    table.write_text(TABLE + "61 * * * * /bin/x\n* * * * *\n")
+    text = run(service, "schedule", "import", str(table), "--team", "red", code=2)
+    assert "line 7, column 1: minute: 0 to 59" in text and "nothing stored: 2 bad of 4" in text
+    assert run(service, "schedule", "list", "red/old.") == "no entries\n"
+    run(service, "schedule", "check", str(table), "--team", "red", code=2)
+    table.write_text(TABLE)
+    assert "2 entries stored" in run(service, "schedule", "import", str(table), "--team", "red")
+    rows = json.loads(run(service, "--json", "schedule", "list", "red/old."))
+    assert [row["zone"] for row in rows] == ["Asia/Jakarta"] * 2
+    assert run(service, "schedule", "next", rows[0]["name"], "--count", "2").count("+07:00") == 2
+    table.write_text(TABLE.replace("@weekly", "#@weekly"))
+    text = run(service, "schedule", "import", str(table), "--team", "red", "--prune")
+    assert "1 entries stored, 0 left out, 1 removed" in text
+    (row,) = json.loads(run(service, "--json", "schedule", "list", "red/old."))
+    for what in ("pause", "resume", "show", "history"):
+        run(service, "schedule", what, row["name"])
+    assert "job-97" in run(service, "schedule", "run-now", row["name"])
+    assert "by hand" in run(service, "schedule", "history", row["name"])
+    run(service, "schedule", "remove", row["name"])
+    run(service, "schedule", "show", row["name"], code=1)
+
+
+def test_an_icalendar_file_is_imported(service, tmp_path):
+    file = tmp_path / "season.ics"
+    one, two = event("1"), event("2").replace("FREQ=DAILY", "FREQ=WEEKLY;BYDAY=MO,WE")
+    both = one.replace("END:VCALENDAR\n", "") + two.partition("-//test//EN\n")[2]
+    file.write_text(both)
+    assert "2 entries stored" in run(service, "schedule", "import", str(file), "--team", "red")
+    rows = json.loads(run(service, "--json", "schedule", "list", "red/season."))
+    assert sorted(row["rule"] for row in rows) == ["FREQ=DAILY", "FREQ=WEEKLY;BYDAY=MO,WE"]
+
+
+def test_templates_and_entries_by_hand(service, tmp_path):
+    file = tmp_path / "t.toml"
+    file.write_text('team = "red"\ncpus = 0.5\n')
+    assert "stored, 1 job" in run(service, "schedule", "template", "put", "red/hand", str(file))
+    run(service, "schedule", "add", "red/once", "--at", "2031-01-01T10:00", "--template",
+        "red/hand", "--zone", "Africa/Nairobi")
+    assert "2031-01-01T10:00:00+03:00" in run(service, "schedule", "next", "red/once")
+    run(service, "schedule", "template", "remove", "red/hand", code=1)
+    run(service, "schedule", "remove", "red/once")
+    run(service, "schedule", "template", "remove", "red/hand")
+    assert "red/t: main" in run(service, "schedule", "template", "list")
+    file.write_text('team = "red"\ncpu = 1\n')
+    assert "unknown field cpu" in run(service, "schedule", "template", "put", "red/x", str(file),
+                                      code=2)
+    assert "token: " in run(service, "schedule", "token", "red")
