Turns against a slow oracle as properties; rubbish into every reader

Need: turns of random expressions, rules and zones must be those of an independent count, and random bytes must give an error, never an exception.

--- /dev/null
+++ b/oakmux/schedules/replay/oracle.py
@@ -0,0 +1,187 @@
+"""Which turns there should be, found slowly: minute by minute, sharing nothing with `turns`.
+
+Cron fields are read anew here, recurrences are tried day by day, and a change of clocks is seen
+as what it is: wall minutes that no instant shows, or that two do.
+"""
+
+from collections.abc import Iterator
+from datetime import UTC, date, datetime, timedelta
+from typing import NamedTuple
+
+from oakmux.schedules.turns import Rule
+from oakmux.schedules.zones import zone
+
+RANGES = ((0, 59), (0, 23), (1, 31), (1, 12), (0, 7))
+WEEKDAYS = ("MO", "TU", "WE", "TH", "FR", "SA", "SU")
+
+
+class Minute(NamedTuple):
+    """One minute of a zone: its instant (s), what clocks show, whether for the second time, and
+    the wall minutes that were left out just before it."""
+
+    at: int
+    wall: datetime
+    again: bool
+    left_out: tuple[datetime, ...]
+
+
+def minutes(name: str, start: int, end: int) -> Iterator[Minute]:
+    """Yield the minutes of a zone whose instants lie in [start, end)."""
+    here = zone(name)
+    latest = datetime.fromtimestamp(start - 60, UTC).astimezone(here).replace(tzinfo=None)
+    for at in range(start, end, 60):
+        wall = datetime.fromtimestamp(at, UTC).astimezone(here).replace(tzinfo=None)
+        left_out = []
+        step = latest + timedelta(minutes=1)
+        while step < wall:
+            left_out.append(step)
+            step += timedelta(minutes=1)
+        again = wall <= latest
+        yield Minute(at, wall, again, tuple(left_out))
+        latest = max(latest, wall)
+
+
+def _field(text: str, low: int, high: int) -> set[int]:
+    found: set[int] = set()
+    for part in text.split(","):
+        base, _, step = part.partition("/")
+        if base == "*":
+            first, last = low, high
+        else:
+            one, _, other = base.partition("-")
+            first = int(one)
+            last = int(other) if other else first
+        found.update(range(first, last + 1, int(step or 1)))
+    return found
+
+
+class CronOracle:
+    """One cron expression."""
+
+    def __init__(self, text: str) -> None:
+        fields = text.split()
+        self.minutes, self.hours, self.days, self.months, weekdays = (
+            _field(field, *span) for field, span in zip(fields, RANGES, strict=True))
+        self.weekdays = {day % 7 for day in weekdays}
+        self.stars = fields[0].startswith("*") or fields[1].startswith("*")
+        self.both = not (fields[2].startswith("*") or fields[4].startswith("*"))
+
+    def day(self, wall: date) -> bool:
+        """Whether the expression has this day."""
+        of_month, of_week = wall.day in self.days, wall.isoweekday() % 7 in self.weekdays
+        return wall.month in self.months and (
+            of_month or of_week if self.both else of_month and of_week)
+
+    def shows(self, wall: datetime) -> bool:
+        """Whether the expression has this wall minute."""
+        return wall.minute in self.minutes and wall.hour in self.hours and self.day(wall)
+
+    def has(self, minute: Minute) -> bool:
+        """Whether there is a turn in this minute."""
+        if self.stars:
+            return self.shows(minute.wall)
+        if minute.again:
+            return False
+        return self.shows(minute.wall) or any(self.shows(wall) for wall in minute.left_out)
+
+
+class CalendarOracle:
+    """One calendar rule: RRULE parts by day, EXDATE, RDATE, moved instances."""
+
+    def __init__(self, rule: Rule, last: datetime) -> None:
+        self.parts = dict(part.split("=") for part in rule.text.split(";")) if rule.text else {}
+        self.start = datetime.fromtimestamp(rule.start, UTC).replace(tzinfo=None)
+        walls = {w for w in self._walls(last)
+                 if int(w.replace(tzinfo=UTC).timestamp()) not in rule.without}
+        walls.update(datetime.fromtimestamp(w, UTC).replace(tzinfo=None) for w in rule.more
+                     if w not in rule.without)
+        for old, new in rule.moved:
+            walls.discard(datetime.fromtimestamp(old, UTC).replace(tzinfo=None))
+            if new is not None:
+                walls.add(datetime.fromtimestamp(new, UTC).replace(tzinfo=None))
+        self.walls = walls
+
+    def has(self, minute: Minute) -> bool:
+        """Whether there is a turn in this minute.
+
+        One that no clock shows is as long after the gap as it would have been before it, thus
+        shown later by the length of the gap.
+        """
+        return not minute.again and minute.wall in self.walls
+
+    def _walls(self, last: datetime) -> Iterator[datetime]:
+        """Yield the wall times of all instances, in order, up to a time."""
+        yield self.start
+        if not self.parts:
+            return
+        count = int(self.parts.get("COUNT", 10**9))
+        until = self.parts.get("UNTIL")
+        end = min(last, datetime.strptime(until, "%Y%m%dT%H%M%S")) if until else last
+        seen = 1
+        moment = self.start
+        while moment <= end and seen < count:
+            moment += timedelta(days=1)
+            if moment <= end and self._day(moment.date()):
+                seen += 1
+                yield moment
+
+    def _day(self, day: date) -> bool:
+        first, interval = self.start.date(), int(self.parts.get("INTERVAL", 1))
+        by_month = [int(m) for m in self.parts.get("BYMONTH", "").split(",") if m]
+        by_days = [d for d in self.parts.get("BYDAY", "").split(",") if d]
+        of_month = [int(d) for d in self.parts.get("BYMONTHDAY", "").split(",") if d]
+        if by_month and day.month not in by_month:
+            return False
+        kind = self.parts["FREQ"]
+        if kind == "DAILY":
+            return (day - first).days % interval == 0 and (
+                not by_days or WEEKDAYS[day.weekday()] in by_days)
+        if kind == "WEEKLY":
+            weeks = (day - timedelta(days=day.weekday())
+                     - (first - timedelta(days=first.weekday()))).days // 7
+            return weeks % interval == 0 and WEEKDAYS[day.weekday()] in (
+                by_days or [WEEKDAYS[first.weekday()]])
+        if kind == "MONTHLY":
+            months = (day.year - first.year) * 12 + day.month - first.month
+            if months % interval:
+                return False
+            if by_days:
+                return any(self._nth(day, text) for text in by_days)
+            length = ((day.replace(day=28) + timedelta(days=4)).replace(day=1)
+                      - timedelta(days=1)).day
+            return day.day in [d if d > 0 else length + 1 + d for d in of_month or [first.day]]
+        return (day.year - first.year) % interval == 0 and (
+            day.day == first.day and (bool(by_month) or day.month == first.month))
+
+    def _nth(self, day: date, text: str) -> bool:
+        if WEEKDAYS[day.weekday()] != text[-2:]:
+            return False
+        number = int(text[:-2] or 0)
+        if number > 0:
+            return (day.day - 1) // 7 + 1 == number
+        if number < 0:
+            following = day + timedelta(days=7 * -number)
+            before = day + timedelta(days=7 * (-number - 1))
+            return following.month != day.month and before.month == day.month
+        return True
+
+
+def shift_gaps(oracle: CalendarOracle, all_minutes: list[Minute]) -> None:
+    """Move the instances that no clock shows to where they are taken to be."""
+    for minute in all_minutes:
+        if minute.left_out:
+            by = timedelta(minutes=len(minute.left_out))
+            for wall in minute.left_out:
+                if wall in oracle.walls:
+                    oracle.walls.discard(wall)
+                    oracle.walls.add(wall + by)
+
+
+def expected(rule: Rule, all_minutes: list[Minute]) -> set[int]:
+    """Return the instants (s) of all turns within these minutes."""
+    if rule.kind == "cron":
+        cron = CronOracle(rule.text)
+        return {minute.at for minute in all_minutes if cron.has(minute)}
+    calendar = CalendarOracle(rule, all_minutes[-1].wall)
+    shift_gaps(calendar, all_minutes)
+    return {minute.at for minute in all_minutes if calendar.has(minute)}
--- a/oakmux/schedules/turns.py
+++ b/oakmux/schedules/turns.py
@@ -23,6 +23,7 @@
            "@weekly": "0 0 * * 0", "@monthly": "0 0 1 * *", "@yearly": "0 0 1 1 *",
            "@annually": "0 0 1 1 *"}
 STEPS = {"HOURLY": timedelta(hours=1), "DAILY": timedelta(days=1), "WEEKLY": timedelta(weeks=1)}
+ONE = re.compile(r"\b(\d+)-\1(?!\d)(/\d+)?")
 RULE_PART = re.compile(r"([A-Z]+)=([A-Z0-9+,:-]+)\Z")
 
 
@@ -61,7 +62,8 @@
         raise BadRule("@reboot: nothing is booted here; submit a job instead")
     if len(fields) != 5:
         raise BadRule(f"five fields are needed, not {len(fields)}")
-    made = Rule("cron", zone, " ".join(fields))
+    # A range of one value with a step, like 0-0/2 among days of the week, is read as an open one.
+    made = Rule("cron", zone, " ".join(ONE.sub(r"\1", field) for field in fields))
     try:
         next(turns(made, 0))
     except CronSimError as error:
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,131 @@
+"""Properties: turns against the oracle, and readers that never fall over."""
+
+from datetime import UTC, datetime, timedelta
+from functools import cache
+
+import pytest
+from hypothesis import assume, given, settings
+from hypothesis import strategies as st
+
+from oakmux.schedules import calendars, crontab, zones
+from oakmux.schedules.dav import tokens, xml
+from oakmux.schedules.replay.oracle import expected, minutes
+from oakmux.schedules.turns import BadRule, Rule, check_recurrence, cron_rule, mark_at, turns
+
+ZONES = ["UTC", "Europe/Berlin", "America/New_York", "Australia/Lord_Howe", "Asia/Jakarta",
+         "America/Santiago", "Africa/Casablanca", "Asia/Kathmandu", "Pacific/Apia",
+         "Australia/Adelaide"]
+# Days round changes of clocks in those zones, and others.
+DAYS = ["2026-03-28", "2026-10-24", "2026-03-07", "2026-10-31", "2026-04-03", "2026-10-02",
+        "2026-09-05", "2026-02-14", "2026-03-20", "2026-06-30", "2028-02-27"]
+
+
+def part(low: int, high: int):
+    number = st.integers(low, high)
+    span = st.tuples(number, number).map(lambda p: f"{min(p)}-{max(p)}")
+    step = st.integers(1, high)
+    return st.one_of(number.map(str), span, st.tuples(span, step).map(lambda p: f"{p[0]}/{p[1]}"),
+                     step.map(lambda s: f"*/{s}"))
+
+
+def field(low: int, high: int):
+    return st.one_of(st.just("*"), st.lists(part(low, high), min_size=1, max_size=3)
+                     .map(",".join))
+
+
+@cache
+def known(zone: str, start: int, end: int) -> list:
+    return list(minutes(zone, start, end))
+
+
+def between(rule: Rule, start: int, end: int) -> set[int]:
+    found = set()
+    for turn in turns(rule, mark_at(rule, start - 60)):
+        if turn.at >= end:
+            break
+        found.add(turn.at)
+    return found
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
+       st.sampled_from(ZONES), st.sampled_from(DAYS))
+def test_turns_of_an_expression_are_those_of_the_oracle(fields, zone, day):
+    start = int(datetime.fromisoformat(day).replace(tzinfo=UTC).timestamp())
+    end = start + 2 * 86_400
+    try:
+        rule = cron_rule(" ".join(fields), zone)
+    except BadRule:
+        assume(False)
+    assert between(rule, start, end) == expected(rule, known(zone, start, end))
+
+
+RECURRENCES = st.one_of(
+    st.tuples(st.integers(1, 3), st.sampled_from(["", ";BYDAY=MO,WE,SA", ";COUNT=9"])).map(
+        lambda p: f"FREQ=DAILY;INTERVAL={p[0]}{p[1]}"),
+    st.tuples(st.integers(1, 3), st.sampled_from(["", ";BYDAY=MO,SU", ";BYDAY=TU,SA;COUNT=7",
+                                                  ";UNTIL=20261101T000000"])).map(
+        lambda p: f"FREQ=WEEKLY;INTERVAL={p[0]}{p[1]}"),
+    st.sampled_from(["FREQ=MONTHLY", "FREQ=MONTHLY;BYDAY=-1SU", "FREQ=MONTHLY;BYDAY=2SA,1MO",
+                     "FREQ=MONTHLY;BYMONTHDAY=-1,29", "FREQ=MONTHLY;INTERVAL=2",
+                     "FREQ=YEARLY", "FREQ=YEARLY;BYMONTH=3,10", ""]))
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(RECURRENCES, st.sampled_from(ZONES), st.sampled_from(DAYS), st.integers(-500, 2),
+       st.integers(0, 47), st.booleans())
+def test_turns_of_a_recurrence_are_those_of_the_oracle(text, zone, day, shift, half, moves):
+    start = int(datetime.fromisoformat(day).replace(tzinfo=UTC).timestamp())
+    first = zones.from_wall(start) + timedelta(days=shift, minutes=30 * half)
+    at = zones.as_wall(first)
+    moved = ((at, at + 5400), (at + 86_400, None)) if moves else ()
+    rule = Rule("calendar", zone, text, at, (start + 86_400 + 7200,), (start + 7200,), moved)
+    check_recurrence(text, at)
+    end = start + 3 * 86_400
+    want = {a for a in expected(rule, known(zone, start - 86_400, end)) if a >= start}
+    assert between(rule, start, end) == want
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
+       st.text(st.characters(codec="ascii", exclude_characters="\n\r\\%"), min_size=1))
+def test_what_is_printed_is_read_again(fields, command):
+    assume(command.strip())
+    text = " ".join(fields) + " " + command.strip()
+    lines, problems = crontab.parse(text)
+    assert bool(lines) != bool(problems)
+    for line in lines:
+        again, none = crontab.parse(f"{line.rule.text} {line.command}")
+        assert not none and again[0].rule == line.rule and again[0].command == line.command
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.binary(max_size=300), st.text(max_size=200))
+def test_rubbish_is_an_error_and_never_an_exception(data, text):
+    for one in (data.decode("latin-1"), text, "0 3 * * " + text, "BEGIN:VCALENDAR\n" + text):
+        crontab.parse(one)
+        crontab.parse(one, system=True)
+        with pytest.raises(calendars.BadCalendar):
+            calendars.parse(one, "UTC")
+    tokens.credentials(text)
+    with pytest.raises(xml.BadXml):
+        xml.read(data, xml.DAV + "propfind")
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from(
+    ["DTSTART", "DTSTART;TZID=Europe/Berlin", "DTSTART;VALUE=DATE", "DUE", "RRULE", "EXDATE",
+     "RDATE", "RECURRENCE-ID", "STATUS", "UID", "X-OAKMUX-WINDOW-S", "DURATION", "CATEGORIES"]),
+    st.one_of(st.sampled_from(["20260101T100000", "20260101T100000Z", "20260101", "FREQ=DAILY",
+                               "FREQ=DAILY;COUNT=0", "FREQ=WEEKLY;BYDAY=MO;UNTIL=20260301",
+                               "PT1H", "u", "FREQ=YEARLY;BYWEEKNO=1", "20261332T990000"]),
+              st.text(st.characters(codec="ascii", exclude_characters="\n\r"), max_size=12))),
+    max_size=8), st.sampled_from(["VEVENT", "VTODO"]))
+def test_any_properties_make_a_rule_or_a_reason(rows, kind):
+    lines = "\r\n".join(f"{name}:{value}" for name, value in [("UID", "u"), *rows])
+    text = f"BEGIN:VCALENDAR\r\nBEGIN:{kind}\r\n{lines}\r\nEND:{kind}\r\nEND:VCALENDAR\r\n"
+    try:
+        made = calendars.parse(text, "Asia/Jakarta")
+    except calendars.BadCalendar:
+        return
+    next(turns(made.rule, 0), None)
