--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -261,7 +261,7 @@
 TURNS_IN_FLIGHT = 4
 # Rank of a turn's transaction for the state service: with the owners', behind users' changes.
 TURN_RANK = 1
-# Seconds before turns of a shard are tried again after no answer or a refusal.
+# Seconds before turns of a shard are tried again after no answer or a refusal, at first.
 TURN_RETRY_S = 0.3
 # Seconds between two looks at whether queued turns can go.
 QUEUED_LOOK_S = 1.0
--- a/oakmux/schedules/clock.py
+++ b/oakmux/schedules/clock.py
@@ -103,6 +103,7 @@
         self.in_plan: set[str] = set()
         self.flying: set[int] = set()
         self.not_before: dict[int, float] = {}
+        self.failed: dict[int, int] = {}  # times in a row that a shard could not be written
         self.next_look = 0.0
         self.served = 0
         self.tried: dict[str, int] = {}
@@ -118,7 +119,9 @@
         self._again(self.store.changed)
         self.store.changed.clear()
         self._plan()
-        if not self.daytime.steady:
+        # Without news from the state service nothing can be written, and what runs is not known.
+        if (not self.daytime.steady
+                or self.world.now - self.world.state_heard > constants.STATE_STALE_S):
             return
         now_ms = self.daytime.now_ms()
         while self.heap and self.heap[0][0] <= now_ms:
@@ -138,7 +141,7 @@
         """The role came or went: what was planned under it is void."""
         self.held = stamp
         for held in (self.plans, self.heap, self.due, self.queued, self.to_plan, self.in_plan,
-                     self.flying, self.not_before, self.tried):
+                     self.flying, self.not_before, self.failed, self.tried):
             held.clear()
         if stamp:
             event("clock_taken", entries=len(self.store.entries))
@@ -364,13 +367,17 @@
                 return
             # 409: the watch brings what was in the way. No answer: the turns may still be
             # written late; then what we try again fails on the shard's version.
-            self.not_before[batch.shard] = self.world.now + constants.TURN_RETRY_S
+            pause = min(constants.BACKOFF_MOST_S,
+                        constants.TURN_RETRY_S * 2 ** self.failed.get(batch.shard, 0))
+            self.not_before[batch.shard] = self.world.now + pause
+            self.failed[batch.shard] = min(self.failed.get(batch.shard, 0) + 1, 10)
             self._taken_ids(batch, status, result)
             self._again(set(batch.slots))
             if status == 400:
                 event("turns_refused", shard=batch.shard, jobs=len(batch.writes))
                 self.not_before[batch.shard] = self.world.now + constants.RETRY_MOST_S
             return
+        self.failed.pop(batch.shard, None)
         replica, store = self.world.replica, self.store
         for key, row, _ in batch.writes:
             replica.apply(key, row, result[0])
--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -526,3 +526,31 @@
 def remove(context: Context, name: str) -> None:
     """Remove an entry. Jobs that its turns made go on."""
     context.show(call(context, "remove", name=name), f"{name}: removed")
+
+
+@schedule.command()
+@click.option("--entries", default=1000, show_default=True)
+@click.option("--days", default=365, show_default=True)
+@click.option("--start", default="2026-01-01", show_default=True, help="First day, UTC.")
+@click.option("--seed", default=1, show_default=True)
+@click.pass_obj
+def replay(context: Context, entries: int, days: int, start: str, seed: int) -> None:
+    """Replay a year of turns on a model with controllers that die; exit 1 if one is wrong.
+
+    Needs no controllers. Every turn is compared with a slow count of its own, minute by minute.
+    """
+    year = need("replay.year")
+    zones = need("zones")
+    result = year.replay(entries, days, seed, zones.instant(wall(start), "UTC"))
+    text = [f"{result.entries} entries, {days} days from {start}, seed {seed}: "
+            f"{result.turns} turns, {result.made} made, {result.skipped} skipped since the one "
+            f"before ran; {result.seconds:.0f} s",
+            "troubles: " + ", ".join(f"{n} {name}" for name, n in result.troubles.items()),
+            "late (ms): " + ", ".join(f"{name} {value:.0f}"
+                                      for name, value in result.late_ms.items()),
+            f"lost {len(result.lost)}, besides {len(result.besides)}, doubled "
+            f"{len(result.doubled)}, early {result.early}"]
+    text += [*result.lost[:5], *result.besides[:5], *result.doubled[:5]]
+    context.show({**result._asdict(), "good": result.good}, "\n".join(text))
+    if not result.good:
+        context_exit(EXIT_FAILED)
--- /dev/null
+++ b/oakmux/schedules/replay/model.py
@@ -0,0 +1,290 @@
+"""A model of a deployment for schedules alone: guarded records, clocks, and holders that die.
+
+Only the clock's part of a controller runs here (records, daytime, clock), over time that jumps
+from event to event, so that a year fits into minutes. Whoever holds the role is decided as the
+lease would: when a holder is gone or cut off for the lease's time, another one takes the role's
+record, and what the old one sent may still arrive later.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from oakmux import constants
+from oakmux.core.jobs import PREFIX, job_value, role_key
+from oakmux.core.world import World
+from oakmux.schedules import records
+from oakmux.schedules.clock import CLOCK
+from oakmux.schedules.part import Schedules
+from oakmux.settings import (
+    CloudLimits,
+    External,
+    Facts,
+    Settings,
+    StateLimits,
+    Team,
+    Workers,
+)
+from oakmux.wire import MachineType
+
+TEAM = "press"
+# Share of transactions whose answer is lost.
+LOST = 0.01
+# Seconds between two looks at queued turns: a real clock looks each second.
+QUEUED_LOOK_S = 30.0
+SKEW_S = 0.1
+# Seconds: a watch's news, a transaction's way, one that is held up by a cut, a job's run.
+NEWS, WAY, HELD, RUN = (0.02, 0.1), (0.01, 0.08), (1.0, 120.0), (20.0, 5400.0)
+MACHINE = MachineType("plain", 64.0, 8.0, 256.0, 100.0, 1.0, 1.0, 1.0, 1.0, ["a"])
+
+
+def settings_for(label: str) -> Settings:
+    """Return the settings of a controller of the model."""
+    return Settings(label, "10.0.0.1:80", "10.0.0.1:81", External("10.0.0.2:1", "10.0.0.3:1"),
+                    Facts(["a"], [Team(TEAM)], Workers(1, 10, 10, 10, 30),
+                          StateLimits(700, 250, 8, 12), CloudLimits(5, 5), 3,
+                          skew_ms=SKEW_S * 1000))
+
+
+class Controller:
+    """One controller's clock, with a clock of its own that wanders."""
+
+    def __init__(self, model: "Model", label: str) -> None:
+        self.model = model
+        self.label = label
+        self.life = 0
+        self.cut = False
+        self.ahead = 0.0
+        self.awake_at = 0.0
+        self.part: Schedules | None = None
+
+    def boot(self) -> None:
+        """Start anew: read all records."""
+        self.life += 1
+        self.world = World(settings_for(self.label), random.Random(self.life), 0)
+        self.world.types = {MACHINE.name: MACHINE}
+        self.part = Schedules(self.world)
+        self.world.replica.load([(key, value, stamp) for key, (value, stamp)
+                                 in self.model.rows.items()], self.model.epoch)
+        self.wake(0.0)
+
+    def crash(self) -> None:
+        """End without a word."""
+        self.life += 1
+        self.part = None
+
+    def wake(self, seconds: float) -> None:
+        """Have a turn in so many seconds, unless one comes before."""
+        at = self.model.now + seconds
+        if self.awake_at <= self.model.now or at < self.awake_at:
+            self.awake_at = at
+            life = self.life
+            self.model.after(seconds, lambda: self.turn(life, at))
+
+    def turn(self, life: int, at: float) -> None:
+        """Have a turn as a controller has in every tick."""
+        if self.part is None or life != self.life or at != self.awake_at:
+            return
+        model, world, clock = self.model, self.world, self.part.clock
+        world.now = model.now
+        drift = model.rng.uniform(-0.01, 0.01)
+        self.ahead = max(-SKEW_S / 2, min(SKEW_S / 2, self.ahead + drift))
+        if not (self.cut or model.down):
+            world.state_heard = model.now
+        self.part.daytime.said = None
+        self.part.daytime.say(int((model.start + model.now + self.ahead) * 1000))
+        self.part.tick()
+        effects, world.effects = world.effects, []
+        for effect in effects:
+            self.send(effect, life)
+        self.awake_at = 0.0
+        if clock.due or clock.to_plan or clock.flying:
+            self.wake(constants.TICK_S if world.state_heard == model.now else 1.0)
+            return
+        rest = 3600.0 if not clock.queued else QUEUED_LOOK_S
+        if clock.heap:
+            rest = min(rest, clock.heap[0][0] / 1000 - model.start - model.now - self.ahead)
+        self.wake(max(constants.TICK_S, rest))
+
+    def send(self, effect: tuple, life: int) -> None:
+        """Carry a transaction to the state service, and its outcome back if there is one."""
+        _, number, guards, writes, _ = effect
+        model = self.model
+        then = self.world.ops.pop(number)
+
+        def answer(status: int, result: Any) -> None:
+            if life == self.life:
+                self.world.now = model.now
+                then(status, result)
+                self.wake(0.0)
+
+        def arrive() -> None:
+            outcome = model.write(guards, writes)
+            if not lost:
+                model.after(model.rng.uniform(*WAY), lambda: answer(*outcome))
+
+        # Cut off, or one in a hundred: carried out long after it was given up, or without a word.
+        lost = self.cut or model.rng.random() < LOST
+        way = HELD if lost and model.rng.random() < 0.5 else WAY
+        model.after(model.rng.uniform(*way), arrive)
+        if lost or model.down:
+            model.after(constants.STATE_TIMEOUT_S, lambda: answer(0, None))
+
+    def hear(self, events: list[tuple[str, Any, int]]) -> None:
+        """Take news of the watch."""
+        if self.part is not None:
+            for event in events:
+                self.world.replica.apply(*event)
+            held = self.world.replica.roles.get(CLOCK)
+            mine = held is not None and held[0] == self.label and held[1] == self.life
+            self.world.my_roles = {CLOCK: held[2]} if mine and held is not None else {}
+            if mine != (self.part.clock.held != 0) or self.part.store.changed and mine:
+                self.wake(0.0)
+
+
+class Model:
+    """State service, controllers, jobs and troubles over true time from `start` (s since 1970)."""
+
+    def __init__(self, start: int, seed: int) -> None:
+        self.start = start
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.rows: dict[str, tuple[Any, int]] = {}
+        self.epoch = 1
+        self.down = False
+        self.duration: dict[str, tuple[float, float]] = {}
+        self.decided: dict[str, dict[int, list[str]]] = {}
+        self.made: dict[str, float] = {}
+        self.doubled: list[str] = []
+        self.finished: list[tuple[float, str]] = []
+        self.controllers = [Controller(self, f"h{n}") for n in range(3)]
+
+    def after(self, seconds: float, run: Callable[[], None]) -> None:
+        """Run something in so many seconds."""
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + seconds, self.count, run))
+
+    def run(self, until: float) -> None:
+        """Go on until a time (s from the start)."""
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, run = heapq.heappop(self.heap)
+            run()
+        self.now = until
+
+    # --- state service ---
+
+    def write(self, guards: list, writes: list) -> tuple[int, Any]:
+        """Carry out a transaction, or none of it."""
+        if self.down:
+            return 503, None
+        failed = [key for key, stamp in guards if self.rows.get(key, (None, 0))[1] != stamp]
+        if failed:
+            return 409, (self.epoch, failed)
+        self.put([(write[0], write[1]) for write in writes])
+        return 200, (self.epoch, [])
+
+    def put(self, pairs: list[tuple[str, Any]]) -> None:
+        """Write keys, and bring the news to all."""
+        self.epoch += 1
+        events = []
+        for key, value in pairs:
+            self.rows[key] = (value, self.epoch)
+            events.append((key, value, self.epoch))
+            kind, _, rest = key.removeprefix(PREFIX).partition("/")
+            if kind == "j" and value[0] == "queued":
+                self._job(rest, value)
+            elif kind == records.KIND and rest.startswith("m/"):
+                self._note(value)
+        for one in self.controllers:
+            if not one.cut:
+                self.after(self.rng.uniform(*NEWS), partial(one.hear, events))
+
+    def _job(self, name: str, value: list) -> None:
+        if name in self.made:
+            self.doubled.append(name)
+        self.made[name] = self.now
+        low, high = RUN
+        self.after(self.rng.uniform(low, high), lambda: self._finish(name, value))
+
+    def _finish(self, name: str, value: list) -> None:
+        self.put([(f"{PREFIX}j/{name}", job_value("done", value[1], None, value[3], value[4]))])
+        self.finished.append((self.now, name))
+        # A real deployment keeps the records; here they only would fill the memory.
+        while self.finished and self.finished[0][0] < self.now - 86_400:
+            _, old = self.finished.pop(0)
+            self.rows.pop(f"{PREFIX}j/{old}", None)
+            for one in self.controllers:
+                if one.part is not None:
+                    one.world.replica.jobs.pop(old, None)
+                    one.world.replica.changed_jobs.discard(old)
+
+    def _note(self, value: list) -> None:
+        """Collect the decisions that a shard's record shows."""
+        for name, _, _, rows in value:
+            known = self.decided.setdefault(name, {})
+            for at, outcome, *_ in rows:
+                seen = known.setdefault(at, [])
+                if not seen or seen[-1] != outcome:
+                    seen.append(outcome)
+
+    # --- who holds the clock ---
+
+    def elect(self) -> None:
+        """Give the role to a controller that lives, as its lease's end would."""
+        free = [one for one in self.controllers if one.part is not None and not one.cut]
+        if free and not self.down:
+            one = self.rng.choice(free)
+            self.put([(role_key(CLOCK), [one.label, one.life])])
+        else:
+            self.after(1.0, self.elect)
+
+    def holder(self) -> Controller | None:
+        """Return who holds the role by the records."""
+        row = self.rows.get(role_key(CLOCK))
+        return next((one for one in self.controllers
+                     if row and row[0] == [one.label, one.life]), None)
+
+    def takeover(self) -> None:
+        """The holder is gone: its lease ends, another takes the role."""
+        self.after(constants.NODE_LEASE_S + self.rng.uniform(0.1, 1.0), self.elect)
+
+    def crash(self, one: Controller, back: float) -> None:
+        """End a controller; it comes back after a time."""
+        if one.part is None:
+            return
+        held = self.holder() is one
+        one.crash()
+        self.after(back, lambda: one.boot() if one.part is None else None)
+        if held:
+            self.takeover()
+
+    def cut(self, one: Controller, seconds: float) -> None:
+        """Cut a controller off; what it sends meanwhile arrives late."""
+        if one.part is None or one.cut:
+            return
+        one.cut = True
+        if self.holder() is one:
+            self.takeover()
+
+        def heal() -> None:
+            one.cut = False
+            if one.part is not None:
+                one.crash()  # its watch starts anew; so do its plans
+                one.boot()
+                if self.holder() is None:
+                    self.elect()
+
+        self.after(seconds, heal)
+
+    def outage(self, seconds: float) -> None:
+        """Take the state service away for a while."""
+        self.down = True
+
+        def back() -> None:
+            self.down = False
+
+        self.after(seconds, back)
--- /dev/null
+++ b/oakmux/schedules/replay/year.py
@@ -0,0 +1,215 @@
+"""The replayed year: entries in ten zones, a year of troubles, every turn against the oracle."""
+
+import random
+import time
+from collections import Counter
+from datetime import UTC, datetime
+from typing import Any, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from oakmux.schedules import policy, records, zones
+from oakmux.schedules.records import Entry, Policy, Slot, Step, Template
+from oakmux.schedules.replay.model import TEAM, Model
+from oakmux.schedules.replay.oracle import expected, minutes
+from oakmux.schedules.turns import Rule, cron_rule, mark_at
+from oakmux.wire import JobSpec
+
+ZONES = ("UTC", "Africa/Nairobi", "Asia/Jakarta", "Europe/Berlin", "America/New_York",
+         "America/Santiago", "Australia/Adelaide", "Australia/Lord_Howe", "Africa/Casablanca",
+         "Pacific/Auckland")
+DAY = 86_400
+SHARD = 25
+TEMPLATE = f"{TEAM}/run"
+
+
+class Result(NamedTuple):
+    """What a replay found: counts, turns that were lost, doubled, early or besides, lateness."""
+
+    entries: int
+    turns: int
+    made: int
+    skipped: int
+    lost: list[str]
+    besides: list[str]
+    doubled: list[str]
+    early: int
+    troubles: dict[str, int]
+    late_ms: dict[str, float]
+    seconds: float
+
+    @property
+    def good(self) -> bool:
+        """Whether every turn was decided once, none besides and none early."""
+        return not (self.lost or self.besides or self.doubled or self.early)
+
+
+def cron_text(rng: random.Random) -> str:
+    """Draw an expression such as stands in old tables; few turn more often than hourly."""
+    minute, hour = rng.randrange(60), rng.choice((0, 1, 2, 2, 2, 3, rng.randrange(24)))
+    kind = rng.random()
+    if kind < 0.5:
+        return f"{minute} {hour} * * {rng.choice(('*', '*', '1-5', '0,6', '1'))}"
+    if kind < 0.62:
+        return f"{minute} {hour},{(hour + 6) % 24} * * *"
+    if kind < 0.72:
+        return f"{minute} {hour} {rng.randrange(1, 29)} * *"
+    if kind < 0.8:
+        return f"{minute} {hour} 1,15 * {rng.choice(('*', '1'))}"
+    if kind < 0.9:
+        return f"{minute} */{rng.choice((2, 3, 4, 6))} * * *"
+    if kind < 0.97:
+        return f"{minute} * * * *"
+    return f"*/{rng.choice((15, 20, 30))} {rng.choice(('*', '1-4', '8-18'))} * * *"
+
+
+def calendar_rule(rng: random.Random, start: int, zone: str) -> Rule:
+    """Draw a calendar's rule, begun in the two years before."""
+    wall = zones.as_wall(zones.local(start, zone).replace(second=0))
+    first = wall // DAY * DAY - rng.randrange(730) * DAY + rng.randrange(1440) * 60
+    if rng.random() < 0.5:  # the hours at which clocks are changed
+        first = first // DAY * DAY + rng.choice((0, 1, 2, 3)) * 3600 + rng.randrange(60) * 60
+    text = rng.choice((
+        "FREQ=DAILY", "FREQ=DAILY;INTERVAL=2", "FREQ=WEEKLY;BYDAY=MO,WE,SU", "FREQ=WEEKLY",
+        "FREQ=WEEKLY;INTERVAL=2;BYDAY=SA,SU", "FREQ=MONTHLY;BYDAY=-1SU", "FREQ=MONTHLY",
+        "FREQ=MONTHLY;BYMONTHDAY=-1", "FREQ=MONTHLY;BYDAY=2SA", "FREQ=DAILY;BYDAY=MO,TU,WE"))
+    days = [first + (wall - first) // DAY * DAY + n * DAY for n in rng.sample(range(360), 6)]
+    return Rule("calendar", zone, text, first, (days[0] + 5400,), (days[1],),
+                ((days[2], days[2] + 3 * 3600), (days[3], None)))
+
+
+def entries_of(count: int, seed: int, start: int) -> list[Entry]:
+    """Draw entries: three of four from cron tables, the others from calendars."""
+    rng = random.Random(seed)
+    found = []
+    for n in range(count):
+        zone = rng.choice(ZONES)
+        rule = (cron_rule(cron_text(rng), zone) if rng.random() < 0.75
+                else calendar_rule(rng, start, zone))
+        found.append(Entry(
+            f"{TEAM}/e{n:05d}", rule, TEMPLATE,
+            Policy(rng.choice(("allow", "allow", "skip", "queue")), "all", 2 * DAY,
+                   rng.choice((0, 0, 30))), born=start * 1000, shard=n // SHARD))
+    return found
+
+
+def store(model: Model, entries: list[Entry]) -> None:
+    """Write the entries' records, and no role yet."""
+    spec = JobSpec("l", TEAM, "array", 1, 1, 1.0, 0.0, 1.0, "i", 0.0, None, None, False, False,
+                   False, 60.0, 0.0, 0.0, None)
+    pairs: list[tuple[str, Any]] = [(records.template_key(TEMPLATE), records.value_of(
+        Template((Step("main", spec),))))]
+    shards: dict[int, list] = {}
+    for entry in entries:
+        pairs.append((records.entry_key(entry.name), records.value_of(entry)))
+        shards.setdefault(entry.shard, []).append(records.value_of(
+            Slot(entry.name, mark_at(entry.rule, model.start - 1))))
+    pairs += [(records.shard_key(n), rows) for n, rows in shards.items()]
+    model.put(pairs)
+
+
+def trouble(model: Model, end: float) -> Counter:
+    """Draw a year's troubles; outages and falls of all over midnight and changes of clocks."""
+    rng = model.rng
+    count: Counter[str] = Counter()
+
+    def all_down() -> None:
+        for one in model.controllers:
+            model.crash(one, rng.uniform(700, 7200))
+
+    def lose() -> None:
+        holder = model.holder()
+        if holder is not None:
+            model.crash(holder, 10.0)
+
+    def at(when: float, name: str, run: Any) -> None:
+        if 0 < when < end:
+            count[name] += 1
+            model.after(when, run)
+
+    day = 0.0
+    while day < end:
+        for _ in range(3):
+            when = day + rng.uniform(0, DAY)
+            one = rng.choice(model.controllers)
+            at(when, "crash", lambda one=one: model.crash(one, rng.uniform(2, 30)))
+        one = rng.choice(model.controllers)
+        at(day + rng.uniform(0, DAY), "cut",
+           lambda one=one: model.cut(one, rng.uniform(5, 300)))
+        # The role changes hands at a full minute, in the middle of what is due.
+        at(day + rng.randrange(1440) * 60 + rng.uniform(0.1, 0.4), "crash in a burst", lose)
+        if rng.random() < 0.3:
+            at(day + rng.uniform(0, DAY), "outage",
+               lambda: model.outage(rng.uniform(5, 1800)))
+        if rng.random() < 0.1:  # over an awkward hour, UTC
+            at(day + rng.choice((0, 1, 2, 15, 16)) * 3600 - rng.uniform(10, 900), "night outage",
+               lambda: model.outage(rng.uniform(900, 4000)))
+        if rng.random() < 0.07:
+            at(day + DAY - rng.uniform(10, 600), "all down", all_down)
+        if rng.random() < 0.15:
+            when = day + rng.uniform(0, DAY)
+            for n, one in enumerate(model.controllers):
+                at(when + 20 * n, "roll", lambda one=one: model.crash(one, 5.0))
+        day += DAY
+    return count
+
+
+def replay(entries: int, days: int, seed: int, start: int) -> Result:
+    """Play so many days with so many entries; compare all turns with the oracle's."""
+    begin = time.monotonic()
+    model = Model(start, seed)
+    drawn = entries_of(entries, seed, start)
+    store(model, drawn)
+    for one in model.controllers:
+        one.boot()
+    model.elect()
+    end = float(days * DAY)
+    troubles = trouble(model, end)
+    model.run(end + 4 * 3600)
+    return judge(model, drawn, start, start + days * DAY, dict(troubles), begin)
+
+
+def judge(model: Model, entries: list[Entry], start: int, end: int, troubles: dict[str, int],
+          begin: float) -> Result:
+    """Compare what was decided with what should have been."""
+    lost, besides, doubled = [], [], list(model.doubled)
+    histogram = HdrHistogram(1, 7 * DAY * 1000, 3)
+    made = skipped = early = turns = 0
+    known = {name: list(minutes(name, start - DAY, end)) for name in ZONES}
+    outcomes = {records.MADE, records.SKIPPED}
+    jobs = dict(model.made)
+    for entry in entries:
+        want = {at for at in expected(entry.rule, known[entry.rule.zone]) if at >= start}
+        decided = model.decided.get(entry.name, {})
+        got = {at for at, seen in decided.items() if at < end}
+        turns += len(want)
+        lost += [f"{entry.name} {stamp(at)}" for at in sorted(want - got)]
+        besides += [f"{entry.name} {stamp(at)}" for at in sorted(got - want)]
+        for at, seen in decided.items():
+            written = jobs.pop(records.job_id(entry, str(at), 0, 0), None)
+            if at >= end:
+                continue
+            final = [one for one in seen if one in outcomes]
+            if len(final) != 1:
+                lost.append(f"{entry.name} {stamp(at)}: {seen}")
+            if (written is not None) != (records.MADE in seen):
+                besides.append(f"{entry.name} {stamp(at)}: {seen} without its job")
+            skipped += records.SKIPPED in seen
+            if written is None:
+                continue
+            made += 1
+            late = (start + written - at) * 1000 - policy.jitter_ms(entry)
+            early += late < 0
+            if records.QUEUED not in seen:
+                histogram.record_value(max(1, int(late)))
+    besides += list(jobs)
+    late_ms = {name: histogram.get_value_at_percentile(share) for name, share in
+               (("p50", 50), ("p90", 90), ("p99", 99), ("p99.9", 99.9), ("most", 100))}
+    return Result(len(entries), turns, made, skipped, lost, besides, doubled, early, troubles,
+                  late_ms, time.monotonic() - begin)
+
+
+def stamp(at: int) -> str:
+    """Return an instant for people."""
+    return datetime.fromtimestamp(at, UTC).isoformat()
+
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,39 @@
+"""The replayed year, shortened; and that it notices when turns are not guarded."""
+
+from datetime import datetime
+
+import pytest
+
+from oakmux.core.jobs import PREFIX
+from oakmux.schedules import clock, zones
+from oakmux.schedules.replay.year import replay
+
+START = zones.instant(zones.as_wall(datetime(2026, 3, 25)), "UTC")
+
+
+def test_every_turn_of_a_short_year_is_made_once():
+    result = replay(40, 8, 3, START)
+    assert result.good, result
+    assert result.turns > 500 and result.made > 400 and sum(result.troubles.values()) > 30
+    assert result.late_ms["p99"] < 1000
+
+
+@pytest.mark.parametrize("dropped", ["own/", "s/m/"])
+def test_the_replay_notices_what_is_not_guarded(monkeypatch, dropped):
+    """Without the guard of the shard and the jobs a deposed holder's late writes do harm; that of
+    the role alone is covered by the shard's, which is what makes a turn exactly one."""
+    send = clock.Clock._send
+
+    def careless(self, batch):
+        call = self.world.call
+        self.world.call = lambda then, kind, guards, writes, rank: call(
+            then, kind, [g for g in guards if not g[0].startswith(PREFIX + dropped)
+                         and not (dropped == "s/m/" and g[0].startswith(
+                             (PREFIX + "j/", PREFIX + "own/")))], writes, rank)
+        try:
+            send(self, batch)
+        finally:
+            self.world.call = call
+
+    monkeypatch.setattr(clock.Clock, "_send", careless)
+    assert replay(60, 10, 5, START).good == (dropped == "own/")
