--- a/oakmux/schedules/plugin.py
+++ b/oakmux/schedules/plugin.py
@@ -14,7 +14,6 @@
 from oakmux.net.http import Request
 from oakmux.schedules import zones
 from oakmux.schedules.dav import tokens
-from oakmux.schedules.dav.serve import Dav
 from oakmux.schedules.part import Schedules
 
 PATH = "/oakmux/schedules/"
@@ -54,6 +53,8 @@
     async def start(self, offer: Callable[[tuple], bool], most: int) -> None:
         """Open the listener for calendars' clients, if there is to be one."""
         if self.caldav is not None:
+            from oakmux.schedules.dav.serve import Dav  # brings what reads calendars and XML
+
             await Dav(offer, self.caldav.tokens).listen(
                 self.caldav.listen, self.caldav.context, max(1, most // 4))
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -129,3 +129,58 @@
     except calendars.BadCalendar:
         return
     next(turns(made.rule, 0), None)
+
+
+def calendar(*lines: str, kind: str = "VEVENT", more: str = "") -> str:
+    body = "\r\n".join(["UID:u", *lines])
+    return (f"BEGIN:VCALENDAR\r\nBEGIN:{kind}\r\n{body}\r\nEND:{kind}\r\n{more}"
+            "END:VCALENDAR\r\n")
+
+
+def locals_of(text: str, count: int, zone: str = "Asia/Jakarta") -> list[str]:
+    rule = calendars.parse(text, zone).rule
+    return [zones.local(turn.at, rule.zone).isoformat()[:16] for turn, _ in zip(
+        turns(rule, 0), range(count), strict=False)]
+
+
+def test_what_a_calendar_says_of_its_instances():
+    moved = ("BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID;TZID=Europe/Berlin:20260107T100000\r\n"
+             "DTSTART;TZID=Europe/Berlin:20260107T153000\r\nEND:VEVENT\r\n"
+             "BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID:20260108T090000Z\r\n"
+             "STATUS:CANCELLED\r\nEND:VEVENT\r\n")
+    text = calendar("DTSTART;TZID=Europe/Berlin:20260105T100000",
+                    "RRULE:FREQ=DAILY;UNTIL=20260111T090000Z", "EXDATE:20260106T090000Z",
+                    "RDATE;TZID=Europe/Berlin:20260106T120000", more=moved)
+    assert locals_of(text, 20) == ["2026-01-05T10:00", "2026-01-06T12:00", "2026-01-07T15:30",
+                                   "2026-01-09T10:00", "2026-01-10T10:00", "2026-01-11T10:00"]
+
+
+def test_times_without_a_zone_days_and_utc():
+    assert locals_of(calendar("DTSTART:20260105T100000"), 2) == ["2026-01-05T10:00"]
+    assert locals_of(calendar("DTSTART;VALUE=DATE:20260105"), 2) == ["2026-01-05T00:00"]
+    made = calendars.parse(calendar("DTSTART:20260105T100000Z"), "Asia/Jakarta")
+    assert made.rule.zone == "UTC"
+    assert locals_of(calendar("DTSTART;TZID=Europe/Berlin:20260329T023000"), 2) == [
+        "2026-03-29T03:30"]  # never shown: as long after the gap
+
+
+def test_a_to_do_has_its_deadline():
+    made = calendars.parse(calendar("DTSTART:20260105T100000Z", "DUE:20260105T120000Z",
+                                    "X-OAKMUX-OVERLAP:queue", "CATEGORIES:oakmux:print",
+                                    kind="VTODO"), "UTC")
+    assert (made.component, made.deadline_s, made.template) == ("VTODO", 7200.0, "print")
+    assert made.policy == {"overlap": "queue"}
+    for lines, word in ((("DUE:20260105T120000Z",), "DTSTART"),
+                        (("DTSTART:20260105T100000Z", "DUE:20260105T090000Z"), "after")):
+        with pytest.raises(calendars.BadCalendar, match=word):
+            calendars.parse(calendar(*lines, kind="VTODO"), "UTC")
+    assert calendars.parse(calendar("DTSTART:20260105T100000Z", "STATUS:CANCELLED"), "UTC").off
+
+
+def test_a_rule_that_is_years_old_is_not_walked_through():
+    since = zones.as_wall(datetime(1990, 1, 1, 3, 30))
+    rule = Rule("calendar", "Europe/Berlin", "FREQ=HOURLY;INTERVAL=5", since)
+    start = int(datetime(2026, 6, 1, tzinfo=UTC).timestamp())
+    first = next(turns(rule, mark_at(rule, start)))
+    assert start < first.at <= start + 5 * 3600
+    assert (first.mark - since) % (5 * 3600) == 0
