--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -246,6 +246,10 @@
 # COUNT and INTERVAL of a calendar's rule at most, and instances gone through in vain (count):
 # what is walked through at every start of a role.
 RRULE_COUNT = 10_000
+# Days within which a recurrence must have an instance, by its frequency: 29 February comes every
+# eight years at most, the rarest of several years' intervals within some forty.
+HORIZON_DAYS = {"HOURLY": 9 * 366, "DAILY": 9 * 366, "WEEKLY": 9 * 366,
+                "MONTHLY": 40 * 365, "YEARLY": 40 * 365}
 # Decisions that an entry's slot keeps (count), bytes of a row's note, and bytes that a slot may
 # take: with a name of 80 characters, eight rows, and one note or two.
 ROWS_KEPT = 6
--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -124,7 +124,8 @@
                 for write in writes:
                     self._apply(write[0], write[1] if len(write) > 1 else None, result[0])
                 answer(status, body)
-            elif outcome == 409 and tries < constants.DESK_TRIES:
+            elif (outcome == 409 and tries < constants.DESK_TRIES
+                  and len(self.again) < constants.MAX_WAITING):
                 # The watch brings what was in the way within a moment.
                 self.again.append((self.world.now + constants.TICK_S * (1 + tries),
                                    lambda: self._write(rid, build, then, tries + 1)))
@@ -287,7 +288,7 @@
     def _check(self, rid: Any, args: dict) -> None:
         """Check entries as `put` does, without storing any; tells each one's next turn."""
         rows = []
-        for row in args["entries"]:
+        for row in self._few(args["entries"]):
             try:
                 entry = self._made(row)
                 rows.append({"name": entry.name, "next": self._turns(
@@ -300,9 +301,15 @@
                 rows.append({"name": str(row.get("name")), "error": str(error)})
         self._say(rid, {"entries": rows})
 
+    def _few(self, rows: list) -> list:
+        """Bound what one request computes: the turns of an entry may take milliseconds."""
+        if not isinstance(rows, list) or not 0 < len(rows) <= constants.SHOW_TURNS:
+            raise Refused(400, f"entries: 1 to {constants.SHOW_TURNS} in a request")
+        return rows
+
     def _put(self, rid: Any, args: dict) -> None:
         """Store entries; each is whole or not there, and the answer says which were stored."""
-        entries = [self._made(row) for row in args["entries"]]
+        entries = [self._made(row) for row in self._few(args["entries"])]
         if len({entry.name for entry in entries}) < len(entries):
             raise Refused(422, "two entries of one name")
         texts = {entries[0].name: str(args["text"])} if "text" in args and entries else {}
--- a/oakmux/schedules/turns.py
+++ b/oakmux/schedules/turns.py
@@ -6,10 +6,11 @@
 star is the instant: it means "every so often", also in an hour that clocks show twice.
 """
 
+import calendar
 import heapq
 import re
 from collections.abc import Iterator
-from datetime import UTC, datetime, timedelta
+from datetime import UTC, date, datetime, timedelta
 from typing import NamedTuple
 
 import msgspec
@@ -24,6 +25,7 @@
            "@annually": "0 0 1 1 *"}
 STEPS = {"HOURLY": timedelta(hours=1), "DAILY": timedelta(days=1), "WEEKLY": timedelta(weeks=1)}
 ONE = re.compile(r"\b(\d+)-\1(?!\d)(/\d+)?")
+WEEKDAYS = ("MO", "TU", "WE", "TH", "FR", "SA", "SU")
 RULE_PART = re.compile(r"([A-Z]+)=([A-Z0-9+,:-]+)\Z")
 
 
@@ -178,6 +180,9 @@
     freq = parts.get("FREQ", "")
     if freq not in (*STEPS, "MONTHLY", "YEARLY"):
         raise BadRule(f"RRULE: FREQ={freq or 'none'}: hours are the finest that is kept")
+    rare = {"BYWEEKNO", "BYYEARDAY", "BYEASTER"} & set(parts)
+    if rare:
+        raise BadRule(f"RRULE: {min(rare)} is not kept: name months and days")
     if "COUNT" in parts and "UNTIL" in parts:
         raise BadRule("RRULE: COUNT and UNTIL exclude each other")
     for name in ("COUNT", "INTERVAL"):
@@ -186,10 +191,15 @@
             raise BadRule(f"RRULE: {name} must be 1 to {constants.RRULE_COUNT}")
     if "BYSECOND" in parts or "BYMINUTE" in parts and freq == "HOURLY":
         raise BadRule("RRULE: minutes are not the finest that is kept")
+    if start < 0:
+        raise BadRule("DTSTART: a rule that recurs begins in 1970 or later")
     try:
-        rrule.rrulestr(text.upper(), dtstart=zones.from_wall(start))
+        _parse(text, start)
+        comes = _comes(parts, start)
     except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
         raise BadRule(f"RRULE: {error}") from None
+    if not comes:
+        raise BadRule("RRULE: has no instance in years")
 
 
 def _parse(text: str, start: int) -> rrule.rrule:
@@ -198,6 +208,69 @@
     return made
 
 
+def _comes(parts: dict[str, str], start: int) -> bool:
+    """Whether a recurrence has an instance within its horizon, by its days alone.
+
+    The library goes on to the year 9999 for one that has none, like 30 February: for a rule by
+    days that took 30 s, in which a controller would have stood still.
+    """
+    freq, interval = parts["FREQ"], int(parts.get("INTERVAL", "1"))
+    first = zones.from_wall(start).date()
+    months = _numbers(parts.get("BYMONTH", ""))
+    of_month = _numbers(parts.get("BYMONTHDAY", ""))
+    days = [(int(text[:-2] or 0), WEEKDAYS.index(text[-2:]))
+            for text in parts.get("BYDAY", "").split(",") if text]
+    if not (months or of_month or days) and freq not in ("MONTHLY", "YEARLY"):
+        return True
+    if not (of_month or days):
+        of_month = [first.day]
+        if freq == "YEARLY" and not months:
+            months = [first.month]
+    place = max((abs(n) for n in _numbers(parts.get("BYSETPOS", ""))), default=1)
+    times = [len(_numbers(parts.get(name, ""))) or 1 for name in ("BYHOUR", "BYMINUTE")]
+    found: dict[tuple, int] = {}
+    for shift in range(constants.HORIZON_DAYS[freq]):
+        day = first + timedelta(days=shift)
+        phase, period = _period(freq, first, day)
+        length = calendar.monthrange(day.year, day.month)[1]
+        if (phase % interval and freq != "HOURLY" or months and day.month not in months
+                or of_month and day.day not in of_month and day.day - length - 1 not in of_month
+                or days and not any(_is_nth(day, n, weekday, freq == "YEARLY" and not months)
+                                    for n, weekday in days)):
+            continue
+        found[period] = found.get(period, 0) + times[0] * times[1]
+        if found[period] >= place:
+            return True
+    return False
+
+
+def _numbers(text: str) -> list[int]:
+    return [int(number) for number in text.split(",") if number]
+
+
+def _period(freq: str, first: date, day: date) -> tuple[int, tuple]:
+    """Return how many periods a day is after the first, and which it lies in."""
+    if freq == "YEARLY":
+        return day.year - first.year, (day.year,)
+    if freq == "MONTHLY":
+        return ((day.year - first.year) * 12 + day.month - first.month, (day.year, day.month))
+    if freq == "WEEKLY":
+        begin = first - timedelta(days=first.weekday())
+        return (day - begin).days // 7, day.isocalendar()[:2]
+    return (day - first).days, (day,)
+
+
+def _is_nth(day: date, number: int, weekday: int, of_year: bool) -> bool:
+    """Whether a day is such a weekday, and which of its month or year if that is said."""
+    if day.weekday() != weekday or not number:
+        return day.weekday() == weekday
+    if of_year:
+        place, length = day.timetuple().tm_yday, 366 if calendar.isleap(day.year) else 365
+    else:
+        place, length = day.day, calendar.monthrange(day.year, day.month)[1]
+    return number in ((place - 1) // 7 + 1, -((length - place) // 7 + 1))
+
+
 def _instances(rule: Rule, after: int) -> Iterator[int]:
     """Yield the wall times of a RRULE in order, those before `after` left out where it is cheap.
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -184,3 +184,25 @@
     first = next(turns(rule, mark_at(rule, start)))
     assert start < first.at <= start + 5 * 3600
     assert (first.mark - since) % (5 * 3600) == 0
+
+
+@pytest.mark.parametrize("text", [
+    "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "FREQ=HOURLY;BYMONTH=2;BYMONTHDAY=30",
+    "FREQ=DAILY;BYMONTH=4;BYMONTHDAY=31", "FREQ=MONTHLY;BYDAY=MO;BYSETPOS=6",
+    "FREQ=YEARLY;INTERVAL=4;BYMONTH=2;BYMONTHDAY=29", "FREQ=MONTHLY;INTERVAL=12;BYMONTH=7"])
+def test_a_recurrence_that_never_comes_is_refused_at_once(text):
+    """The library goes to the year 9999 for some of these, while a controller stands still."""
+    with pytest.raises(BadRule, match="no instance"):
+        check_recurrence(text, zones.as_wall(datetime(1990, 1, 1, 3, 30)))
+
+
+@pytest.mark.parametrize("text", [
+    "FREQ=MONTHLY;BYDAY=MO,TU,WE,TH,FR;BYSETPOS=-1", "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29",
+    "FREQ=MONTHLY;BYDAY=5FR", "FREQ=YEARLY;BYDAY=20MO", "FREQ=YEARLY;BYDAY=-1SU;BYMONTH=10",
+    "FREQ=WEEKLY;INTERVAL=3;BYDAY=SA", "FREQ=DAILY;BYMONTH=2", "FREQ=MONTHLY;BYMONTHDAY=-31",
+    "FREQ=HOURLY;BYHOUR=9,17", "FREQ=MONTHLY;BYDAY=FR;BYMONTHDAY=13"])
+def test_recurrences_that_are_rare_are_kept(text):
+    start = zones.as_wall(datetime(1990, 1, 1, 3, 30))
+    check_recurrence(text, start)
+    assert len(list(zip(range(4), turns(Rule("calendar", "UTC", text, start), start),
+                        strict=False))) == 4
