Chains wait for an upgrade without holding up others; an edit leaves a pause as it is

A chain that is due before all controllers can record waits_on stayed the most urgent of its shard, and four such shards kept all others from being written: it is looked at again each second instead (story with chains in several shards and a controller of the version before). Importing a table again took entries out of a pause: an edit that says nothing of it now leaves it, and one that ends it does not make up for its turns.

--- a/oakmux/schedules/clock.py
+++ b/oakmux/schedules/clock.py
@@ -316,7 +316,10 @@
         refusal = templates.refusal(self.world, template)
         if (template is not None and any(step.needs for step in template.steps)
                 and self.world.replica.format < 2):
-            return True  # an upgrade is under way: waits_on can't be recorded yet
+            # An upgrade is under way: waits_on can't be recorded yet. Others go on meanwhile.
+            self.due.pop(entry.name)
+            heapq.heappush(self.heap, (now_ms + 1000, entry.name, id(plan)))
+            return True
         while True:
             turn, waits = plan.turn, slot.pending
             if waits and not self.busy(entry, slot):
--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -320,7 +320,8 @@
                 "name": importing.name(importing.team, found.note, uid),
                 "rule": wire.plain(found.rule), "policy": {**rules, **found.policy},
                 "template": what if "/" in what else f"{importing.team}/{what}",
-                "note": found.note, "deadline_s": found.deadline_s, "paused": found.off}))
+                "note": found.note, "deadline_s": found.deadline_s,
+                **({"paused": True} if found.off else {})}))
         return rows, problems
     zones, crontab = need("zones"), need("crontab")
     try:
--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -312,6 +312,8 @@
         entries = [self._made(row) for row in self._few(args["entries"])]
         if len({entry.name for entry in entries}) < len(entries):
             raise Refused(422, "two entries of one name")
+        # An edit that says nothing of a pause leaves it as it is.
+        args["silent"] = {row["name"] for row in args["entries"] if "paused" not in row}
         texts = {entries[0].name: str(args["text"])} if "text" in args and entries else {}
         self._put_more(rid, entries, args, texts, [])
 
@@ -414,6 +416,8 @@
         if args.get("if_absent") or wanted and wanted not in (old.etag, "*"):
             raise Refused(412, f"{entry.name} has changed" if wanted else "it exists")
         self._one_uid(entry)
+        if entry.name in args["silent"]:
+            entry = msgspec.structs.replace(entry, paused=old.paused)
         parts = self._parts(entry.name, text or "")
         made = msgspec.structs.replace(entry, born=old.born, shard=old.shard, parts=len(parts))
         if made == old and not parts:
@@ -422,7 +426,7 @@
                   template_key(entry.template): store.stamp(template_key(entry.template))}
         writes = [(key, self._sized(made), None), *parts,
                   *((part_key(entry.name, n),) for n in range(len(parts), old.parts))]
-        if (made.rule, made.until) != (old.rule, old.until):
+        if (made.rule, made.until) != (old.rule, old.until) or old.paused and not made.paused:
             slot = self._fresh_slot(made, store.slots.get(entry.name))
             self._with_slot(guards, writes, old.shard, entry.name, slot)
         return guards, writes, 200, {}
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -175,6 +175,8 @@
     assert sim.ask_for("remove", name="red/remove")[0] == 200
     sim.run(4)
     assert sorted(names(sim)) == ["red/later", "red/same"]
+    sim.cron("red/pause", "0 3 * * *", overlap="skip")  # says nothing of the pause
+    assert sim.ask_for("show", name="red/pause")[1]["paused"]
     # Once made, an edit back, a new namesake and the end of the pause make nothing again.
     sim.cron("red/later", "0 3 * * *", "Etc/UTC", overlap="allow")
     sim.cron("red/remove", "0 3 * * *")
@@ -314,6 +316,23 @@
     assert sim.told[first] == sim.told[then] == "done"
 
 
+def test_a_chain_waits_for_an_upgrade_and_holds_up_no_other():
+    sim = Timed("2026-12-01T02:59:20+00:00", old=("h2",))
+    sim.run(14)
+    for name, steps in (("red/chain", (["first", JOB, []], ["then", JOB, ["first"]])),
+                        ("red/t", (["main", JOB, []],))):
+        assert sim.template(name, *steps)[0] == 200
+    for n in range(6):  # in more shards than can be written at a time
+        sim.cron(f"red/c{n}", "0 3 * * *", template="red/chain")
+    sim.cron("red/z", "0 3 * * *")
+    sim.until("2026-12-01T03:00:10+00:00")
+    assert names(sim) == ["red/z"]
+    sim.old.clear()
+    sim.crash("h2")
+    sim.run(30)
+    assert len(sim.made) == 13
+
+
 def test_a_turn_by_hand_is_made_once():
     sim = settled("2026-12-01T03:00:30+00:00")
     sim.cron("red/n", "0 5 * * *")
