--- /dev/null
+++ b/tests/test_plugin.py
@@ -0,0 +1,56 @@
+"""Stories of the operator's settings for schedules, and of what is refused with one line."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from oakmux import settings
+from oakmux.schedules import plugin
+from oakmux.schedules.dav import tokens
+from tests.loopback import write_settings
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.mark.parametrize("text, word", [
+    ("[caldav]\nlisten = 127.0.0.1:1\n", "tokens: is missing"),
+    ("[caldav]\nlisten = nowhere\ntokens = tokens\nplain = yes\n", "not an address"),
+    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = none\nplain = yes\n", "tokens"),
+    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = bad\nplain = yes\n", "line 2: not TEAM SALT"),
+    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\n", "say plain = yes"),
+    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\ncertificate = tokens\nkey = tokens\n",
+     "certificate or key"),
+    ("[schedules]\nenabled = no\n", "start without"), ("[schedules]\nenabled = 7\n", "boolean"),
+    ("[schedule]\n", "unknown section"), ("[schedules]\ncolour = red\n", "unknown setting"),
+    ("enabled = yes\n", "no section"),
+])
+def test_settings_that_can_not_work_are_told_in_one_line(tmp_path, text, word):
+    write_settings(tmp_path, 1, ["red"])
+    (tmp_path / "bad").write_text("# one\nred salt hash\n")
+    file = tmp_path / "s.ini"
+    file.write_text(text)
+    with pytest.raises(settings.SettingsError, match=word) as raised:
+        plugin.load(str(file))
+    assert "\n" not in str(raised.value)
+
+
+def test_what_is_shipped_under_deploy_is_good():
+    assert plugin.load(str(ROOT / "deploy" / "schedules.ini")).caldav is None
+
+
+def test_a_token_is_one_teams_and_is_kept_as_a_hash():
+    token, row = tokens.make("red")
+    assert token not in row
+    known = tokens.Tokens([(row.split()[0], *(bytes.fromhex(f) for f in row.split()[1:]))])
+    assert [known.team(token), known.team(token), known.team(token + "x")] == ["red", "red", None]
+
+
+def test_without_schedules_nothing_of_them_is_loaded():
+    """A controller that keeps no schedules runs with requirements.txt alone."""
+    code = ("import sys, oakmux.service, oakmux.cli; bad = [m for m in sys.modules if "
+            "m.split('.')[0] in ('cronsim', 'dateutil', 'icalendar', 'lark', 'defusedxml') or "
+            "m.startswith('oakmux.schedules')]; sys.exit(', '.join(bad) or 0)")
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode == 0
+
