Schedules: questions apart from changes; an event is logged once it is written; results

Found on the way: removals, pauses and turns by hand were logged before their transaction, and again at each further try; a retried request that raised would have taken others with it.

--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -5,16 +5,16 @@
 either by the old entry before the edit or by the new one after it.
 """
 
+import logging
 from collections.abc import Callable
-from itertools import islice
 from typing import Any
 
 import msgspec
 
-from oakmux import constants, wire
+from oakmux import constants
 from oakmux.core.jobs import job_key, job_value, value_bytes, value_limit
 from oakmux.core.world import World, event
-from oakmux.schedules import records, templates, zones
+from oakmux.schedules import templates, zones
 from oakmux.schedules.clock import Clock, Daytime
 from oakmux.schedules.records import (
     CATCH_UPS,
@@ -33,16 +33,10 @@
     template_key,
     value_of,
 )
-from oakmux.schedules.turns import BadRule, Rule, cron_rule, mark_at, skipped, turns
-
-
-class Refused(Exception):
-    """A request that can't be carried out: status and reason."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
+from oakmux.schedules.shows import Refused, Shows
+from oakmux.schedules.turns import BadRule, Rule, cron_rule, mark_at
 
+log = logging.getLogger("oakmux.schedules")
 
 # What a request wants written: guards, writes, the answer's status and body.
 Change = tuple[dict[str, int], list[tuple], int, dict]
@@ -56,15 +50,16 @@
         self.store = store
         self.daytime = daytime
         self.clock = clock
+        self.shows = Shows(world, store)
         self.again: list[tuple[float, Callable[[], None]]] = []
         self.operations: dict[str, Callable[[Any, dict], None]] = {
             "template": self._put_template, "template-remove": self._remove_template,
-            "templates": self._templates, "put": self._put, "check": self._check,
-            "remove": self._remove, "list": self._list, "show": self._show,
-            "next": self._next, "history": self._history, "pause": self._pause,
-            "resume": self._resume, "run-now": self._run_now, "calendars": self._calendars,
+            "templates": self.shows.templates, "put": self._put, "check": self._check,
+            "remove": self._remove, "list": self.shows.entries, "show": self.shows.show,
+            "next": self.shows.next, "history": self.shows.history, "pause": self._pause,
+            "resume": self._resume, "run-now": self._run_now, "calendars": self.shows.calendars,
             "calendar": self._put_calendar, "calendar-remove": self._remove_calendar,
-            "objects": self._objects, "changes": self._changes,
+            "objects": self.shows.objects, "changes": self.shows.changes,
         }
 
     # --- requests ---
@@ -93,19 +88,23 @@
     def _error(self, rid: Any, error: Refused) -> None:
         self.world.emit("answer", rid, error.status, ("error", str(error)))
 
-    def _say(self, rid: Any, body: dict, status: int = 200) -> None:
-        self.world.emit("answer", rid, status, ("schedules", body))
-
     def tick(self) -> None:
         """Go on with what waits for newer records."""
         due, self.again = ([row for row in self.again if row[0] <= self.world.now],
                            [row for row in self.again if row[0] > self.world.now])
         for _, run in due:
-            run()
+            try:
+                run()
+            except Exception:  # one request must not take the others with it
+                log.exception("event=request_failed")
 
     def _write(self, rid: Any, build: Callable[[], Change],
-               then: Callable[[int, dict], None] | None = None, tries: int = 0) -> None:
-        """Write what `build` makes of the records; anew if they turn out to have changed."""
+               then: Callable[[int, dict], None] | None = None, tries: int = 0,
+               said: dict[str, Any] | None = None) -> None:
+        """Write what `build` makes of the records; anew if they turn out to have changed.
+
+        What `build` puts into `said` is logged once it is written.
+        """
         try:
             guards, writes, status, body = build()
         except Refused as error:
@@ -114,7 +113,7 @@
         except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
             self._error(rid, Refused(422, str(error)))
             return
-        answer = then or (lambda status, body: self._say(rid, body, status))
+        answer = then or (lambda status, body: self.shows.say(rid, body, status))
         if not writes:
             answer(status, body)
             return
@@ -123,12 +122,14 @@
             if outcome == 200:
                 for write in writes:
                     self._apply(write[0], write[1] if len(write) > 1 else None, result[0])
+                if said:
+                    event(**said)
                 answer(status, body)
             elif (outcome == 409 and tries < constants.DESK_TRIES
                   and len(self.again) < constants.MAX_WAITING):
                 # The watch brings what was in the way within a moment.
                 self.again.append((self.world.now + constants.TICK_S * (1 + tries),
-                                   lambda: self._write(rid, build, then, tries + 1)))
+                                   lambda: self._write(rid, build, then, tries + 1, said)))
             elif outcome == 400:
                 self._error(rid, Refused(413, "too large for the state service"))
             else:
@@ -141,37 +142,16 @@
 
     # --- names ---
 
-    def _team(self, name: Any) -> str:
-        if not isinstance(name, str) or name not in self.world.teams:
-            raise Refused(422, f"unknown team {str(name)[:constants.LOG_TEXT]!r}")
-        return name
-
-    def _name(self, name: Any) -> str:
-        """Check the name of an entry, `team/name` or `team/calendar/object`."""
-        parts = name.split("/") if isinstance(name, str) else []
-        if not 2 <= len(parts) <= 3 or not all(NAME.match(part) for part in parts):
-            raise Refused(422, f"{str(name)[:constants.LOG_TEXT]!r}: a name is TEAM/NAME, "
-                               "letters, digits and _.@+=-, 80 at most")
-        if parts[0] not in self.world.teams and name not in self.store.entries:
-            self._team(parts[0])
-        return name
-
-    def _entry(self, args: dict) -> tuple[Entry, Slot]:
-        name = self._name(args.get("name"))
-        entry, slot = self.store.entries.get(name), self.store.slots.get(name)
-        if entry is None or slot is None:
-            raise Refused(404, f"no entry {name}")
-        return entry, slot
-
     # --- templates ---
 
     def _put_template(self, rid: Any, args: dict) -> None:
         name = str(args["name"])
         team, _, rest = name.partition("/")
-        self._team(team)
+        self.shows.team(team)
         if not NAME.match(rest):
             raise Refused(422, "a template's name is TEAM/NAME")
         self._need_types()
+        said: dict[str, Any] = {}
         template = templates.from_steps(args["steps"], team)
         templates.check(self.world, template)
         key = template_key(name)
@@ -180,14 +160,14 @@
             count = sum(1 for other in self.store.templates if other.startswith(team + "/"))
             if count >= constants.TEAM_TEMPLATES and name not in self.store.templates:
                 raise Refused(422, f"{team} has {count} templates: no more are kept")
-            event("template", template=name, steps=len(template.steps))
+            said.update(name="template", template=name, steps=len(template.steps))
             return ({key: self.store.stamp(key)}, [(key, value_of(template), None)], 200,
                     {"name": name, "steps": len(template.steps)})
 
         if args.get("dry"):
-            self._say(rid, {"name": name, "steps": len(template.steps)})
+            self.shows.say(rid, {"name": name, "steps": len(template.steps)})
         else:
-            self._write(rid, build)
+            self._write(rid, build, said=said)
 
     def _need_types(self) -> None:
         if not self.world.types:
@@ -208,15 +188,6 @@
 
         self._write(rid, build)
 
-    def _templates(self, rid: Any, args: dict) -> None:
-        prefix = str(args.get("prefix", ""))
-        rows = [{"name": name, "steps": [[s.name, wire.job_words(s.spec), list(s.needs)]
-                                         for s in template.steps],
-                 "used_by": len(self.store.users.get(name, ()))}
-                for name, template in sorted(self.store.templates.items())
-                if name.startswith(prefix)]
-        self._say(rid, {"templates": rows[:constants.SHOW_TURNS]})
-
     # --- entries ---
 
     def _policy(self, args: dict) -> Policy:
@@ -234,7 +205,7 @@
 
     def _made(self, args: dict) -> Entry:
         """Return an entry from a request, checked in full."""
-        name = self._name(args.get("name"))
+        name = self.shows.name(args.get("name"))
         rule = args["rule"]
         if isinstance(rule, dict):
             made = cron_rule(str(rule["cron"]), str(rule.get("zone", "UTC")))
@@ -291,7 +262,7 @@
         for row in self._few(args["entries"]):
             try:
                 entry = self._made(row)
-                rows.append({"name": entry.name, "next": self._turns(
+                rows.append({"name": entry.name, "next": self.shows.turns(
                     entry, mark_at(entry.rule, self._now_s()), 1)})
             except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
                 rows.append({"name": str(row.get("name")), "error": str(error)})
@@ -299,7 +270,7 @@
                 if error.status >= 500:
                     raise
                 rows.append({"name": str(row.get("name")), "error": str(error)})
-        self._say(rid, {"entries": rows})
+        self.shows.say(rid, {"entries": rows})
 
     def _few(self, rows: list) -> list:
         """Bound what one request computes: the turns of an entry may take milliseconds."""
@@ -320,7 +291,7 @@
     def _put_more(self, rid: Any, left: list[Entry], args: dict, texts: dict[str, str],
                   stored: list[str]) -> None:
         if not left:
-            self._say(rid, {"stored": stored, "etag": args.get("etag", "")})
+            self.shows.say(rid, {"stored": stored, "etag": args.get("etag", "")})
             return
         now: list[Entry] = []
 
@@ -443,8 +414,10 @@
         writes.append((key, [value_of(row) for row in slots.values()], None))
 
     def _remove(self, rid: Any, args: dict) -> None:
+        said: dict[str, Any] = {}
+
         def build() -> Change:
-            entry, _ = self._entry(args)
+            entry, _ = self.shows.entry(args)
             wanted = args.get("if_match")
             if wanted and wanted not in (entry.etag, "*"):
                 raise Refused(412, f"{entry.name} has changed")
@@ -453,10 +426,10 @@
             writes: list[tuple] = [(key,), *((part_key(entry.name, n),)
                                              for n in range(entry.parts))]
             self._with_slot(guards, writes, entry.shard, entry.name, None)
-            event("entry_removed", entry=entry.name)
+            said.update(name="entry_removed", entry=entry.name)
             return guards, writes, 200, {"removed": entry.name}
 
-        self._write(rid, build)
+        self._write(rid, build, said=said)
 
     def _pause(self, rid: Any, args: dict) -> None:
         self._paused(rid, args, True)
@@ -466,8 +439,10 @@
 
     def _paused(self, rid: Any, args: dict, paused: bool) -> None:
         """Pause or resume; turns of a pause are not made up for."""
+        said: dict[str, Any] = {}
+
         def build() -> Change:
-            entry, slot = self._entry(args)
+            entry, slot = self.shows.entry(args)
             body = {"name": entry.name, "paused": paused}
             if entry.paused == paused:
                 return {}, [], 200, body
@@ -477,19 +452,20 @@
             if not paused:
                 self._with_slot(guards, writes, entry.shard, entry.name,
                                 self._fresh_slot(made, slot))
-            event("entry_paused" if paused else "entry_resumed", entry=entry.name)
+            said.update(name="entry_paused" if paused else "entry_resumed", entry=entry.name)
             return guards, writes, 200, body
 
-        self._write(rid, build)
+        self._write(rid, build, said=said)
 
     def _run_now(self, rid: Any, args: dict) -> None:
         """Make one turn by hand. Asked again with the same word, the same jobs are told."""
+        said: dict[str, Any] = {}
         word = str(args["word"])
         if not NAME.match(word) or len(word) > constants.WORD_TEXT:
             raise Refused(400, "word: up to 16 letters and digits")
 
         def build() -> Change:
-            entry, slot = self._entry(args)
+            entry, slot = self.shows.entry(args)
             template = self.store.templates.get(entry.template)
             refusal = templates.refusal(self.world, template)
             if refusal is not None or template is None:
@@ -512,88 +488,18 @@
             at = self.daytime.now_ms() // 1000
             self._with_slot(guards, writes, entry.shard, entry.name, slot.noted(
                 slot.mark, slot.pending, at, MANUAL, note=turn))
-            event("turn", entry=entry.name, turn=turn, jobs=",".join(body["jobs"]), by="hand")
+            said.update(name="turn", entry=entry.name, turn=turn, jobs=",".join(body["jobs"]),
+                        by="hand")
             return guards, writes, 201, body
 
-        self._write(rid, build)
-
-    # --- showing ---
-
-    def _list(self, rid: Any, args: dict) -> None:
-        prefix, after = str(args.get("prefix", "")), str(args.get("after", ""))
-        names = sorted(n for n in self.store.entries if n.startswith(prefix) and n > after)
-        rows = [self._row(self.store.entries[name]) for name in names[:constants.SHOW_TURNS]]
-        self._say(rid, {"entries": rows, "more": len(names) > len(rows)})
-
-    def _row(self, entry: Entry) -> dict:
-        slot = self.store.slots.get(entry.name)
-        last = slot.rows[-1] if slot is not None and slot.rows else None
-        rule = entry.rule
-        return {"name": entry.name, "rule": rule.text or "once", "kind": rule.kind,
-                "zone": rule.zone, "template": entry.template, "paused": entry.paused,
-                "note": entry.note,
-                "next": [] if slot is None or entry.paused else self._turns(entry, slot.mark, 1),
-                "last": None if last is None else {"turn": last[0],
-                                                   "outcome": records.OUTCOMES[last[1]]}}
-
-    def _turns(self, entry: Entry, mark: int, count: int) -> list[dict]:
-        found = []
-        for turn in islice(turns(entry.rule, mark, True), count):
-            if entry.until and turn.at > entry.until:
-                break
-            found.append({"at": turn.at, "why": turn.why,
-                          "local": zones.local(turn.at, entry.rule.zone).isoformat()})
-        return found
-
-    def _show(self, rid: Any, args: dict) -> None:
-        entry, slot = self._entry(args)
-        until = zones.local(entry.until, entry.rule.zone).isoformat() if entry.until else None
-        self._say(rid, {**self._row(entry), "policy": msgspec.structs.asdict(entry.policy),
-                        "until": until, "deadline_s": entry.deadline_s,
-                        "pending": slot.pending or None, "rule_record": value_of(entry.rule)})
-
-    def _next(self, rid: Any, args: dict) -> None:
-        entry, slot = self._entry(args)
-        count = max(1, min(int(args.get("count", 10)), constants.SHOW_TURNS))
-        mark = max(slot.mark, mark_at(entry.rule, int(args["since"]))) if "since" in args \
-            else slot.mark
-        rows = self._turns(entry, mark, count)
-        gaps = []
-        for one, other in zip(rows, rows[1:], strict=False):
-            gaps += [f"{zones.from_wall(wall):%Y-%m-%d %H:%M} is not shown: clocks go ahead"
-                     for wall in skipped(entry.rule, one["at"], other["at"])]
-        self._say(rid, {"name": entry.name, "zone": entry.rule.zone, "paused": entry.paused,
-                        "turns": rows, "skipped": gaps})
-
-    def _history(self, rid: Any, args: dict) -> None:
-        entry, slot = self._entry(args)
-        template = self.store.templates.get(entry.template)
-        steps = 1 if template is None else len(template.steps)
-        jobs = self.world.replica.jobs
-        rows = []
-        for at, outcome, tries, note in slot.rows:
-            turn = note if outcome == MANUAL else str(at)
-            made = outcome in (records.MADE, MANUAL)
-            ids = [records.job_id(entry, turn, n, tries) for n in range(steps)] if made else []
-            rows.append({"turn": at, "local": zones.local(at, entry.rule.zone).isoformat(),
-                         "outcome": records.OUTCOMES[outcome], "note": "" if made else note,
-                         "jobs": {name: jobs[name].state for name in ids if name in jobs}})
-        self._say(rid, {"name": entry.name, "turns": rows})
+        self._write(rid, build, said=said)
 
     # --- calendars ---
 
-    def _calendars(self, rid: Any, args: dict) -> None:
-        team = self._team(args["team"])
-        found = {name.partition("/")[2]: calendar for name, calendar
-                 in self.store.calendars.items() if name.startswith(team + "/")}
-        rows = [{"name": name, "title": calendar.title, "zone": calendar.zone,
-                 "template": calendar.template} for name, calendar in sorted(found.items())]
-        self._say(rid, {"calendars": rows, "epoch": self.world.replica.epoch})
-
     def _put_calendar(self, rid: Any, args: dict) -> None:
         name = str(args["name"])
         team, _, rest = name.partition("/")
-        self._team(team)
+        self.shows.team(team)
         if not NAME.match(rest):
             raise Refused(422, "a calendar's name is TEAM/NAME")
         made = Calendar(str(args.get("title") or rest)[:constants.NOTE_TEXT],
@@ -627,59 +533,3 @@
 
         self._write(rid, build)
 
-    def _objects(self, rid: Any, args: dict) -> None:
-        """Tell a calendar's objects: all, or those named; with their text if asked for."""
-        calendar = str(args["calendar"])
-        if calendar not in self.store.calendars:
-            raise Refused(404, f"no calendar {calendar}")
-        wanted = args.get("names")
-        names = (sorted(n for n in self.store.entries if n.startswith(calendar + "/"))
-                 if wanted is None else [f"{calendar}/{name}" for name in wanted])
-        rows = []
-        for name in names:
-            entry = self.store.entries.get(name)
-            if entry is None:
-                rows.append({"name": name.rpartition("/")[2], "etag": None})
-                continue
-            if not self._matches(entry, args):
-                continue
-            text = self.store.text(entry) if args.get("text") else ""
-            if text is None:
-                raise Refused(503, "not all of an object has come yet")
-            rows.append({"name": name.rpartition("/")[2], "etag": entry.etag, "text": text})
-        template = self.store.calendars[calendar].template
-        self._say(rid, {"objects": rows, "epoch": self.world.replica.epoch,
-                        "zone": self.store.calendars[calendar].zone, "template": template,
-                        "title": self.store.calendars[calendar].title})
-
-    def _matches(self, entry: Entry, args: dict) -> bool:
-        """Whether an object is of the component and has a turn in the span that are asked for."""
-        if args.get("component") and args["component"] != entry.component:
-            return False
-        for name, text in (args.get("texts") or {}).items():
-            value = {"UID": entry.uid, "SUMMARY": entry.note}[name]
-            if str(text).lower() not in value.lower():
-                return False
-        start, end = args.get("start"), args.get("end")
-        if start is None and end is None:
-            return True
-        since = int(start) - 1 if start is not None else 0
-        turn = next(turns(entry.rule, mark_at(entry.rule, since)), None)
-        return turn is not None and (end is None or turn.at < int(end))
-
-    def _changes(self, rid: Any, args: dict) -> None:
-        """Tell which objects of a calendar changed since a revision, if that is still known."""
-        calendar, since = str(args["calendar"]), int(args["since"])
-        if calendar not in self.store.calendars:
-            raise Refused(404, f"no calendar {calendar}")
-        if not self.store.log_since <= since <= self.world.replica.epoch:
-            raise Refused(410, "changes since then are not known any more")
-        names = dict.fromkeys(name for stamp, name in self.store.log
-                              if stamp > since and name.startswith(calendar + "/"))
-        rows = []
-        for name in names:
-            entry = self.store.entries.get(name)
-            rows.append({"name": name.rpartition("/")[2],
-                         "etag": None if entry is None else entry.etag})
-        self._say(rid, {"objects": rows, "epoch": self.world.replica.epoch})
-
