--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -35,7 +35,8 @@
     try:
         return importlib.import_module(f"oakmux.schedules.{name}")
     except ImportError as error:
-        fail(f"{error.name} is missing: pip install 'oakmux[schedules]'", EXIT_BAD)
+        extras = "schedules,replay" if name.startswith("replay") else "schedules"
+        fail(f"{error.name} is missing: pip install 'oakmux[{extras}]'", EXIT_BAD)
 
 
 def read_toml(path: str) -> dict:
