Turns by the clock's face alone; a star's turn after Lord Howe's change is kept

The library now counts wall times only; which are shown, not shown or shown twice is decided here, with the instants merged in order.

--- a/oakmux/schedules/turns.py
+++ b/oakmux/schedules/turns.py
@@ -10,7 +10,7 @@
 import heapq
 import re
 from collections.abc import Iterator
-from datetime import UTC, date, datetime, timedelta
+from datetime import date, timedelta
 from typing import NamedTuple
 
 import msgspec
@@ -97,46 +97,49 @@
 
 
 def _cron(rule: Rule, after: int, explain: bool) -> Iterator[Turn]:
-    zone = zones.zone(rule.zone)
-    stars = by_instant(rule)
-    since = (datetime.fromtimestamp(after, UTC).astimezone(zone) if stars
-             else zones.from_wall(after).replace(tzinfo=zone))
-    if not stars:
-        # A wall time that clocks never show is taken from before the gap: its turn, moved to the
-        # gap's end, has that end for its mark.
-        since = since.astimezone(UTC).astimezone(zone)
+    """Yield the turns of an expression: the library counts on the clock's face alone.
+
+    What a change of clocks does is decided here: given a zone, the library lost a star's turn
+    after Lord Howe's change by half an hour.
+    """
+    return _stars(rule, after, explain) if by_instant(rule) else _fixed(rule, after, explain)
+
+
+def _fixed(rule: Rule, after: int, explain: bool) -> Iterator[Turn]:
     last = after
-    for moment in CronSim(rule.text, since):
-        at = int(moment.timestamp())
-        mark = at if stars else zones.as_wall(moment)
+    for moment in CronSim(rule.text, zones.from_wall(after)):
+        wall = zones.as_wall(moment)
+        at = zones.instant(wall, rule.zone)
+        mark, why = zones.as_wall(zones.local(at, rule.zone)), ""
+        if mark != wall:
+            at = zones.change_before(at, rule.zone)
+            mark = zones.as_wall(zones.local(at, rule.zone))
+            why = "its time is not shown that day: clocks go ahead, so at the gap's end"
+        elif explain and zones.instant(wall, rule.zone, 1) != at:
+            why = "clocks show this hour twice: only the first counts"
         if mark > last:
             last = mark
-            yield Turn(mark, at, _why_cron(rule, moment, stars) if explain else "")
-
-
-def _why_cron(rule: Rule, moment: datetime, stars: bool) -> str:
-    change = zones.change_near(int(moment.timestamp()), rule.zone)
-    if change is None:
-        return ""
-    before, after = change
-    if after < before:
-        twice = moment.replace(fold=0).utcoffset() != moment.replace(fold=1).utcoffset()
-        if twice:
-            return ("clocks show this hour twice: " +
-                    ("so often runs in both" if stars else "only the first counts"))
-        return ""
-    start = moment - (after - before)
-    shown = zones.as_wall(moment) % 3600 == 0 and start.utcoffset() != moment.utcoffset()
-    if not stars and shown and not _names(rule, moment):
-        return "its time is not shown that day: clocks go ahead, so at the gap's end"
-    return ""
+            yield Turn(mark, at, why)
 
 
-def _names(rule: Rule, moment: datetime) -> bool:
-    """Whether the expression itself names this hour and minute."""
-    day = moment.replace(tzinfo=None)
-    first = next(CronSim(rule.text, day - timedelta(minutes=1)), None)
-    return first == day
+def _stars(rule: Rule, after: int, explain: bool) -> Iterator[Turn]:
+    start = zones.as_wall(zones.local(after, rule.zone))
+    if zones.change_near(after, rule.zone):
+        start -= int(constants.FOLD_MOST_S)
+    held: list[Turn] = []  # second showings come after first ones of later wall times
+    twice = "clocks show this hour twice: so often runs in both" if explain else ""
+    for moment in CronSim(rule.text, zones.from_wall(start)):
+        wall = zones.as_wall(moment)
+        first, second = (zones.instant(wall, rule.zone, fold) for fold in (0, 1))
+        if zones.as_wall(zones.local(first, rule.zone)) != wall:
+            continue  # not shown
+        while held and held[0].at < first:
+            yield heapq.heappop(held)
+        for at in sorted({first, second}):
+            if at > after:
+                heapq.heappush(held, Turn(at, at, twice if first != second else ""))
+    while held:
+        yield heapq.heappop(held)
 
 
 def skipped(rule: Rule, start: int, end: int) -> list[int]:
--- a/oakmux/schedules/zones.py
+++ b/oakmux/schedules/zones.py
@@ -39,13 +39,13 @@
     return datetime.fromtimestamp(wall, UTC).replace(tzinfo=None)
 
 
-def instant(wall: int, name: str) -> int:
+def instant(wall: int, name: str, fold: int = 0) -> int:
     """Return the instant (s) at which a zone's clocks show a wall time.
 
-    Shown twice: the first. Never shown: by the offset before the gap, thus as long after the
-    gap's end as it would have been before it (RFC 5545, section 3.3.5).
+    Shown twice: the first, or the second if `fold` is 1. Never shown: by the offset before the
+    gap, thus as long after the gap's end as it would have been before it (RFC 5545, 3.3.5).
     """
-    return int(from_wall(wall).replace(tzinfo=zone(name), fold=0).timestamp())
+    return int(from_wall(wall).replace(tzinfo=zone(name), fold=fold).timestamp())
 
 
 def reached(at: int, name: str) -> int:
@@ -57,15 +57,20 @@
     wall = as_wall(here)
     if not here.fold:
         return wall
+    return max(wall, as_wall(local(change_before(at, name) - 1, name)))
+
+
+def change_before(at: int, name: str) -> int:
+    """Return the first instant of an offset that began within hours before an instant."""
     low, high = at - int(constants.FOLD_MOST_S), at
-    shift = here.utcoffset()
+    shift = local(at, name).utcoffset()
     while high - low > 1:  # the change lies between the two
         middle = (low + high) // 2
         if local(middle, name).utcoffset() == shift:
             high = middle
         else:
             low = middle
-    return max(wall, as_wall(local(low, name)))
+    return high
 
 
 def change_near(at: int, name: str) -> tuple[timedelta, timedelta] | None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -60,6 +60,20 @@
     assert between(rule, start, end) == expected(rule, known(zone, start, end))
 
 
+@pytest.mark.parametrize("day", ["2026-04-03", "2026-10-02"])
+@pytest.mark.parametrize("text", ["20 */2 * * *", "2 */4 * * *", "*/30 8-18 * * *",
+                                  "49 * * * *", "15,45 1-2 * * *", "50 1 * * *", "* * * * *"])
+def test_a_change_of_clocks_by_half_an_hour(text, day):
+    """Found by the replayed year: the library, given the zone, lost the turn after it."""
+    rule = cron_rule(text, "Australia/Lord_Howe")
+    start = int(datetime.fromisoformat(day).replace(tzinfo=UTC).timestamp())
+    for shift in (0, 86_400 + 14 * 3600, 86_400 + 15 * 3600 + 600, 86_400 + 16 * 3600):
+        span = (start + shift, start + 3 * 86_400)
+        assert between(rule, *span) == {
+            at for at in expected(rule, known(rule.zone, start - 86_400, span[1]))
+            if at >= span[0]}
+
+
 RECURRENCES = st.one_of(
     st.tuples(st.integers(1, 3), st.sampled_from(["", ";BYDAY=MO,WE,SA", ";COUNT=9"])).map(
         lambda p: f"FREQ=DAILY;INTERVAL={p[0]}{p[1]}"),
