Schedules: one piece each for guards, a shard's write, a turn's jobs, due times and refusals

What stood two or three times now stands once: guards of records and the write of a shard (Store.guards, shard_write; desk and clock), the jobs of a turn (templates.submission) and those of a decision (records.jobs_of; history and overlap), when a turn is due (policy.planned_ms), the search for a change of clocks (zones.change_between), a RRULE's parts, names and counts of templates, calendars and entries, and which errors refuse a request. Slots are looked up in their shard instead of being kept twice. The desk held a clock that it did not use.

Done where it need not be: each record that came made its table of handlers anew, and each turn of a calendar worked out what a change of clocks did, also when nobody asks.

--- a/oakmux/schedules/clock.py
+++ b/oakmux/schedules/clock.py
@@ -139,7 +139,7 @@
         self.writes: list[tuple] = []
         self.slots: dict[str, Slot] = {}
         self.said: list[dict[str, Any]] = []
-        self.tries: dict[str, str] = {}  # ids of jobs that may be found taken, and whose they are
+        self.owners: dict[str, str] = {}  # ids of jobs that may be found taken, and whose they are
 
 
 class Clock:
@@ -220,7 +220,7 @@
         for _ in range(min(len(self.to_plan), constants.PLANS_PER_TICK)):
             name = self.to_plan.popleft()
             self.in_plan.discard(name)
-            entry, slot = self.store.entries.get(name), self.store.slots.get(name)
+            entry, slot = self.store.entries.get(name), self.store.slot(name)
             if entry is None or slot is None or entry.paused:
                 continue
             try:
@@ -241,9 +241,11 @@
         may differ: none is early by the true time, even if ours is ahead by so much.
         """
         if plan.turn is not None:
-            at = (plan.turn.at * 1000 + policy.jitter_ms(plan.entry)
-                  + math.ceil(self.world.facts.skew_ms))
-            heapq.heappush(self.heap, (at, plan.entry.name, id(plan)))
+            heapq.heappush(self.heap, (self._due_ms(plan.entry, plan.turn), plan.entry.name,
+                                       id(plan)))
+
+    def _due_ms(self, entry: Entry, turn: Turn) -> int:
+        return policy.planned_ms(entry, turn) + math.ceil(self.world.facts.skew_ms)
 
     # --- writing ---
 
@@ -253,17 +255,9 @@
 
     def live(self, entry: Entry, slot: Slot) -> list[Any]:
         """Return the jobs of the turns that the slot still knows."""
-        jobs, steps = self.world.replica.jobs, 1
-        template = self.store.templates.get(entry.template)
-        if template is not None:
-            steps = len(template.steps)
-        found = []
-        for at, outcome, tries, note in slot.rows:
-            if outcome in (records.MADE, records.MANUAL):
-                turn = note if outcome == records.MANUAL else str(at)
-                names = (records.job_id(entry, turn, n, tries) for n in range(steps))
-                found += [jobs[name] for name in names if name in jobs]
-        return found
+        jobs, steps = self.world.replica.jobs, self.store.steps(entry)
+        return [jobs[name] for row in slot.rows
+                for name in records.jobs_of(entry, row, steps) if name in jobs]
 
     def _write(self, now_ms: int) -> None:
         """Write what is due, shard by shard, the most urgent first."""
@@ -314,8 +308,7 @@
         slot = plan.slot
         template = self.store.templates.get(entry.template)
         refusal = templates.refusal(self.world, template)
-        if (template is not None and any(step.needs for step in template.steps)
-                and self.world.replica.format < 2):
+        if template is not None and templates.early(self.world, template):
             # An upgrade is under way: waits_on can't be recorded yet. Others go on meanwhile.
             self.due.pop(entry.name)
             heapq.heappush(self.heap, (now_ms + 1000, entry.name, id(plan)))
@@ -325,7 +318,7 @@
             if waits and not self.busy(entry, slot):
                 made = policy.release(slot, plan.tries)
                 at, turn = waits, None
-            elif turn is not None and self._over(plan, turn, now_ms):
+            elif turn is not None and self._due_ms(entry, turn) <= now_ms:
                 made = policy.decide(entry, slot, turn, plan.later, now_ms,
                                      partial(self.busy, entry, slot), plan.tries)
                 at = turn.at
@@ -339,8 +332,7 @@
                 return False
             slot = made.slot
             batch.slots[entry.name] = slot
-            batch.guards[records.entry_key(entry.name)] = self.store.stamp(
-                records.entry_key(entry.name))
+            batch.guards.update(self.store.guards(records.entry_key(entry.name)))
             if turn is not None:
                 plan.advance(slot)
                 if slot.rows[-1][1] == records.MISSED:
@@ -354,10 +346,6 @@
                 # Turns after this one are decided once its job is in the records.
                 return True
 
-    def _over(self, plan: Plan, turn: Turn, now_ms: int) -> bool:
-        return (turn.at * 1000 + policy.jitter_ms(plan.entry)
-                + math.ceil(self.world.facts.skew_ms) <= now_ms)
-
     def _skip_missed(self, plan: Plan, now_ms: int) -> None:
         """Pass over turns that are long missed: each is counted, but not gone through for ever."""
         count = 0
@@ -387,13 +375,7 @@
             return len(batch.writes) + 1 <= limits.txn_ops
         entry, store = plan.entry, self.store
         template = store.templates[entry.template]
-        order = now_ms
-        writes, guards, ids = [], {}, []
-        for name, spec in templates.jobs(entry, template, str(at), plan.tries):
-            writes.append((job_key(name), job_value("queued", spec.team, spec, order, spec.tasks),
-                           None))
-            guards[job_key(name)] = 0
-            ids.append(name)
+        ids, guards, writes = templates.submission(entry, template, str(at), now_ms, plan.tries)
         if made.replace:
             for job in self.live(entry, plan.slot):
                 if not job.final and job.ready and job.spec is not None:
@@ -407,42 +389,27 @@
             writes = writes[: limits.txn_ops - 1]
         batch.writes += writes
         batch.guards.update({key: guards[key] for key, *_ in writes})
-        batch.guards[records.template_key(entry.template)] = store.stamp(
-            records.template_key(entry.template))
-        batch.tries.update(dict.fromkeys(ids, entry.name))
+        batch.guards.update(store.guards(records.template_key(entry.template)))
+        batch.owners.update(dict.fromkeys(ids, entry.name))
         batch.said.append({"entry": entry.name, "turn": at, "jobs": ",".join(ids),
                            "late_ms": now_ms - at * 1000, "team": entry.team})
         return True
 
     def _send(self, batch: Batch) -> None:
         number = batch.shard
-        key = records.shard_key(number)
-        slots = {**self.store.shards.get(number, {}), **batch.slots}
-        value = [records.value_of(slot) for slot in slots.values()]
-        guards = {role_key(CLOCK): self.held, key: self.store.stamp(key), **batch.guards}
+        write = self.store.shard_write(number, batch.slots)
+        guards = {role_key(CLOCK): self.held, **self.store.guards(write[0]), **batch.guards}
         self.flying.add(number)
         held = self.held
-        self.world.call(lambda s, r: self._sent(batch, value, held, s, r), "txn",
-                        list(guards.items()), [(key, value, None), *batch.writes],
-                        constants.TURN_RANK)
+        self.world.call(lambda s, r: self._sent(batch, write[1], held, s, r), "txn",
+                        list(guards.items()), [write, *batch.writes], constants.TURN_RANK)
 
     def _sent(self, batch: Batch, value: list, held: int, status: int, result: Any) -> None:
         if held == self.held:
             self.flying.discard(batch.shard)
         if status != 200:
-            if held != self.held:
-                return
-            # 409: the watch brings what was in the way. No answer: the turns may still be
-            # written late; then what we try again fails on the shard's version.
-            pause = min(constants.BACKOFF_MOST_S,
-                        constants.TURN_RETRY_S * 2 ** self.failed.get(batch.shard, 0))
-            self.not_before[batch.shard] = self.world.now + pause
-            self.failed[batch.shard] = min(self.failed.get(batch.shard, 0) + 1, 10)
-            self._taken_ids(batch, status, result)
-            self._again(set(batch.slots))
-            if status == 400:
-                event("turns_refused", shard=batch.shard, jobs=len(batch.writes))
-                self.not_before[batch.shard] = self.world.now + constants.RETRY_MOST_S
+            if held == self.held:
+                self._failed(batch, status, result)
             return
         self.failed.pop(batch.shard, None)
         replica, store = self.world.replica, self.store
@@ -468,14 +435,26 @@
             event("turns_served", count=self.served, last=batch.said[-1]["entry"],
                   late_ms=batch.said[-1]["late_ms"])
 
-    def _taken_ids(self, batch: Batch, status: int, result: Any) -> None:
+    def _failed(self, batch: Batch, status: int, result: Any) -> None:
+        """Try turns again later. 409: the watch brings what was in the way. No answer: they may
+        still be written late; then what we try again fails on the shard's version."""
+        failures = self.failed.get(batch.shard, 0)
+        pause = min(constants.BACKOFF_MOST_S, constants.TURN_RETRY_S * 2 ** failures)
+        self.failed[batch.shard] = min(failures + 1, 10)
+        if status == 400:
+            event("turns_refused", shard=batch.shard, jobs=len(batch.writes))
+            pause = constants.RETRY_MOST_S
+        self.not_before[batch.shard] = self.world.now + pause
+        if status == 409 and result is not None:
+            self._taken_ids(batch, result)
+        self._again(set(batch.slots))
+
+    def _taken_ids(self, batch: Batch, result: Any) -> None:
         """Another job has the id of one of ours, from before such ids were reserved."""
-        if status != 409 or result is None:
-            return
         failed = set(result[1])
         if {records.shard_key(batch.shard), role_key(CLOCK)} & failed:
             return  # perhaps it is our own that was written without our hearing of it
-        for name, owner in batch.tries.items():
+        for name, owner in batch.owners.items():
             if job_key(name) in failed:
                 tries = min(self.tried.get(owner, 0) + 1, constants.ID_TRIES)
                 self.tried[owner] = tries
--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -6,16 +6,17 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from functools import partial
 from typing import Any
 
 import msgspec
 
 from oakmux import constants
-from oakmux.core.jobs import job_key, job_value, value_bytes, value_limit
+from oakmux.core.jobs import value_bytes, value_limit
 from oakmux.core.world import World, event
 from oakmux.schedules import templates, zones
-from oakmux.schedules.clock import Clock, Daytime
+from oakmux.schedules.clock import Daytime
 from oakmux.schedules.records import (
     CATCH_UPS,
     MANUAL,
@@ -38,6 +39,8 @@
 
 log = logging.getLogger("oakmux.schedules")
 
+# What an entry, a rule or a template can be refused for, beside the desk's own reasons.
+UNFIT = (BadRule, zones.UnknownZone, templates.BadTemplate)
 # What a request wants written: guards, writes, the answer's status and body.
 Change = tuple[dict[str, int], list[tuple], int, dict]
 
@@ -45,11 +48,10 @@
 class Desk:
     """Serves one controller's requests about schedules."""
 
-    def __init__(self, world: World, store: Store, daytime: Daytime, clock: Clock) -> None:
+    def __init__(self, world: World, store: Store, daytime: Daytime) -> None:
         self.world = world
         self.store = store
         self.daytime = daytime
-        self.clock = clock
         self.shows = Shows(world, store)
         self.again: list[tuple[float, Callable[[], None]]] = []
         self.operations: dict[str, Callable[[Any, dict], None]] = {
@@ -75,15 +77,19 @@
         elif world.now - world.state_heard > constants.STATE_STALE_S:
             self._error(rid, Refused(503, "no current records"))
         else:
-            try:
-                serve(rid, args)
-            except Refused as error:
-                self._error(rid, error)
-            except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
-                self._error(rid, Refused(422, str(error)))
-            except (KeyError, TypeError, ValueError, OverflowError,
-                    msgspec.ValidationError) as error:
-                self._error(rid, Refused(400, f"bad request: {error!r}"[:constants.NOTE_TEXT]))
+            self._attempt(rid, partial(serve, rid, args))
+
+    def _attempt(self, rid: Any, run: Callable[[], None]) -> None:
+        """Go on with a request, or tell why it can't be carried out."""
+        try:
+            run()
+        except Refused as error:
+            self._error(rid, error)
+        except UNFIT as error:
+            self._error(rid, Refused(422, str(error)))
+        except (KeyError, TypeError, ValueError, OverflowError,
+                msgspec.ValidationError) as error:
+            self._error(rid, Refused(400, f"bad request: {error!r}"[:constants.NOTE_TEXT]))
 
     def _error(self, rid: Any, error: Refused) -> None:
         self.world.emit("answer", rid, error.status, ("error", str(error)))
@@ -105,14 +111,12 @@
 
         What `build` puts into `said` is logged once it is written.
         """
-        try:
-            guards, writes, status, body = build()
-        except Refused as error:
-            self._error(rid, error)
-            return
-        except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
-            self._error(rid, Refused(422, str(error)))
-            return
+        self._attempt(rid, partial(self._write_once, rid, build, then, tries, said))
+
+    def _write_once(self, rid: Any, build: Callable[[], Change],
+                    then: Callable[[int, dict], None] | None, tries: int,
+                    said: dict[str, Any] | None) -> None:
+        guards, writes, status, body = build()
         answer = then or (lambda status, body: self.shows.say(rid, body, status))
         if not writes:
             answer(status, body)
@@ -121,7 +125,8 @@
         def done(outcome: int, result: Any) -> None:
             if outcome == 200:
                 for write in writes:
-                    self._apply(write[0], write[1] if len(write) > 1 else None, result[0])
+                    self.world.replica.apply(write[0], write[1] if len(write) > 1 else None,
+                                             result[0])
                 if said:
                     event(**said)
                 answer(status, body)
@@ -137,19 +142,10 @@
 
         self.world.call(done, "txn", list(guards.items()), writes, 0)
 
-    def _apply(self, key: str, value: Any, stamp: int) -> None:
-        self.world.replica.apply(key, value, stamp)
-
-    # --- names ---
-
     # --- templates ---
 
     def _put_template(self, rid: Any, args: dict) -> None:
-        name = str(args["name"])
-        team, _, rest = name.partition("/")
-        self.shows.team(team)
-        if not NAME.match(rest):
-            raise Refused(422, "a template's name is TEAM/NAME")
+        name, team = self._named("template", args)
         self._need_types()
         said: dict[str, Any] = {}
         template = templates.from_steps(args["steps"], team)
@@ -157,11 +153,10 @@
         key = template_key(name)
 
         def build() -> Change:
-            count = sum(1 for other in self.store.templates if other.startswith(team + "/"))
-            if count >= constants.TEAM_TEMPLATES and name not in self.store.templates:
-                raise Refused(422, f"{team} has {count} templates: no more are kept")
+            if name not in self.store.templates:
+                self._bound(team, "templates", self.store.templates, constants.TEAM_TEMPLATES)
             said.update(name="template", template=name, steps=len(template.steps))
-            return ({key: self.store.stamp(key)}, [(key, value_of(template), None)], 200,
+            return (self.store.guards(key), [(key, value_of(template), None)], 200,
                     {"name": name, "steps": len(template.steps)})
 
         if args.get("dry"):
@@ -184,7 +179,7 @@
             if users:
                 raise Refused(409, f"{users[0]} uses it" + (
                     f", and {len(users) - 1} more" if len(users) > 1 else ""))
-            return {key: self.store.stamp(key)}, [(key,)], 200, {"removed": name}
+            return self.store.guards(key), [(key,)], 200, {"removed": name}
 
         self._write(rid, build)
 
@@ -264,10 +259,8 @@
                 entry = self._made(row)
                 rows.append({"name": entry.name, "next": self.shows.turns(
                     entry, mark_at(entry.rule, self._now_s()), 1)})
-            except (BadRule, zones.UnknownZone, templates.BadTemplate) as error:
-                rows.append({"name": str(row.get("name")), "error": str(error)})
-            except Refused as error:
-                if error.status >= 500:
+            except (Refused, *UNFIT) as error:
+                if isinstance(error, Refused) and error.status >= 500:
                     raise
                 rows.append({"name": str(row.get("name")), "error": str(error)})
         self.shows.say(rid, {"entries": rows})
@@ -305,9 +298,9 @@
                 raise Refused(412, "no such entry")
             number, room = self._shard(len(left))
             limits = self.world.facts.state.least
-            guards = {shard_key(number): self.store.stamp(shard_key(number))}
+            guards = self.store.guards(shard_key(number))
             writes: list[tuple] = []
-            slots = dict(self.store.shards.get(number, {}))
+            slots: dict[str, Slot] = {}
             for entry in left[:room]:
                 if entry.name in self.store.entries:
                     break
@@ -318,15 +311,13 @@
                     break
                 made = msgspec.structs.replace(entry, shard=number, parts=len(parts))
                 guards[entry_key(entry.name)] = 0
-                guards[template_key(entry.template)] = self.store.stamp(
-                    template_key(entry.template))
+                guards.update(self.store.guards(template_key(entry.template)))
                 writes += [(entry_key(entry.name), self._sized(made), None), *parts]
                 slots[entry.name] = self._fresh_slot(entry, None)
                 now.append(entry)
             if not now:
                 raise Refused(413, "too large for the state service")
-            value = [value_of(slot) for slot in slots.values()]
-            return guards, [(shard_key(number), value, None), *writes], 201, {}
+            return guards, [self.store.shard_write(number, slots), *writes], 201, {}
 
         def done(_: int, __: dict) -> None:
             for entry in now:
@@ -338,15 +329,26 @@
         self._write(rid, build, done)
 
     def _count(self, entry: Entry, more: int) -> None:
-        prefix = entry.team + "/"
-        count = sum(1 for name in self.store.entries if name.startswith(prefix)) + more
-        if count >= constants.TEAM_ENTRIES:
-            raise Refused(422, f"{entry.team} has {count} entries: no more are kept")
-        calendar = entry.name.rpartition("/")[0] + "/"
-        if calendar != prefix:
-            count = sum(1 for name in self.store.entries if name.startswith(calendar)) + more
-            if count >= constants.CALENDAR_OBJECTS:
-                raise Refused(422, f"the calendar has {count} entries: no more are kept")
+        entries, calendar = self.store.entries, entry.name.rpartition("/")[0]
+        self._bound(entry.team, "entries", entries, constants.TEAM_ENTRIES, more)
+        if calendar != entry.team:
+            self._bound(calendar, "entries", entries, constants.CALENDAR_OBJECTS, more)
+
+    def _bound(self, owner: str, what: str, names: Collection[str], most: int,
+               more: int = 0) -> None:
+        """Refuse one more of what a team or a calendar may have so many of."""
+        count = sum(1 for name in names if name.startswith(owner + "/")) + more
+        if count >= most:
+            raise Refused(422, f"{owner} has {count} {what}: no more are kept")
+
+    def _named(self, what: str, args: dict) -> tuple[str, str]:
+        """Return the name of a template or a calendar, TEAM/NAME, and its team."""
+        name = str(args["name"])
+        team, _, rest = name.partition("/")
+        self.shows.team(team)
+        if not NAME.match(rest):
+            raise Refused(422, f"a {what}'s name is TEAM/NAME")
+        return name, team
 
     def _one_uid(self, entry: Entry) -> None:
         """Refuse a second object of a calendar with a UID that it has (RFC 4791, 5.3.2.1)."""
@@ -393,25 +395,20 @@
         made = msgspec.structs.replace(entry, born=old.born, shard=old.shard, parts=len(parts))
         if made == old and not parts:
             return {}, [], 200, {}
-        guards = {key: store.stamp(key),
-                  template_key(entry.template): store.stamp(template_key(entry.template))}
+        guards = store.guards(key, template_key(entry.template))
         writes = [(key, self._sized(made), None), *parts,
                   *((part_key(entry.name, n),) for n in range(len(parts), old.parts))]
         if (made.rule, made.until) != (old.rule, old.until) or old.paused and not made.paused:
-            slot = self._fresh_slot(made, store.slots.get(entry.name))
+            slot = self._fresh_slot(made, store.slot(entry.name))
             self._with_slot(guards, writes, old.shard, entry.name, slot)
         return guards, writes, 200, {}
 
     def _with_slot(self, guards: dict[str, int], writes: list[tuple], number: int, name: str,
                    slot: Slot | None) -> None:
         """Add to a change that an entry's slot becomes another, or goes."""
-        key = shard_key(number)
-        slots = {**self.store.shards.get(number, {})}
-        slots.pop(name, None)
-        if slot is not None:
-            slots[name] = slot
-        guards[key] = self.store.stamp(key)
-        writes.append((key, [value_of(row) for row in slots.values()], None))
+        guards.update(self.store.guards(shard_key(number)))
+        writes.append(self.store.shard_write(number, {} if slot is None else {name: slot},
+                                             name if slot is None else ""))
 
     def _remove(self, rid: Any, args: dict) -> None:
         said: dict[str, Any] = {}
@@ -422,7 +419,7 @@
             if wanted and wanted not in (entry.etag, "*"):
                 raise Refused(412, f"{entry.name} has changed")
             key = entry_key(entry.name)
-            guards = {key: self.store.stamp(key)}
+            guards = self.store.guards(key)
             writes: list[tuple] = [(key,), *((part_key(entry.name, n),)
                                              for n in range(entry.parts))]
             self._with_slot(guards, writes, entry.shard, entry.name, None)
@@ -448,7 +445,7 @@
                 return {}, [], 200, body
             key = entry_key(entry.name)
             made = msgspec.structs.replace(entry, paused=paused)
-            guards, writes = {key: self.store.stamp(key)}, [(key, value_of(made), None)]
+            guards, writes = self.store.guards(key), [(key, value_of(made), None)]
             if not paused:
                 self._with_slot(guards, writes, entry.shard, entry.name,
                                 self._fresh_slot(made, slot))
@@ -471,25 +468,18 @@
             if refusal is not None or template is None:
                 raise Refused(422, refusal or "no template")
             turn = f"hand:{word}"
-            made = list(templates.jobs(entry, template, turn))
-            body = {"name": entry.name, "jobs": [name for name, _ in made]}
-            if made[0][0] in self.world.replica.jobs:
+            now_ms = self.daytime.now_ms()
+            ids, guards, writes = templates.submission(entry, template, turn, now_ms)
+            body = {"name": entry.name, "jobs": ids}
+            if ids[0] in self.world.replica.jobs:
                 return {}, [], 200, body
-            if any(spec.waits_on for _, spec in made) and self.world.replica.format < 2:
+            if templates.early(self.world, template):
                 raise Refused(503, "an upgrade is under way: waits_on can't be recorded yet")
-            guards = {entry_key(entry.name): self.store.stamp(entry_key(entry.name)),
-                      template_key(entry.template): self.store.stamp(
-                          template_key(entry.template))}
-            writes: list[tuple] = []
-            for name, spec in made:
-                guards[job_key(name)] = 0
-                writes.append((job_key(name), job_value(
-                    "queued", spec.team, spec, self.daytime.now_ms(), spec.tasks), None))
-            at = self.daytime.now_ms() // 1000
+            guards.update(self.store.guards(entry_key(entry.name),
+                                            template_key(entry.template)))
             self._with_slot(guards, writes, entry.shard, entry.name, slot.noted(
-                slot.mark, slot.pending, at, MANUAL, note=turn))
-            said.update(name="turn", entry=entry.name, turn=turn, jobs=",".join(body["jobs"]),
-                        by="hand")
+                slot.mark, slot.pending, now_ms // 1000, MANUAL, note=turn))
+            said.update(name="turn", entry=entry.name, turn=turn, jobs=",".join(ids), by="hand")
             return guards, writes, 201, body
 
         self._write(rid, build, said=said)
@@ -497,12 +487,8 @@
     # --- calendars ---
 
     def _put_calendar(self, rid: Any, args: dict) -> None:
-        name = str(args["name"])
-        team, _, rest = name.partition("/")
-        self.shows.team(team)
-        if not NAME.match(rest):
-            raise Refused(422, "a calendar's name is TEAM/NAME")
-        made = Calendar(str(args.get("title") or rest)[:constants.NOTE_TEXT],
+        name, team = self._named("calendar", args)
+        made = Calendar(str(args.get("title") or name.partition("/")[2])[:constants.NOTE_TEXT],
                         str(args.get("zone") or "UTC"), str(args.get("template") or ""))
         zones.zone(made.zone)
         if made.template and made.template not in self.store.templates:
@@ -512,10 +498,9 @@
         def build() -> Change:
             if args.get("if_absent") and name in self.store.calendars:
                 raise Refused(405, "it exists")
-            count = sum(1 for other in self.store.calendars if other.startswith(team + "/"))
-            if count >= constants.TEAM_CALENDARS and name not in self.store.calendars:
-                raise Refused(422, f"{team} has {count} calendars: no more are kept")
-            return ({key: self.store.stamp(key)}, [(key, value_of(made), None)], 201,
+            if name not in self.store.calendars:
+                self._bound(team, "calendars", self.store.calendars, constants.TEAM_CALENDARS)
+            return (self.store.guards(key), [(key, value_of(made), None)], 201,
                     {"name": name})
 
         self._write(rid, build)
@@ -529,7 +514,7 @@
                 raise Refused(404, f"no calendar {name}")
             if any(entry.startswith(name + "/") for entry in self.store.entries):
                 raise Refused(409, "it has entries: remove them first")
-            return {key: self.store.stamp(key)}, [(key,)], 200, {"removed": name}
+            return self.store.guards(key), [(key,)], 200, {"removed": name}
 
         self._write(rid, build)
 
--- a/oakmux/schedules/part.py
+++ b/oakmux/schedules/part.py
@@ -15,7 +15,7 @@
         self.store = Store()
         self.daytime = Daytime(world)
         self.clock = Clock(world, self.store, self.daytime)
-        self.desk = Desk(world, self.store, self.daytime, self.clock)
+        self.desk = Desk(world, self.store, self.daytime)
         self.world = world
         world.replica.guests[KIND] = self.store
         world.more_roles.append(CLOCK)
--- a/oakmux/schedules/policy.py
+++ b/oakmux/schedules/policy.py
@@ -26,6 +26,11 @@
     return int.from_bytes(digest) % (entry.policy.jitter_s * 1000)
 
 
+def planned_ms(entry: Entry, turn: Turn) -> int:
+    """Return when a turn is to be made (ms), apart from how far clocks may differ."""
+    return turn.at * 1000 + jitter_ms(entry)
+
+
 def window_s(entry: Entry) -> int:
     """Return how late a turn may still be made (s); without catching up, the grace."""
     most = entry.policy.window_s
@@ -34,7 +39,7 @@
 
 def expired(entry: Entry, turn: Turn, now_ms: int) -> bool:
     """Whether a turn is too late to be made."""
-    return now_ms - turn.at * 1000 - jitter_ms(entry) > window_s(entry) * 1000
+    return now_ms - planned_ms(entry, turn) > window_s(entry) * 1000
 
 
 def decide(entry: Entry, slot: Slot, turn: Turn, later: Callable[[], Turn | None], now_ms: int,
@@ -45,7 +50,7 @@
     Of several turns that are over, `last` makes the latest.
     """
     following = later() if entry.policy.catch_up == "last" else None
-    overtaken = following is not None and following.at * 1000 + jitter_ms(entry) <= now_ms
+    overtaken = following is not None and planned_ms(entry, following) <= now_ms
     if overtaken or expired(entry, turn, now_ms):
         return Decision(slot.noted(turn.mark, slot.pending, turn.at, records.MISSED,
                                    note="overtaken" if overtaken else ""), False)
--- a/oakmux/schedules/records.py
+++ b/oakmux/schedules/records.py
@@ -145,6 +145,15 @@
     return f"{RESERVED}{number:016d}"
 
 
+def jobs_of(entry: Entry, row: tuple[int, str, int, str], steps: int) -> list[str]:
+    """Return the ids of the jobs that a decision made, if it made any."""
+    at, outcome, tries, note = row
+    if outcome not in (MADE, MANUAL):
+        return []
+    turn = note if outcome == MANUAL else str(at)
+    return [job_id(entry, turn, step, tries) for step in range(steps)]
+
+
 class Store:
     """All records of schedules as far as the watch has brought them, and our own writes."""
 
@@ -152,7 +161,6 @@
         self.entries: dict[str, Entry] = {}
         self.templates: dict[str, Template] = {}
         self.calendars: dict[str, Calendar] = {}
-        self.slots: dict[str, Slot] = {}
         self.shards: dict[int, dict[str, Slot]] = {}
         self.parts: dict[str, str] = {}
         self.users: dict[str, set[str]] = {}
@@ -164,6 +172,9 @@
         # revision from which on all of them are here.
         self.log: deque[tuple[int, str]] = deque(maxlen=constants.CHANGES_KEPT)
         self.log_since = 0
+        self._takers: dict[str, Callable[[str, Any, int], None]] = {
+            "e": self._entry, "t": self._template, "m": self._shard, "c": self._calendar,
+            "p": self._part}
 
     def keys(self) -> set[str]:
         """Return the keys of all records that stand."""
@@ -173,15 +184,28 @@
         """Return a key's version for a guard; 0: there is none."""
         return self.stamps.get(key, 0)
 
+    def guards(self, *keys: str) -> dict[str, int]:
+        """Return the guards that hold while these records are as they stand here."""
+        return {key: self.stamp(key) for key in keys}
+
+    def slot(self, name: str) -> Slot | None:
+        """Return how far an entry's turns are decided; None if it or its shard is not here."""
+        entry = self.entries.get(name)
+        return None if entry is None else self.shards.get(entry.shard, {}).get(name)
+
+    def shard_write(self, number: int, slots: dict[str, Slot], gone: str = "") -> tuple:
+        """Return the write of a shard in which some slots are others, and one is gone."""
+        rows = {**self.shards.get(number, {}), **slots}
+        rows.pop(gone, None)
+        return shard_key(number), [value_of(slot) for slot in rows.values()], None
+
     def apply(self, rest: str, value: Any, stamp: int) -> None:
         """Take one change of the key `ox/s/<rest>`; older news than we have is dropped."""
         key = f"{PREFIX}{KIND}/{rest}"
         if stamp <= max(self.stamps.get(key, 0), self.removed.get(key, 0)):
             return
         kind, _, name = rest.partition("/")
-        take: Callable[[str, Any, int], None] | None = {
-            "e": self._entry, "t": self._template, "m": self._shard, "c": self._calendar,
-            "p": self._part}.get(kind)
+        take = self._takers.get(kind)
         if take is None:
             return  # of a later version
         take(name, value, stamp)
@@ -233,15 +257,14 @@
         new = {}
         if value is not None:
             new = {slot.name: slot for slot in msgspec.convert(value, list[Slot])}
-        for gone in set(old) - set(new):
-            self.slots.pop(gone, None)
-            self.changed.add(gone)
-        for slot_name, slot in new.items():
-            if old.get(slot_name) != slot:
-                self.slots[slot_name] = slot
-                self.changed.add(slot_name)
+        self.changed.update(name for name in {*old, *new} if old.get(name) != new.get(name))
         self.shards[number] = new
 
+    def steps(self, entry: Entry) -> int:
+        """Return how many jobs a turn of an entry makes."""
+        template = self.templates.get(entry.template)
+        return 1 if template is None else len(template.steps)
+
     def text(self, entry: Entry) -> str | None:
         """Return a calendar object's text, or None while parts of it are missing."""
         found = [self.parts.get(f"{entry.name}/{n}") for n in range(entry.parts)]
--- a/oakmux/schedules/shows.py
+++ b/oakmux/schedules/shows.py
@@ -8,7 +8,7 @@
 from oakmux import constants, wire
 from oakmux.core.world import World
 from oakmux.schedules import records, zones
-from oakmux.schedules.records import MANUAL, NAME, Entry, Slot, Store, value_of
+from oakmux.schedules.records import NAME, Entry, Slot, Store, value_of
 from oakmux.schedules.turns import mark_at, skipped, turns
 
 
@@ -52,7 +52,7 @@
     def entry(self, args: dict) -> tuple[Entry, Slot]:
         """Return an entry and its slot."""
         name = self.name(args.get("name"))
-        entry, slot = self.store.entries.get(name), self.store.slots.get(name)
+        entry, slot = self.store.entries.get(name), self.store.slot(name)
         if entry is None or slot is None:
             raise Refused(404, f"no entry {name}")
         return entry, slot
@@ -78,7 +78,7 @@
 
     def row(self, entry: Entry) -> dict:
         """Return what a list says of an entry."""
-        slot = self.store.slots.get(entry.name)
+        slot = self.store.slot(entry.name)
         last = slot.rows[-1] if slot is not None and slot.rows else None
         rule = entry.rule
         return {"name": entry.name, "rule": rule.text or "once", "kind": rule.kind,
@@ -123,16 +123,13 @@
     def history(self, rid: Any, args: dict) -> None:
         """Tell the last decisions and their jobs."""
         entry, slot = self.entry(args)
-        template = self.store.templates.get(entry.template)
-        steps = 1 if template is None else len(template.steps)
-        jobs = self.world.replica.jobs
+        jobs, steps = self.world.replica.jobs, self.store.steps(entry)
         rows = []
-        for at, outcome, tries, note in slot.rows:
-            turn = note if outcome == MANUAL else str(at)
-            made = outcome in (records.MADE, MANUAL)
-            ids = [records.job_id(entry, turn, n, tries) for n in range(steps)] if made else []
+        for row in slot.rows:
+            at, outcome, _, note = row
+            ids = records.jobs_of(entry, row, steps)
             rows.append({"turn": at, "local": zones.local(at, entry.rule.zone).isoformat(),
-                         "outcome": records.OUTCOMES[outcome], "note": "" if made else note,
+                         "outcome": records.OUTCOMES[outcome], "note": "" if ids else note,
                          "jobs": {name: jobs[name].state for name in ids if name in jobs}})
         self.say(rid, {"name": entry.name, "turns": rows})
 
--- a/oakmux/schedules/templates.py
+++ b/oakmux/schedules/templates.py
@@ -7,7 +7,7 @@
 
 from oakmux import constants, wire
 from oakmux.core import teams
-from oakmux.core.jobs import job_value, value_bytes, value_limit
+from oakmux.core.jobs import job_key, job_value, value_bytes, value_limit
 from oakmux.core.world import World
 from oakmux.schedules.records import NAME, Entry, Step, Template, job_id, value_of
 from oakmux.wire import JobSpec
@@ -81,6 +81,11 @@
         raise BadTemplate(f"template of {size} bytes: a record holds {value_limit(limits)}")
 
 
+def early(world: World, template: Template) -> bool:
+    """Whether a chain can't be recorded yet: not all controllers read `waits_on`."""
+    return world.replica.format < 2 and any(step.needs for step in template.steps)
+
+
 def refusal(world: World, template: Template | None) -> str | None:
     """Return why a turn can't be made now: its template or team has gone, or fits no more."""
     if template is None:
@@ -103,3 +108,17 @@
         if entry.deadline_s is not None:
             changes["deadline_s"] = entry.deadline_s
         yield own, msgspec.structs.replace(step.spec, **changes) if changes else step.spec
+
+
+def submission(entry: Entry, template: Template, turn: str, order: int, tries: int = 0
+               ) -> tuple[list[str], dict[str, int], list[tuple]]:
+    """Return the ids of a turn's jobs, the guards that none is there, and their writes."""
+    ids: list[str] = []
+    guards: dict[str, int] = {}
+    writes: list[tuple] = []
+    for name, spec in jobs(entry, template, turn, tries):
+        ids.append(name)
+        guards[job_key(name)] = 0
+        writes.append((job_key(name), job_value("queued", spec.team, spec, order, spec.tasks),
+                       None))
+    return ids, guards, writes
--- a/oakmux/schedules/turns.py
+++ b/oakmux/schedules/turns.py
@@ -26,6 +26,7 @@
 STEPS = {"HOURLY": timedelta(hours=1), "DAILY": timedelta(days=1), "WEEKLY": timedelta(weeks=1)}
 ONE = re.compile(r"\b(\d+)-\1(?!\d)(/\d+)?")
 WEEKDAYS = ("MO", "TU", "WE", "TH", "FR", "SA", "SU")
+FIRST_COUNTS = "clocks show this hour twice: only the first counts"
 RULE_PART = re.compile(r"([A-Z]+)=([A-Z0-9+,:-]+)\Z")
 
 
@@ -93,7 +94,7 @@
     """
     if rule.kind == "cron":
         return _cron(rule, after, explain)
-    return _calendar(rule, after)
+    return _calendar(rule, after, explain)
 
 
 def _cron(rule: Rule, after: int, explain: bool) -> Iterator[Turn]:
@@ -116,7 +117,7 @@
             mark = zones.as_wall(zones.local(at, rule.zone))
             why = "its time is not shown that day: clocks go ahead, so at the gap's end"
         elif explain and zones.instant(wall, rule.zone, 1) != at:
-            why = "clocks show this hour twice: only the first counts"
+            why = FIRST_COUNTS
         if mark > last:
             last = mark
             yield Turn(mark, at, why)
@@ -149,15 +150,9 @@
     change = zones.change_near((start + end) // 2, rule.zone)
     if change is None or change[1] <= change[0]:
         return []
-    low, high = start, end
-    while high - low > 1:
-        middle = (low + high) // 2
-        if zones.local(middle, rule.zone).utcoffset() == change[0]:
-            low = middle
-        else:
-            high = middle
-    first = zones.as_wall(zones.local(low, rule.zone))
-    last = zones.as_wall(zones.local(high, rule.zone))
+    at = zones.change_between(start, end, rule.zone)
+    first = zones.as_wall(zones.local(at - 1, rule.zone))
+    last = zones.as_wall(zones.local(at, rule.zone))
     found: list[int] = []
     for moment in CronSim(rule.text, zones.from_wall(first)):
         wall = zones.as_wall(moment)
@@ -174,12 +169,7 @@
     """Refuse a RRULE that we can't keep; raises BadRule."""
     if not text:
         return
-    parts = {}
-    for part in text.upper().split(";"):
-        match = RULE_PART.match(part)
-        if match is None:
-            raise BadRule(f"RRULE: {part[:constants.LOG_TEXT]!r} is not a part of a rule")
-        parts[match[1]] = match[2]
+    parts = _parts(text)
     freq = parts.get("FREQ", "")
     if freq not in (*STEPS, "MONTHLY", "YEARLY"):
         raise BadRule(f"RRULE: FREQ={freq or 'none'}: hours are the finest that is kept")
@@ -205,6 +195,17 @@
         raise BadRule("RRULE: has no instance in years")
 
 
+def _parts(text: str) -> dict[str, str]:
+    """Return the parts of a RRULE; raises BadRule."""
+    parts = {}
+    for part in text.upper().split(";"):
+        match = RULE_PART.match(part)
+        if match is None:
+            raise BadRule(f"RRULE: {part[:constants.LOG_TEXT]!r} is not a part of a rule")
+        parts[match[1]] = match[2]
+    return parts
+
+
 def _parse(text: str, start: int) -> rrule.rrule:
     made = rrule.rrulestr(text.upper(), dtstart=zones.from_wall(start))
     assert isinstance(made, rrule.rrule)
@@ -281,11 +282,10 @@
     later: the same instances, without going through years of them.
     """
     start = rule.start
-    text = rule.text.upper()
-    freq = next((part[5:] for part in text.split(";") if part.startswith("FREQ=")), "")
-    if freq in STEPS and "COUNT=" not in text:
-        interval = next((int(p[9:]) for p in text.split(";") if p.startswith("INTERVAL=")), 1)
-        unit = int(STEPS[freq].total_seconds()) * interval
+    parts = _parts(rule.text)
+    step = STEPS.get(parts.get("FREQ", ""))
+    if step is not None and "COUNT" not in parts:
+        unit = int(step.total_seconds()) * int(parts.get("INTERVAL", "1"))
         start += max(0, (after - start) // unit - 1) * unit
     # The first instance is the start itself, whether the rule names it or not.
     if start == rule.start:
@@ -302,7 +302,7 @@
         yield wall
 
 
-def _calendar(rule: Rule, after: int) -> Iterator[Turn]:
+def _calendar(rule: Rule, after: int, explain: bool) -> Iterator[Turn]:
     """Yield turns in the order of their instants, each instant once.
 
     The mark is the wall time that clocks show at the turn.
@@ -325,7 +325,8 @@
         at = zones.instant(wall, rule.zone)
         shown = zones.as_wall(zones.local(at, rule.zone))
         if shown > last:
-            heapq.heappush(held, Turn(shown, at, _why_wall(wall, shown, at, rule.zone)))
+            why = _why_wall(wall, shown, at, rule.zone) if explain else ""
+            heapq.heappush(held, Turn(shown, at, why))
     while held:
         turn = heapq.heappop(held)
         if turn.mark > last:
@@ -347,7 +348,4 @@
 def _why_wall(wall: int, shown: int, at: int, zone: str) -> str:
     if shown != wall:
         return f"{zones.from_wall(wall):%H:%M} is not shown that day: clocks go ahead"
-    moment = zones.local(at, zone)
-    if moment.utcoffset() != moment.replace(fold=1).utcoffset():
-        return "clocks show this hour twice: only the first counts"
-    return ""
+    return FIRST_COUNTS if zones.instant(wall, zone, 1) != at else ""
--- a/oakmux/schedules/zones.py
+++ b/oakmux/schedules/zones.py
@@ -62,8 +62,12 @@
 
 def change_before(at: int, name: str) -> int:
     """Return the first instant of an offset that began within hours before an instant."""
-    low, high = at - int(constants.FOLD_MOST_S), at
-    shift = local(at, name).utcoffset()
+    return change_between(at - int(constants.FOLD_MOST_S), at, name)
+
+
+def change_between(low: int, high: int, name: str) -> int:
+    """Return the first instant after `low` that has the offset of `high`."""
+    shift = local(high, name).utcoffset()
     while high - low > 1:  # the change lies between the two
         middle = (low + high) // 2
         if local(middle, name).utcoffset() == shift:
