Schedules: import and check share one list of options; the replay writes its records in one place

`import` and `check` handed seven options on one by one, and took bad entries out of a list by going through all of it for each batch; template names were completed in two places. A burst built the records that a replay builds. Readers of calendars made up an object to carry a time's parameters; they take the parameters.

--- a/oakmux/schedules/calendars.py
+++ b/oakmux/schedules/calendars.py
@@ -64,8 +64,8 @@
     if "DTSTART" not in master:
         raise BadCalendar("DTSTART: is missing: it says when to start")
     start = master["DTSTART"]
-    own = _zone(start, zone)
-    first = _wall(start.dt, start, own, zone)
+    own = _zone(start.dt, start.params, zone)
+    first = _wall(start.dt, start.params, own, zone)
     recurrence = _recurrence(master, own, start.dt)
     check_recurrence(recurrence, first)
     moved = tuple(sorted(_override(part, own, zone)
@@ -79,14 +79,14 @@
                   str(master.get("SUMMARY", ""))[:constants.NOTE_TEXT])
 
 
-def _zone(value: Any, zone: str) -> str:
+def _zone(moment: date, params: Any, zone: str) -> str:
     """Return the zone in which a recurrence goes on: its start's."""
-    if not isinstance(value.dt, datetime):
+    if not isinstance(moment, datetime):
         return zone
-    name = str(value.params.get("TZID", ""))
+    name = str(params.get("TZID", ""))
     if not name:
-        return "UTC" if value.dt.tzinfo is not None else zone
-    for tried in (name, "/".join(name.split("/")[-2:]), getattr(value.dt.tzinfo, "key", name)):
+        return "UTC" if moment.tzinfo is not None else zone
+    for tried in (name, "/".join(name.split("/")[-2:]), getattr(moment.tzinfo, "key", name)):
         try:
             zones.zone(tried)
             return tried
@@ -95,11 +95,11 @@
     raise BadCalendar(f"TZID {name[:constants.LOG_TEXT]!r}: only zones of the tz database")
 
 
-def _wall(moment: date, value: Any, own: str, zone: str) -> int:
+def _wall(moment: date, params: Any, own: str, zone: str) -> int:
     """Return a date or time of an object as wall time in its zone."""
     if not isinstance(moment, datetime):
         return zones.as_wall(datetime.combine(moment, time()))
-    written = _zone(value, zone) if moment.tzinfo is not None else own
+    written = _zone(moment, params, zone) if moment.tzinfo is not None else own
     plain = moment.replace(tzinfo=None)
     if written == own:
         return zones.as_wall(plain)
@@ -116,15 +116,10 @@
     for line in _many(part, name):
         for one in line.dts:
             moment = one.dt[0] if isinstance(one.dt, tuple) else one.dt
-            found.append(_wall(moment, _Written(moment, line.params), own, zone))
+            found.append(_wall(moment, line.params, own, zone))
     return tuple(sorted(set(found)))
 
 
-class _Written(NamedTuple):
-    dt: date
-    params: Any
-
-
 def _recurrence(master: Any, own: str, start: date) -> str:
     value = master.get("RRULE")
     if value is None:
@@ -144,11 +139,11 @@
     which = part["RECURRENCE-ID"]
     if "RANGE" in which.params:
         raise BadCalendar("RECURRENCE-ID: RANGE is not kept: split the series instead")
-    place = _wall(which.dt, which, own, zone)
+    place = _wall(which.dt, which.params, own, zone)
     if str(part.get("STATUS", "")).upper() in ("CANCELLED", "COMPLETED"):
         return place, None
     start = part.get("DTSTART", which)
-    return place, _wall(start.dt, start, own, zone)
+    return place, _wall(start.dt, start.params, own, zone)
 
 
 def _category(master: Any) -> str:
@@ -174,7 +169,7 @@
         return None
     if "DUE" in master:
         due = master["DUE"]
-        end = zones.instant(_wall(due.dt, due, own, zone), own)
+        end = zones.instant(_wall(due.dt, due.params, own, zone), own)
         length = end - zones.instant(first, own)
     elif "DURATION" in master and isinstance(master["DURATION"].dt, timedelta):
         length = int(master["DURATION"].dt.total_seconds())
--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -3,6 +3,7 @@
 import hashlib
 import re
 import secrets
+import sys
 import tomllib
 from collections import Counter
 from datetime import datetime
@@ -243,6 +244,11 @@
     return WORD.sub("-", text).strip("-")[:constants.SLUG_TEXT] or "entry"
 
 
+def qualified(team: str, name: str) -> str:
+    """Return a template's whole name; without a team it is the entry's."""
+    return name if "/" in name else f"{team}/{name}"
+
+
 class Importing:
     """A table's lines on their way to entries."""
 
@@ -266,7 +272,7 @@
         return {"name": self.name(team, Path(program).stem, "|".join(
             (line.user, line.rule.text, line.rule.zone, line.command, line.stdin))),
             "rule": {"cron": line.rule.text, "zone": line.rule.zone},
-            "template": what if "/" in what else f"{team}/{what}", "policy": rules,
+            "template": qualified(team, what), "policy": rules,
             "note": note[:constants.NOTE_TEXT]}
 
     def name(self, team: str, word: str, text: str) -> str:
@@ -320,7 +326,7 @@
             rows.append((f"UID {uid}", {
                 "name": importing.name(importing.team, found.note, uid),
                 "rule": wire.plain(found.rule), "policy": {**rules, **found.policy},
-                "template": what if "/" in what else f"{importing.team}/{what}",
+                "template": qualified(importing.team, what),
                 "note": found.note, "deadline_s": found.deadline_s,
                 **({"paused": True} if found.off else {})}))
         return rows, problems
@@ -339,28 +345,30 @@
     return [rows[n:n + size] for n in range(0, len(rows), size)]
 
 
-def checked(context: Context, file: str, rows: list[tuple[str, dict]]) -> list[str]:
-    """Let the controllers check entries; return the problems that they find."""
-    problems = []
+def checked(context: Context, file: str,
+            rows: list[tuple[str, dict]]) -> tuple[list[dict], list[str]]:
+    """Let the controllers check entries; return the good ones and the problems found."""
+    good: list[dict] = []
+    problems: list[str] = []
     for batch in batches(rows, constants.CHECK_BATCH):
         answer = call(context, "check", entries=[entry for _, entry in batch])
-        problems += [f"{file}: {where}: {row['error']}" for (where, _), row
-                     in zip(batch, answer["entries"], strict=True) if "error" in row]
-        bad = {row["name"] for row in answer["entries"] if "error" in row}
-        for row in list(rows):
-            if row[1]["name"] in bad:
-                rows.remove(row)
-    return problems
+        for (where, entry), row in zip(batch, answer["entries"], strict=True):
+            if "error" in row:
+                problems.append(f"{file}: {where}: {row['error']}")
+            else:
+                good.append(entry)
+    return good, problems
 
 
 def importer(context: Context, file: str, team: str, prefix: str | None, usual: str | None,
-             mapping: str | None, zone: str, system: bool, given: dict
-             ) -> tuple[list[tuple[str, dict]], list[str], str]:
+             mapping: str | None, zone: str, system: bool, **given: Any
+             ) -> tuple[list[dict], list[str], str]:
     """Read and check a file; returns entries, problems and how their names begin."""
     importing = Importing(team, prefix or slug(Path(file).stem), usual,
                           read_toml(mapping) if mapping else {})
     rows, problems = rows_of(file, importing, zone, system, policy(**given))
-    return rows, problems + checked(context, file, rows), f"{team}/{importing.prefix}."
+    good, more = checked(context, file, rows)
+    return good, problems + more, f"{team}/{importing.prefix}."
 
 
 def import_options(command: Any) -> Any:
@@ -387,50 +395,42 @@
               help="Remove entries of an earlier import that the file has no more.")
 @policy_options
 @click.pass_obj
-def import_file(context: Context, file: str, team: str, usual: str | None, mapping: str | None,
-                prefix: str | None, zone: str, system: bool, skip_bad: bool, prune: bool,
-                **given: Any) -> None:
+def import_file(context: Context, skip_bad: bool, prune: bool, **given: Any) -> None:
     """Store the entries of a cron table or an iCalendar FILE: all of them, or none.
 
     All lines are checked, here and by a controller, before the first is stored. Imported again,
     lines that did not change go on where they are.
     """
-    rows, problems, begin = importer(context, file, team, prefix, usual, mapping, zone, system,
-                                     given)
+    entries, problems, begin = importer(context, **given)
     for problem in problems:
         click.echo(problem, err=True)
     if problems and not skip_bad:
-        fail(f"nothing stored: {len(problems)} bad of {len(problems) + len(rows)}", EXIT_BAD)
-    for batch in batches([entry for _, entry in rows], constants.PUT_BATCH):
+        fail(f"nothing stored: {len(problems)} bad of {len(problems) + len(entries)}", EXIT_BAD)
+    for batch in batches(entries, constants.PUT_BATCH):
         call(context, "put", entries=batch)
     removed = []
     if prune:
-        kept = {entry["name"] for _, entry in rows}
-        removed = [name for name in all_names(context, begin) if name not in kept]
+        kept = {entry["name"] for entry in entries}
+        removed = [row["name"] for row in all_rows(context, begin) if row["name"] not in kept]
         for name in removed:
             call(context, "remove", name=name)
-    context.show({"stored": [entry["name"] for _, entry in rows], "left_out": problems,
+    context.show({"stored": [entry["name"] for entry in entries], "left_out": problems,
                   "removed": removed},
-                 f"{len(rows)} entries stored, {len(problems)} left out, {len(removed)} removed")
+                 f"{len(entries)} entries stored, {len(problems)} left out, "
+                 f"{len(removed)} removed")
 
 
 @schedule.command()
 @import_options
 @policy_options
 @click.pass_obj
-def check(context: Context, file: str, team: str, usual: str | None, mapping: str | None,
-          prefix: str | None, zone: str, system: bool, **given: Any) -> None:
+def check(context: Context, **given: Any) -> None:
     """Check a cron table or an iCalendar FILE as `import` does, and store nothing."""
-    rows, problems, _ = importer(context, file, team, prefix, usual, mapping, zone, system, given)
-    context.show({"good": [entry["name"] for _, entry in rows], "problems": problems},
-                 "\n".join([*problems, f"{len(rows)} good, {len(problems)} bad"]))
+    entries, problems, _ = importer(context, **given)
+    context.show({"good": [entry["name"] for entry in entries], "problems": problems},
+                 "\n".join([*problems, f"{len(entries)} good, {len(problems)} bad"]))
     if problems:
-        context_exit(EXIT_BAD)
-
-
-def context_exit(code: int) -> None:
-    """End with a code after all was shown."""
-    click.get_current_context().exit(code)
+        sys.exit(EXIT_BAD)
 
 
 def all_rows(context: Context, prefix: str) -> list[dict]:
@@ -443,11 +443,6 @@
             return rows
 
 
-def all_names(context: Context, prefix: str) -> list[str]:
-    """Return the names of all entries that begin so."""
-    return [row["name"] for row in all_rows(context, prefix)]
-
-
 @schedule.command("list")
 @click.argument("prefix", default="")
 @click.pass_obj
@@ -555,7 +550,7 @@
     text += [*result.lost[:5], *result.besides[:5], *result.doubled[:5]]
     context.show({**result._asdict(), "good": result.good}, "\n".join(text))
     if not result.good:
-        context_exit(EXIT_FAILED)
+        sys.exit(EXIT_FAILED)
 
 
 @schedule.command()
--- a/oakmux/schedules/replay/year.py
+++ b/oakmux/schedules/replay/year.py
@@ -20,7 +20,7 @@
          "Pacific/Auckland")
 DAY = 86_400
 SHARD = 25
-TEMPLATE = f"{TEAM}/run"
+TEMPLATE, URGENT = f"{TEAM}/run", f"{TEAM}/urgent"
 
 
 class Result(NamedTuple):
@@ -94,11 +94,13 @@
 
 
 def store(model: Model, entries: list[Entry]) -> None:
-    """Write the entries' records, and no role yet."""
-    spec = JobSpec("l", TEAM, "array", 1, 1, 1.0, 0.0, 1.0, "i", 0.0, None, None, False, False,
-                   False, 60.0, 0.0, 0.0, None)
-    pairs: list[tuple[str, Any]] = [(records.template_key(TEMPLATE), records.value_of(
-        Template((Step("main", spec),))))]
+    """Write the entries' records with both templates, and no role yet."""
+    pairs: list[tuple[str, Any]] = []
+    for name, priority in ((TEMPLATE, 1), (URGENT, 2)):
+        spec = JobSpec("l", TEAM, "array", priority, 1, 1.0, 0.0, 1.0, "i", 0.0, None, None,
+                       False, False, False, 60.0, 0.0, 0.0, None)
+        pairs.append((records.template_key(name),
+                      records.value_of(Template((Step("main", spec),)))))
     shards: dict[int, list] = {}
     for entry in entries:
         pairs.append((records.entry_key(entry.name), records.value_of(entry)))
@@ -214,7 +216,6 @@
     return datetime.fromtimestamp(at, UTC).isoformat()
 
 
-
 class Burst(NamedTuple):
     """What many turns at once cost: lateness by priority (ms), changes a turn, and ticks."""
 
@@ -232,25 +233,9 @@
     """Make so many entries due in one second, a tenth of them urgent, at a rate of changes."""
     model = Model(start, seed)
     rule = cron_rule("0 3 * * *", "UTC")
-    templates = {TEMPLATE: 1, f"{TEAM}/urgent": 2}
-    pairs: list[tuple[str, Any]] = []
-    for name, priority in templates.items():
-        spec = JobSpec("l", TEAM, "array", priority, 1, 1.0, 0.0, 1.0, "i", 0.0, None, None,
-                       False, False, False, 60.0, 0.0, 0.0, None)
-        pairs.append((records.template_key(name),
-                      records.value_of(Template((Step("main", spec),)))))
-    shards: dict[int, list] = {}
-    urgent = set()
-    for n in range(entries):
-        name = f"{TEAM}/e{n:05d}"
-        if n % 10 == 0:
-            urgent.add(name)
-        entry = Entry(name, rule, f"{TEAM}/urgent" if n % 10 == 0 else TEMPLATE,
-                      born=start * 1000, shard=n // SHARD)
-        pairs.append((records.entry_key(name), records.value_of(entry)))
-        shards.setdefault(n // SHARD, []).append(
-            records.value_of(Slot(name, mark_at(rule, start))))
-    model.put([*pairs, *((records.shard_key(n), rows) for n, rows in shards.items())])
+    drawn = [Entry(f"{TEAM}/e{n:05d}", rule, TEMPLATE if n % 10 else URGENT, born=start * 1000,
+                   shard=n // SHARD) for n in range(entries)]
+    store(model, drawn)
     holder = model.controllers[0]
     holder.boot()
     model.elect()
@@ -261,12 +246,11 @@
     model.rate = rate
     before = model.changes
     model.run(due - start + 2.0 * entries / rate + 60.0)
-    born = {records.job_id(entry, str(due), 0, 0): name
-            for name, entry in holder.part.store.entries.items()} if holder.part else {}
-    late = {born[job]: start + at - due for job, at in model.made.items()}
+    whose = {records.job_id(entry, str(due), 0, 0): entry for entry in drawn}
+    late = [(start + at - due, whose[job].template) for job, at in model.made.items()]
     ticks = sorted(1000 * spent for spent in model.tick_s)
-    return Burst(entries, rate, len(late), max(late.values()),
-                 max(at for name, at in late.items() if name in urgent),
+    return Burst(entries, rate, len(late), max(late)[0],
+                 max(by for by, template in late if template == URGENT),
                  (model.changes - before) / len(late),
                  {"p50": ticks[len(ticks) // 2], "p99": ticks[len(ticks) * 99 // 100],
                   "most": ticks[-1]}, sum(planning))
