Waiting jobs stand in lines: what found no room is tried again when something changed

Cause: while jobs waited that nothing had room for, every tick of an owner sampled 40 of them anew, and the fleet's pass went over all of them every second.

Change: jobs for which the same room is room stand in one line (team, priority, kind, what a task takes by the index's classes; core/spread/lines.py, on sortedcontainers). A line is tried until its first job finds no room or all that there is has been asked for; then it is shut until a machine came to a class that may suit it, the team's use fell, its first job left, or some seconds passed. The fleet's pass walks the same lines and drops one where nothing is left. Use by priority is counted as it changes, so that a claim on a limit costs nothing.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -210,6 +210,10 @@
 LIMIT_CLAIM_S = 1.0
 # Seconds between two samplings of all fitting machines, with room or not, for one job.
 WIDE_S = 1.6
+# Seconds after which the first job of a line that found no room looks again though nothing is
+# known to have changed, at most; less for urgent work: what may give way changes with time.
+LINE_MOST_S = 6.4
+LINE_URGENT_S = 1.6
 # Seconds between two looks at whether a role should go to a controller that has fewer.
 YIELD_S = 5.0
 # Share of a fetch for which a task waits for room at a machine that holds its image, and seconds
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -156,6 +156,7 @@
             if job is not None and job.state == "cancelled" and job_id in replica.active:
                 self.keeper.word.note_cancelled(job_id)
             self.owner.binder.changed(job_id)
+            self.fleet.changed(job_id)
         for name in machines:
             self.keeper.queue.records_changed(name)
         for name in machines | dirty:
--- a/oakmux/core/fleet/__init__.py
+++ b/oakmux/core/fleet/__init__.py
@@ -23,7 +23,12 @@
     def won(self) -> None:
         """Begin to hold the role."""
         self.lists.won()
-        self.demand.renting.clear()
+        self.demand.won()
+
+    def changed(self, job_id: str) -> None:
+        """The records of a job changed."""
+        if FLEET in self.world.my_roles:
+            self.demand.changed(job_id)
 
     def tick(self) -> None:
         """Do what is due."""
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -1,5 +1,6 @@
 """What to rent: unstarted tasks are placed on what is there or coming, and the rest rented for."""
 
+import heapq
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -8,10 +9,12 @@
 from oakmux.core import teams
 from oakmux.core.fleet.lists import Listed, Lists
 from oakmux.core.index import Class, class_of, may_fit
+from oakmux.core.jobs import Job
 from oakmux.core.keeper.queue import rank
 from oakmux.core.keeper.room import Room, full, has_room, less, room, times, usable
 from oakmux.core.keeper.word import Word
 from oakmux.core.owner.places import zone_allowed
+from oakmux.core.spread.lines import Lines, Shape
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
 
@@ -91,6 +94,11 @@
         return enough
 
 
+def unbound(job: Job) -> int:
+    """Count a job's tasks that are neither done nor bound, by the records."""
+    return job.tasks - job.done_count() - sum(len(chunk.bound) for chunk in job.chunks.values())
+
+
 class Demand:
     """Counts what is missing, and rents it."""
 
@@ -103,6 +111,24 @@
         self.requests = 0
         self.unplaced = False
         self.there: Counter[str] = Counter()
+        # Unfinished jobs of all teams that have tasks which are not bound, by the records.
+        self.lines = Lines(world)
+
+    def won(self) -> None:
+        """Begin to hold the role."""
+        self.renting.clear()
+        self.lines.clear()
+        for job_id in self.world.replica.active:
+            self.changed(job_id)
+
+    def changed(self, job_id: str) -> None:
+        """The records of a job changed."""
+        job = self.world.replica.jobs.get(job_id)
+        if (job is not None and job.spec is not None and not job.final and job.ready
+                and unbound(job) > 0):
+            self.lines.put(job, job.spec)
+        else:
+            self.lines.drop(job_id)
 
     def _slots(self) -> list[Slot]:
         world = self.world
@@ -133,34 +159,55 @@
         self.there = Counter(slot.zone for slot in slots)
         pool = Pool(world, slots)
         used = dict(teams.usage(world))
-        ranked = sorted(((rank(world, job, job.spec, used), job.since, job.spec, job)
-                         for job in world.replica.active.values()
-                         if job.spec is not None and not job.final and job.ready
-                         and job.id not in self.word.cancelled), key=lambda row: row[:2])
         rent: dict[Key, int] = {}
         left = constants.DEMAND_TASKS
         self.unplaced = False
-        for _, _, spec, job in ranked:
-            bound = job.bindings()
-            wanted = min(job.tasks - job.done_count() - len(bound), left,
-                         teams.tasks_left(world, job.team, spec, used))
-            if wanted <= 0:
-                continue
-            placed, new = self._place(spec, [b.zone for b in bound], wanted, pool, rent)
-            slots += new
-            self.unplaced = (self.unplaced or len(placed) < wanted
-                             or any(not slot.name for slot in placed))
-            for slot in placed:
-                slot.used = True
-            cpus, gpus = used.get(job.team, (0.0, 0.0))
-            used[job.team] = (cpus + len(placed) * spec.cpus, gpus + len(placed) * spec.gpus)
-            left -= len(placed)
+        self.lines.resize()
+        turns = [turn for shape in self.lines.lines
+                 if (turn := self._turn(shape, 0, used)) is not None]
+        heapq.heapify(turns)
+        while turns and left > 0:
+            _, _, job_id, shape, number = turns[0]
+            job = world.replica.jobs[job_id]
+            spec = job.spec
+            assert spec is not None
+            wanted = min(unbound(job), left, teams.tasks_left(world, job.team, spec, used))
+            more = wanted > 0  # at its team's limit, no other of the line may start either
+            if more and job_id not in self.word.cancelled:
+                zones = [b.zone for b in job.bindings()]
+                placed, new = self._place(spec, zones, wanted, pool, rent)
+                slots += new
+                self.unplaced = (self.unplaced or len(placed) < wanted
+                                 or any(not slot.name for slot in placed))
+                for slot in placed:
+                    slot.used = True
+                cpus, gpus = used.get(job.team, (0.0, 0.0))
+                used[job.team] = (cpus + len(placed) * spec.cpus, gpus + len(placed) * spec.gpus)
+                left -= len(placed)
+                # Where nothing is left for one of a line, nothing is for those behind it.
+                more = bool(placed) or bool(zones)
+            turn = self._turn(shape, number + 1, used) if more else None
+            if turn is None:
+                heapq.heappop(turns)
+            else:
+                heapq.heapreplace(turns, turn)
         for key, count in rent.items():
             while count > 0:
                 self._rent(*key, min(count, constants.MAX_RENT))
                 count -= constants.MAX_RENT
         return slots
 
+    def _turn(self, shape: Shape, number: int, used: dict[str, tuple[float, float]]
+              ) -> tuple[tuple, float, str, Shape, int] | None:
+        """Return the turn of a line's job: (rank, age, name, line, number in it), or None."""
+        line = self.lines.lines[shape]
+        if number >= len(line):
+            return None
+        _, since, job_id = line[number]
+        job = self.world.replica.jobs[job_id]
+        assert job.spec is not None
+        return rank(self.world, job, job.spec, used), since, job_id, shape, number
+
     def _place(self, spec: JobSpec, zones: list[str], wanted: int, pool: Pool,
                rent: dict[Key, int]) -> tuple[list[Slot], list[Slot]]:
         """Return a slot for each task that finds one, present ones first, and the new ones."""
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -86,6 +86,8 @@
         # machine types change.
         self.orders: dict[tuple, list[Class]] = {}
         self.types = world.types
+        # Classes that a machine with more room than before has come to, until somebody takes note.
+        self.gained: set[Class] = set()
 
     # --- keeping up ---
 
@@ -137,6 +139,8 @@
             return
         if old is not None:
             self._take_out(number, old)
+        if old is None or place.gpus > old.gpus or place.level > old.level:
+            self.gained.add(place)
         self.place[number] = place
         members = self.classes.get(place)
         if members is None:
@@ -283,6 +287,12 @@
             BitMap(), *(ids for priority, ids in self.weak.items() if priority < job.priority),
             *(self.teams[team] for team in beyond if team in self.teams))
 
+    def freed(self, names: Iterable[str]) -> None:
+        """Room on machines that was promised is free for others again."""
+        for number in self.numbers(names):
+            if number in self.place:
+                self.gained.add(self.place[number])
+
     def numbers(self, names: Iterable[str]) -> BitMap:
         """Return a set of machines as a bitmap."""
         return BitMap(self.ids[name] for name in names if name in self.ids)
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -246,6 +246,8 @@
         self.changed_machines: set[str] = set()
         # What is bound of each team's tasks, kept up to date with every change of a chunk.
         self.used: dict[str, tuple[float, float]] = {}
+        # The same by the priority of the jobs: {team: {priority: (cpus, gpus)}}.
+        self.used_at: dict[str, dict[int, tuple[float, float]]] = {}
         # Free room of machines, by name; taken out when their tasks or bindings change.
         self.rooms: dict[str, tuple[float, float, float]] = {}
         # Machines whose place among all others may have changed since the index was refreshed.
@@ -417,7 +419,11 @@
                 priority = max(priority, self.jobs[name].priority)
                 due = min(due, self.jobs[name].latest)
             if (priority, due) != (job.priority, job.due):
+                bound = sum(len(chunk.bound) for chunk in job.chunks.values())
+                self._count(job, -bound)
                 job.priority, job.due = priority, due
+                self._count(job, bound)
+                self.changed_jobs.add(job.id)
                 stack += job.unmet
 
     def _index(self, job: Job) -> None:
@@ -466,6 +472,9 @@
         if bound and job.spec is not None:
             cpus, gpus = self.used.get(job.team, (0.0, 0.0))
             self.used[job.team] = (cpus + bound * job.spec.cpus, gpus + bound * job.spec.gpus)
+            at = self.used_at.setdefault(job.team, {})
+            cpus, gpus = at.get(job.priority, (0.0, 0.0))
+            at[job.priority] = (cpus + bound * job.spec.cpus, gpus + bound * job.spec.gpus)
 
     def _unbind(self, job_id: str, index: int, binding: Binding) -> None:
         bound = self.by_machine.get(binding.machine)
--- a/oakmux/core/owner/__init__.py
+++ b/oakmux/core/owner/__init__.py
@@ -7,6 +7,7 @@
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.sampling import Sampler
 from oakmux.core.owner.state import Open
+from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import World
 
 
@@ -18,8 +19,10 @@
         self.copies = Copies(world)
         self.index = Index(world)
         self.gangs = Gangs(world, self.index, self.open)
-        self.binder = Binder(world, keeper, self.copies, self.open)
-        self.sampler = Sampler(world, self.index, self.copies, self.binder, self.gangs)
+        self.waiting = Waiting(world, self.open)
+        self.binder = Binder(world, keeper, self.copies, self.open, self.waiting)
+        self.sampler = Sampler(world, self.index, self.copies, self.binder, self.gangs,
+                               self.waiting)
 
     def lost(self) -> None:
         """Drop what belongs to teams that are no longer ours."""
--- a/oakmux/core/owner/binding.py
+++ b/oakmux/core/owner/binding.py
@@ -1,5 +1,7 @@
 """Offers, bindings and their end. `_bind` is the only maker of bindings, `_unbind` ends them."""
 
+import math
+
 from oakmux import constants
 from oakmux.core.jobs import Binding, Job
 from oakmux.core.keeper import Keeper
@@ -9,6 +11,7 @@
 from oakmux.core.owner.gangs import stop_rest
 from oakmux.core.owner.places import choose_gang, preference, zone_allowed
 from oakmux.core.owner.state import Open
+from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
@@ -17,11 +20,14 @@
     """Binds tasks to offered room, and unbinds what is proven gone."""
 
     def __init__(self, world: World, keeper: Keeper, copies: Copies,
-                 open_jobs: dict[str, Open]) -> None:
+                 open_jobs: dict[str, Open], waiting: Waiting) -> None:
         self.world = world
         self.keeper = keeper
         self.copies = copies
         self.open = open_jobs
+        self.waiting = waiting
+        # Jobs that hold offers of which the best are taken soon, in the order of the first.
+        self.gathered: dict[str, None] = {}
 
     def won(self) -> None:
         """Begin with the records of a team just won."""
@@ -38,6 +44,7 @@
         if job is None or not self.copies.owns(job):
             return
         if job.final:
+            self.waiting.leave(job_id)
             state = self.open.pop(job_id, None)
             if state is not None:
                 self.release(state)
@@ -50,9 +57,11 @@
             return  # no reservations while it waits on others
         elif job_id not in self.open:
             self.open[job_id] = Open()
+            self.waiting.due(job)
+        elif self.open[job_id].next_sample == math.inf:
+            self.waiting.later(job_id, self.world.now + constants.RESAMPLE_S)
         else:
-            state = self.open[job_id]
-            state.next_sample = min(state.next_sample, self.world.now + constants.RESAMPLE_S)
+            self.waiting.moved(job)
 
     def offer(self, name: str, job_id: str, offer_id: int, session: int, term: int,
               keeper: str) -> None:
@@ -84,6 +93,7 @@
                     or not self.copies.unstarted(job)):
                 return False
             state.offers.append(offer)
+            self.gathered[job.id] = None
             return True
         if machine.name not in state.asked:
             return False  # left over from a gathering that was given up
@@ -191,7 +201,8 @@
         elif spec.kind == "gang":
             stop_rest(self.copies, job, spec, binding.attempt)
         if state is not None:
-            state.next_sample = 0.0
+            if why != "done":
+                self.waiting.due(job)
             state.cursor = min(state.cursor, index)
             if why == "error":
                 state.failures += 1
@@ -208,5 +219,6 @@
         """Forget jobs of teams that are no longer ours."""
         jobs = self.world.replica.jobs
         for job_id in [j for j in self.open if not self.copies.owns(jobs[j])]:
+            self.waiting.leave(job_id)
             del self.open[job_id]
             self.copies.finish.pop(job_id, None)
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -202,11 +202,10 @@
         now = self.world.now
         least = spec.tasks if spec.kind == "gang" else 1
         use = cpus, gpus = self.team_use(job.team)
-        for other in self.world.replica.active.values():
-            if other.team == job.team and other.priority < job.priority and other.spec is not None:
-                bound = len(other.bindings())
-                cpus -= bound * other.spec.cpus
-                gpus -= bound * other.spec.gpus
+        for priority, lower in self.world.replica.used_at.get(job.team, {}).items():
+            if priority < job.priority:
+                cpus -= lower[0]
+                gpus -= lower[1]
         if (cpus, gpus) != use and not teams.beyond_limit(
                 self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
             tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB))
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -49,6 +49,7 @@
     def end(self, job: Job, state: Open) -> None:
         """A gathering is over: the job is bound, or begins anew later."""
         self.end_turn(job)
+        self.index.freed(state.asked)
         for name in state.asked:
             claims = self.claims.get(name, {})
             claims.pop(job.id, None)
@@ -91,8 +92,9 @@
                 coming += max(0, count - held[name])
         return coming
 
-    def sample(self, job: Job, spec: JobSpec, state: Open) -> None:
-        """Ask for the room that a gang still lacks, in one zone where it asks for that.
+    def sample(self, job: Job, spec: JobSpec, state: Open) -> bool:
+        """Ask for the room that a gang still lacks, in one zone where it asks for that; return
+        whether there was any to ask for.
 
         Where a zone has room for all, the one that holds the image most often is taken; else one
         where stopping work of less right makes room for all. If there is none, one gang of ours at
@@ -107,7 +109,7 @@
         for zones in ([[zone] for zone in all_zones] if spec.one_zone else [all_zones]):
             coming = self._coming(state, zones)
             if coming >= spec.tasks:
-                return
+                return True
             rows = self._draw(job, spec, state, zones, spec.tasks - coming)
             counts = [(times(row.free, spec), row.held) for row in rows]
             groups.append((sum(count for count, held in counts if held) + coming
@@ -118,7 +120,7 @@
             group = max(enough, key=lambda group: min(group[0], spec.tasks))
             if not self._spare_fetch(job, spec, state, group):
                 self._reserve(job, spec, state, group)
-            return
+            return True
         groups.sort(key=lambda group: -group[1])
         if world.now >= max(state.next_wide, state.preempt_at):
             state.next_wide = world.now + constants.WIDE_S
@@ -128,12 +130,13 @@
                     [*(row.machine.name for row in rows), *state.asked])
                 if self._make_room(job, spec, state, fitting, spec.tasks - there, math.inf):
                     self._reserve(job, spec, state, group)
-                    return
+                    return True
         waiting = self.open.get(self.gathering)
         if waiting is None or waiting.next_sample == math.inf:
             self.gathering = job.id
         if self.gathering == job.id:
             self._reserve(job, spec, state, groups[0])
+        return bool(state.asked or state.offers)
 
     def _make_room(self, job: Job, spec: JobSpec, state: Open, among: BitMap, wanted: int,
                    most: float) -> bool:
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -12,6 +12,8 @@
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.places import best, make_room, reserve, worth_s, zone_allowed
 from oakmux.core.owner.state import Open
+from oakmux.core.spread.lines import Shape
+from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
 
@@ -20,42 +22,78 @@
     """Draws machines for the jobs of the teams that we own."""
 
     def __init__(self, world: World, index: Index, copies: Copies, binder: Binder,
-                 gangs: Gangs) -> None:
+                 gangs: Gangs, waiting: Waiting) -> None:
         self.world = world
         self.index = index
         self.open = binder.open
         self.copies = copies
         self.binder = binder
         self.gangs = gangs
+        self.waiting = waiting
+        self.used: dict[str, tuple[float, float]] = {}
 
     def sample(self) -> None:
         """Send out reservations for jobs whose turn it is."""
-        now = self.world.now
-        due = []
-        for job_id, state in list(self.open.items()):
-            job = self.world.replica.jobs[job_id]
-            if job.spec is None:
-                continue
-            if (state.offers and not job.spec.joint
-                    and now - state.offers[0][0] >= constants.GATHER_S):
-                self.binder.choose(job, job.spec, state)
-            if now >= state.next_sample and now >= state.retry_at:
-                due.append((-job.priority, job.latest, state.next_sample, job.since, job_id))
+        waiting = self.waiting
+        self._choose()
+        waiting.ripen()
+        self.index.refresh()
+        gained, self.index.gained = self.index.gained, set()
+        waiting.open_fitting(gained)
+        waiting.use_fell(self._use_fell())
+        gathering, waiting.gathering = waiting.gathering, []
+        for job_id in gathering:
+            self._sample(job_id)
         # With thousands of jobs waiting, those of higher priority and those that waited longest
         # go first; the work of one tick stays bounded.
-        self.index.refresh()
-        for *_, job_id in heapq.nsmallest(constants.SAMPLES_PER_TICK, due):
+        turns = waiting.turns()
+        for _ in range(constants.SAMPLES_PER_TICK - len(gathering)):
+            if not turns:
+                break
+            *_, job_id, shape = turns[0]
+            self._sample(job_id)
+            turn = waiting.turn(shape)
+            if turn is None:
+                heapq.heappop(turns)
+            else:
+                heapq.heapreplace(turns, turn)
+
+    def _choose(self) -> None:
+        """Bind tasks to the offers that were gathered for long enough."""
+        for job_id in list(self.binder.gathered):
+            state = self.open.get(job_id)
             job = self.world.replica.jobs[job_id]
-            if job.spec is not None:
-                self._sample_job(job, job.spec, self.open[job_id])
+            if state is None or not state.offers or job.spec is None:
+                del self.binder.gathered[job_id]
+            elif self.world.now - state.offers[0][0] >= constants.GATHER_S:
+                del self.binder.gathered[job_id]
+                self.binder.choose(job, job.spec, state)
+
+    def _use_fell(self) -> list[str]:
+        """Return the teams of ours that use less than at the last tick."""
+        used = {team: self.copies.team_use(team) for team in self.world.my_roles
+                if team in self.world.teams}
+        fell = [team for team, use in used.items()
+                if use[0] < self.used.get(team, use)[0] or use[1] < self.used.get(team, use)[1]]
+        self.used = used
+        return fell
+
+    def _sample(self, job_id: str) -> None:
+        job = self.world.replica.jobs[job_id]
+        state = self.open.get(job_id)
+        if state is not None and job.spec is not None:
+            self._sample_job(job, job.spec, state)
 
     def _sample_job(self, job: Job, spec: JobSpec, state: Open) -> None:
-        world = self.world
+        """Look for room for one job. After this it is idle, waits for a time, or stands in its
+        line, which is shut."""
+        world, waiting = self.world, self.waiting
         if state.gather_until and world.now >= state.gather_until:
             self.binder.release(state)
             self.gangs.end(job, state)
             state.quiet_until = world.now + world.rng.uniform(0, constants.GANG_BACKOFF_S)
-        if world.now < state.quiet_until:
+        if world.now < max(state.quiet_until, state.retry_at):
+            waiting.later(job.id, max(state.quiet_until, state.retry_at))
             return
         wanted = self.copies.unstarted(job)
         zones = [b.zone for b in self.copies.bindings(job)]
@@ -63,35 +101,74 @@
             wanted = 0  # a new attempt only when every task of the old one is proven gone
         if not wanted:
             self.gangs.end(job, state)
-            state.next_sample = math.inf  # until a task of it is proven gone
+            waiting.later(job.id, math.inf)  # until a task of it is proven gone
             return
+        shape = waiting.lines.put(job, spec)
         if self.copies.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
             self.gangs.end_turn(job)
-            self.copies.claim_limit(job, spec, wanted)
-            state.next_sample = world.now + constants.RESAMPLE_S
+            self.copies.claim_limit(job, spec, self._wanted(shape, spec))
+            waiting.beyond_limit(shape)
             return
         # Room in a zone that the job's other tasks rule out must not hide that room has to be
         # made in another: a spread service once waited 50 s for its second replica so.
         zones_left = [zone for zone in world.facts.zones if zone_allowed(spec, zones, zone)]
         state.next_sample = world.now + constants.RESAMPLE_S
         if spec.joint:
-            self.gangs.sample(job, spec, state)
+            if self.gangs.sample(job, spec, state):
+                waiting.later(job.id, state.next_sample)
+                waiting.found(shape, 0, None)
+            else:
+                self.gangs.end(job, state)
+                self._none_found(job, state, shape, zones_left)
             return
         count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
         rows = self.index.draw(spec, zones_left, state.avoid, count)
         if rows:
             self._take_room(job, spec, state, zones_left, rows, wanted, count)
-        elif world.now >= state.next_wide:
-            # Reservations wait at full machines for longer than it takes to look for room anew.
-            state.next_wide = world.now + constants.WIDE_S
-            fitting = self.index.fitting(spec, zones_left)
-            make_room(world, self.index, job, spec, state, fitting, wanted, math.inf)
-            chosen: dict[str, int] = {}
-            while count > 0 and (some := self.index.some(fitting, count, state.avoid)):
-                for machine in some:
-                    chosen[machine.name] = chosen.get(machine.name, 0) + 1
-                count -= len(some)
-            reserve(world, job, chosen)
+            waiting.later(job.id, state.next_sample)
+            there = sum(times(row.free, spec) for row in rows)
+            all_drawn = there < count * constants.DRAW_RATIO + constants.DRAW_MORE
+            waiting.found(shape, wanted, there if all_drawn else None)
+        elif self._widely(job, spec, state, zones_left, wanted, count):
+            waiting.later(job.id, world.now + constants.PREEMPT_S)
+            waiting.found(shape, 0, None)
+        else:
+            self._none_found(job, state, shape, zones_left)
+
+    def _wanted(self, shape: Shape, spec: JobSpec) -> int:
+        """Count what the first jobs of a line have to start."""
+        most = max(constants.MAX_RESERVATIONS_PER_JOB, spec.tasks if spec.kind == "gang" else 1)
+        wanted = 0
+        for job_id in self.waiting.lines.first(shape, most):
+            wanted += self.copies.unstarted(self.world.replica.jobs[job_id])
+            if wanted >= most:
+                break
+        return min(wanted, most)
+
+    def _none_found(self, job: Job, state: Open, shape: Shape, zones: list[str]) -> None:
+        """No room: nor would those behind the job find any, unless it has reasons of its own."""
+        if state.avoid or len(zones) < len(self.world.facts.zones):
+            self.waiting.later(job.id, self.world.now + constants.WIDE_S)
+        else:
+            self.waiting.none_found(shape)
+
+    def _widely(self, job: Job, spec: JobSpec, state: Open, zones: list[str], wanted: int,
+                count: int) -> bool:
+        """Have room made, or queue at fitting machines, full as they are: reservations wait there
+        for longer than it takes to look for room anew. Return whether room is made for all."""
+        world = self.world
+        if world.now < state.next_wide:
+            return False
+        state.next_wide = world.now + constants.WIDE_S
+        fitting = self.index.fitting(spec, zones)
+        made = make_room(world, self.index, job, spec, state, fitting, wanted, math.inf)
+        chosen: dict[str, int] = {}
+        while count > 0 and (some := self.index.some(fitting, count, state.avoid)):
+            for machine in some:
+                chosen[machine.name] = chosen.get(machine.name, 0) + 1
+            count -= len(some)
+        reserve(world, job, chosen)
+        return len(made) >= wanted
 
     def _take_room(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
                    rows: list[Drawn], wanted: int, count: int) -> None:
--- /dev/null
+++ b/oakmux/core/spread/lines.py
@@ -0,0 +1,131 @@
+"""Jobs that wait, in lines: in each stand jobs for which the same room is room.
+
+What none of a line's jobs finds, the next would not find either, so that the cost of waiting
+follows the number of lines and not that of jobs.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sortedcontainers import SortedList
+
+from oakmux import constants
+from oakmux.core.index import Class
+from oakmux.core.jobs import Job
+from oakmux.core.world import World
+from oakmux.wire import JobSpec, MachineType
+
+Needs = tuple[tuple[str, int], ...]
+"""Machine types that a task fits, with the part of CPUs or memory that it takes of each, of the
+scarcer of the two, in steps of 1 / ROOM_LEVELS, rounded up."""
+
+
+class Shape(NamedTuple):
+    """What decides which room suits a job. `tasks` is 0 for work that starts one by one."""
+
+    team: str
+    priority: int
+    kind: str
+    tasks: int
+    needs: Needs
+    gpus: float
+    zone: str | None
+    spot: bool
+    one_zone: bool
+    spread: bool
+
+    def may_fit(self, place: Class) -> bool:
+        """Whether a machine of a class may have room for a task; if not, none has."""
+        return (self.gpus < place.gpus + 1 and self.zone in (None, place.zone)
+                and (self.spot or not place.spot)
+                and any(name == place.type and need <= place.level + 1
+                        for name, need in self.needs))
+
+
+def needs_of(world: World, spec: JobSpec) -> Needs:
+    """Return what a task takes of each machine type that it fits."""
+    return tuple((kind.name, _level(spec, kind)) for kind in world.types.values()
+                 if world.fits_type(spec, kind.name))
+
+
+def _level(spec: JobSpec, kind: MachineType) -> int:
+    part = max(spec.cpus / kind.cpus, spec.memory_gb / kind.memory_gb)
+    return math.ceil(part * constants.ROOM_LEVELS - constants.EPSILON)
+
+
+def shape_of(world: World, job: Job, spec: JobSpec) -> Shape:
+    """Return the line where a job stands."""
+    return Shape(job.team, job.priority, spec.kind, spec.tasks if spec.joint else 0,
+                 needs_of(world, spec), spec.gpus, spec.zone, spec.spot, spec.one_zone,
+                 spec.spread)
+
+
+Place = tuple[float, float, str]
+"""Where a job stands in its line: by what has to start first (ms), then age (ms), then name."""
+
+
+class Lines:
+    """Lines of jobs by their shape."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.lines: dict[Shape, SortedList] = {}
+        self.where: dict[str, tuple[Shape, Place]] = {}
+        self.sizes: dict[str, tuple[float, float, float]] = {}
+
+    def resize(self) -> bool:
+        """Line all jobs up anew if the machine types changed, and with them the shapes; return
+        whether they did."""
+        sizes = {kind.name: (kind.cpus, kind.gpus, kind.memory_gb)
+                 for kind in self.world.types.values()}
+        if sizes == self.sizes:
+            return False
+        self.sizes = sizes
+        names = list(self.where)
+        self.clear()
+        for name in names:
+            job = self.world.replica.jobs[name]
+            if job.spec is not None:
+                self.put(job, job.spec)
+        return True
+
+    def put(self, job: Job, spec: JobSpec) -> Shape:
+        """Put a job where it belongs now; return its line."""
+        shape = shape_of(self.world, job, spec)
+        place = (job.latest, job.since, job.id)
+        if self.where.get(job.id) != (shape, place):
+            self.drop(job.id)
+            line = self.lines.get(shape)
+            if line is None:
+                line = self.lines[shape] = SortedList()
+            line.add(place)
+            self.where[job.id] = (shape, place)
+        return shape
+
+    def drop(self, job_id: str) -> Shape | None:
+        """Take a job out; return the line in which it stood. An empty line goes."""
+        known = self.where.pop(job_id, None)
+        if known is None:
+            return None
+        shape, place = known
+        line = self.lines[shape]
+        line.remove(place)
+        if not line:
+            del self.lines[shape]
+        return shape
+
+    def head(self, shape: Shape) -> Place | None:
+        """Return who stands first in a line, or None."""
+        line = self.lines.get(shape)
+        return line[0] if line else None
+
+    def first(self, shape: Shape, count: int) -> Iterator[str]:
+        """Return the jobs that stand first in a line."""
+        line = self.lines.get(shape)
+        return iter(()) if line is None else (place[2] for place in line.islice(0, count))
+
+    def clear(self) -> None:
+        """Forget all."""
+        self.lines.clear()
+        self.where.clear()
--- /dev/null
+++ b/oakmux/core/spread/waiting.py
@@ -0,0 +1,164 @@
+"""When which job of ours is sampled: by what changed, not by the clock.
+
+A job is idle (nothing of it to start), waits for a time (it has just asked for room, or may not
+start yet), or stands in a line. A line is open until its first job finds no room, or less than it
+wants; then it is shut until a machine got room that may suit it, the team's use fell, its first
+job left, or, as a safety net, some seconds have passed.
+"""
+
+import heapq
+import math
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from oakmux import constants
+from oakmux.core.index import Class
+from oakmux.core.jobs import Job
+from oakmux.core.spread.lines import Lines, Shape
+from oakmux.core.world import World
+
+if TYPE_CHECKING:  # the owner's parts import this one
+    from oakmux.core.owner.state import Open
+
+
+class Shut:
+    """Why a line is shut: until when at the latest, after which pause, and whether by its team's
+    limit (then room that machines got does not open it)."""
+
+    __slots__ = ("until", "pause", "limit")
+
+    def __init__(self, until: float, pause: float, limit: bool) -> None:
+        self.until = until
+        self.pause = pause
+        self.limit = limit
+
+
+class Waiting:
+    """The jobs of our teams, by when they are sampled next."""
+
+    def __init__(self, world: World, open_jobs: "dict[str, Open]") -> None:
+        self.world = world
+        self.open = open_jobs
+        self.lines = Lines(world)
+        self.shut: dict[Shape, Shut] = {}
+        # Room that a line's jobs have asked for within RESAMPLE_S: [(until, tasks)].
+        self.asked: dict[Shape, list[tuple[float, int]]] = {}
+        self.timers: list[tuple[float, str]] = []
+        # Gangs that hold or have asked for room: their time counts, whatever their line does.
+        self.gathering: list[str] = []
+
+    # --- single jobs ---
+
+    def due(self, job: Job) -> None:
+        """A job has something to start that has not been looked for. If it stands first, its line
+        is opened: it may be another job than the one that found nothing."""
+        state = self.open.get(job.id)
+        if state is not None and job.spec is not None:
+            state.next_sample = 0.0
+            shape = self.lines.put(job, job.spec)
+            if self.lines.head(shape) == self.lines.where[job.id][1]:
+                self.shut.pop(shape, None)
+
+    def moved(self, job: Job) -> None:
+        """What decides a job's place in its line may have changed."""
+        if job.id in self.lines.where and job.spec is not None:
+            self.lines.put(job, job.spec)
+
+    def later(self, job_id: str, at: float) -> None:
+        """Sample a job once a time has come; never, if that is infinite, until it is due."""
+        self.open[job_id].next_sample = at
+        self.leave(job_id)
+        if at < math.inf:
+            heapq.heappush(self.timers, (at, job_id))
+
+    def leave(self, job_id: str) -> None:
+        """A job leaves its line; if it stood first, the next has its turn."""
+        known = self.lines.where.get(job_id)
+        if known is not None:
+            first = self.lines.head(known[0]) == known[1]
+            self.lines.drop(job_id)
+            if first:
+                self.shut.pop(known[0], None)
+            if known[0] not in self.lines.lines:
+                self.shut.pop(known[0], None)
+                self.asked.pop(known[0], None)
+
+    # --- lines ---
+
+    def none_found(self, shape: Shape) -> None:
+        """The first of a line found no room. The safety net's pause grows, for urgent work less:
+        what may give way to it changes with time."""
+        most = constants.LINE_URGENT_S if shape.priority >= constants.URGENT \
+            else constants.LINE_MOST_S
+        old = self.shut.get(shape)
+        pause = constants.WIDE_S if old is None else min(most, 2 * old.pause)
+        self.shut[shape] = Shut(self.world.now + pause, pause, False)
+
+    def beyond_limit(self, shape: Shape) -> None:
+        """The team's limit keeps a line back."""
+        self.shut[shape] = Shut(self.world.now + constants.RESAMPLE_S, constants.WIDE_S, True)
+
+    def found(self, shape: Shape, wanted: int, there: int | None) -> None:
+        """A job of a line asked for room for so many tasks. Where all that there is was counted
+        (`there`) and is asked for now, those behind it wait until more comes or some of it was not
+        had: each would ask for the same."""
+        now = self.world.now
+        self.shut.pop(shape, None)
+        asked = [row for row in self.asked.get(shape, ()) if row[0] > now]
+        asked.append((now + constants.RESAMPLE_S, wanted))
+        self.asked[shape] = asked
+        if there is not None and sum(count for _, count in asked) >= there:
+            self.shut[shape] = Shut(asked[0][0], constants.WIDE_S, False)
+
+    def open_fitting(self, gained: Iterable[Class]) -> None:
+        """Machines got room: open the lines that it may suit."""
+        places = list(gained)
+        if places:
+            for shape in [shape for shape, shut in self.shut.items() if not shut.limit
+                          and any(shape.may_fit(place) for place in places)]:
+                self.shut[shape].until = 0.0  # the pause stays, should nothing be found
+
+    def use_fell(self, teams: Iterable[str]) -> None:
+        """The use of teams fell: open what their limits kept back."""
+        fell = set(teams)
+        for shape, shut in self.shut.items():
+            if shut.limit and shape.team in fell:
+                shut.until = 0.0
+
+    # --- a tick ---
+
+    def ripen(self) -> None:
+        """Put jobs whose time has come into their lines."""
+        now = self.world.now
+        if self.lines.resize():
+            self.shut.clear()
+            self.asked.clear()
+        jobs = self.world.replica.jobs
+        while self.timers and self.timers[0][0] <= now:
+            at, job_id = heapq.heappop(self.timers)
+            state = self.open.get(job_id)
+            if state is not None and state.next_sample == at and job_id not in self.lines.where:
+                job = jobs[job_id]
+                if state.gather_until:
+                    self.gathering.append(job_id)
+                elif job.spec is not None:
+                    self.lines.put(job, job.spec)
+
+    def turns(self) -> list[tuple[int, float, float, str, Shape]]:
+        """Return the first job of each open line as a heap, the most urgent first."""
+        now = self.world.now
+        rows = []
+        for shape, line in self.lines.lines.items():
+            shut = self.shut.get(shape)
+            if shut is None or shut.until <= now:
+                rows.append((-shape.priority, *line[0], shape))
+        heapq.heapify(rows)
+        return rows
+
+    def turn(self, shape: Shape) -> tuple[int, float, float, str, Shape] | None:
+        """Return the turn of a line's first job, or None if the line is shut or empty."""
+        shut = self.shut.get(shape)
+        head = self.lines.head(shape)
+        if head is None or (shut is not None and shut.until > self.world.now):
+            return None
+        return (-shape.priority, *head, shape)
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -86,6 +86,8 @@
                 self.epoch += 1
                 answers.append(("done", number, 200, (self.epoch, [])))
                 answers.append(("watch", [], self.epoch, self.now))
+            elif kind == "cloud" and args[0] == "rent":
+                answers.append(("done", number, 503, "no capacity"))
             elif kind == "send":
                 self.sent.append(args[0])
         return spent + (self.step(answers) if answers else 0.0)
@@ -98,6 +100,8 @@
     def tick(self) -> float:
         """Pass a tenth of a second with current records; return the step's processor time."""
         self.now += 0.1
+        for machine in self.core.world.machines.values():
+            machine.heard = self.now
         return self.step([("watch", [], self.epoch, self.now)])
 
     def word(self, name: str) -> tuple:
@@ -113,6 +117,22 @@
         return ("peer", number, "h1", [["view", 1, name, "10.1.0.1:1", "big", zone, spot, 1,
                                         self.seq[name], 1, None, [], images]])
 
+    def fill(self) -> None:
+        """Give each machine one service that takes all of it."""
+        rows: list[tuple[str, Any, int]] = []
+        for number, name in enumerate(self.names):
+            self.epoch += 1
+            spec = JobSpec(
+                lane="l", team="red", kind="service", priority=3, tasks=1, cpus=TYPE.cpus,
+                gpus=TYPE.gpus, memory_gb=TYPE.memory_gb, image="i0", image_gb=4.0, types=None,
+                zone=None, one_zone=False, spread=False, spot=True, estimate_s=0.0,
+                checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+            job_id = f"job-9{number:06}"
+            rows.append((job_key(job_id), job_value("queued", "red", spec, 0, 1), self.epoch))
+            chunk = Chunk(last=1, bound={0: Binding(1, name, 1, 1, ZONES[number % 3])})
+            rows.append((chunk_key(job_id, 0), chunk.to_value(2), self.epoch))
+        self.step([("watch", rows, self.epoch, self.now)])
+
     def submit(self, jobs: int) -> None:
         """Add jobs to the records, of the classes that the deployments have."""
         rows: list[tuple[str, Any, int]] = []
@@ -141,6 +161,16 @@
     return measure(bench.tick, ticks)
 
 
+def waiting(machines: int, jobs: int, ticks: int, seed: int) -> HdrHistogram:
+    """Ticks while jobs wait, all machines are full, the cloud has no more and nothing changes; the
+    fleet's pass that comes once a second and the looks of the safety net are counted."""
+    bench = Bench(machines, False, seed)
+    bench.fill()
+    bench.submit(jobs)
+    bench.settle(20.0)
+    return measure(bench.tick, ticks)
+
+
 def quiet(machines: int, ticks: int, seed: int) -> HdrHistogram:
     """Ticks with nothing to do."""
     bench = Bench(machines, False, seed)
@@ -218,9 +248,11 @@
 @click.option("--ticks", default=40, show_default=True, help="Ticks, passes and reports / 10.")
 @click.option("--records", type=int, multiple=True, default=(1000, 10_000), show_default=True,
               help="Jobs in the records that a controller takes at its start.")
+@click.option("--waiting", "lines", type=int, multiple=True, default=(4000, 40_000),
+              show_default=True, help="Jobs that wait in a full fleet.")
 @click.option("--seed", default=1, show_default=True)
 def main(sizes: tuple[int, ...], jobs: int, ticks: int, records: tuple[int, ...],
-         seed: int) -> None:
+         lines: tuple[int, ...], seed: int) -> None:
     """Print the table."""
     click.echo("machines  what          mean ms  median ms  p99 ms")
 
@@ -236,6 +268,8 @@
         found, sent = reports(size, ticks * 10, seed)
         show(size, "report", found)
         click.echo(f"{size:8}  bytes to a peer for each changed report: {sent:.0f}")
+    for count in lines:
+        show(sizes[0], f"{count} wait", waiting(sizes[0], count, ticks, seed))
     for count in records:
         spent, held = load(count, seed)
         click.echo(f"{count:8}  records taken after a start: {spent * 1000:.0f} ms, {held:.1f} MB")
