--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -127,7 +127,7 @@
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
                 event("accepted", job=job_id, lane=spec.lane, team=spec.team, kind=spec.kind,
-                      tasks=spec.tasks, state=state,
+                      tasks=spec.tasks, gpus=spec.gpus, priority=spec.priority, state=state,
                       **({"waits_on": ",".join(spec.waits_on)} if spec.waits_on else {}))
                 world.emit("answer", rid, 201, ("job", job_id, state, 0, 0))
             elif status == 409:
--- /dev/null
+++ b/tools/spread.py
@@ -0,0 +1,121 @@
+"""How the load lay over the fleet, from the controllers' logs at LOG_LEVEL=info.
+
+Reads what tools.recovery reads. Prints waits of each class and size, what the fleet's GPU time
+went into, who gave way to whom, moves and openings, and how full machines were at some moments.
+"""
+
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import click
+
+from tools.recovery import Event, events, histogram, spread
+
+WON = ("done",)
+
+
+class Load:
+    """What the logs say of tasks and machines, gathered event by event."""
+
+    def __init__(self, log: Iterable[Event], moments: Iterable[float]) -> None:
+        self.jobs: dict[str, dict[str, str]] = {}
+        self.accepted: dict[str, float] = {}
+        self.bound: dict[str, float] = {}
+        self.running: dict[str, float] = {}
+        self.waits: dict[tuple[str, int], list[float]] = defaultdict(list)
+        self.spent: dict[tuple[str, str], float] = defaultdict(float)
+        self.events: Counter[str] = Counter()
+        self.gave_way: Counter[tuple[str, str]] = Counter()
+        self.on: dict[str, set[str]] = defaultdict(set)
+        self.rows: list[tuple[float, Counter[str], Counter[int]]] = []
+        due = sorted(moments)
+        for event in log:
+            while due and event.at >= due[0]:
+                self.rows.append(self._look(due.pop(0)))
+            self.take(event)
+
+    def lane(self, task: str) -> str:
+        """Return the class of a task's job, or of a job."""
+        return self.jobs.get(task.partition("/")[0], {}).get("lane", "unknown")
+
+    def gpus(self, task: str) -> float:
+        """Return the GPUs that a task takes; 0 if the log does not tell."""
+        return float(self.jobs.get(task.partition("/")[0], {}).get("gpus", 0))
+
+    def take(self, event: Event) -> None:
+        """Take one event."""
+        at, fields = event.at, event.fields
+        task = fields.get("task", "")
+        if event.name == "accepted":
+            self.jobs[fields["job"]] = fields
+            self.accepted[fields["job"]] = at
+        elif event.name == "bind":
+            job = task.partition("/")[0]
+            if task not in self.bound and job in self.accepted:
+                size = int(self.jobs[job]["tasks"]) if self.jobs[job]["kind"] == "gang" else 0
+                self.waits[self.lane(task), size].append(at - self.accepted[job])
+            self.bound[task] = at
+            self.on[fields["machine"]].add(task)
+        elif event.name == "running" and task in self.bound:
+            self.running[task] = at
+            self.spent[self.lane(task), "fetch"] += self.gpus(task) * (at - self.bound[task])
+        elif event.name == "unbind":
+            self.on[fields["machine"]].discard(task)
+            began = self.running.pop(task, None)
+            if began is not None:
+                what = "ran" if fields["why"] in WON else f"ended: {fields['why']}"
+                self.spent[self.lane(task), what] += self.gpus(task) * (at - began)
+        elif event.name == "preempt":
+            self.gave_way[self.lane(task), self.lane(fields.get("by", ""))] += 1
+        elif event.name in ("opening", "move", "yielded"):
+            self.events[event.name] += 1
+
+    def _look(self, at: float) -> tuple[float, Counter[str], Counter[int]]:
+        lanes: Counter[str] = Counter()
+        used: Counter[int] = Counter()
+        for tasks in self.on.values():
+            if tasks:
+                used[round(sum(map(self.gpus, tasks)))] += 1
+                for task in tasks:
+                    lanes[self.lane(task)] += round(self.gpus(task))
+        return at, lanes, used
+
+    def lines(self) -> Iterator[str]:
+        """Yield the tables."""
+        yield "class and size of gang     tasks   accepted to bound p50 p90 max (s)"
+        for (lane, size), waits in sorted(self.waits.items()):
+            yield f"{lane:20} {size or '':5} {len(waits):6}   {spread(histogram(waits))}"
+        yield "\nGPU seconds by class, and share of all"
+        total = sum(self.spent.values()) or 1.0
+        for (lane, what), seconds in sorted(self.spent.items()):
+            yield f"{lane:20} {what:16} {seconds:9.0f}  {seconds / total:6.3f}"
+        yield "\ngave way (tasks): to whom"
+        for (lane, other), count in self.gave_way.most_common():
+            yield f"{lane:20} {other:20} {count:6}"
+        yield "\n" + ", ".join(f"{name}: {count}" for name, count in sorted(self.events.items()))
+        for at, lanes, used in self.rows:
+            yield (f"\nat {at:g} s, GPUs bound: "
+                   + ", ".join(f"{lane} {count}" for lane, count in sorted(lanes.items())))
+            yield "machines by GPUs bound: " + ", ".join(
+                f"{gpus}: {count}" for gpus, count in sorted(used.items()))
+
+
+@click.command(help=__doc__)
+@click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--at", "moments", type=float, multiple=True,
+              help="A moment at which the fleet is looked at (s); may be repeated.")
+def main(log: Path, moments: tuple[float, ...]) -> None:
+    """Print the tables."""
+    with log.open(errors="replace") as lines:
+        load = Load(events(lines), moments)
+    if not load.accepted:
+        click.echo(f"{log}: no event of a controller at info", err=True)
+        sys.exit(2)
+    for line in load.lines():
+        click.echo(line)
+
+
+if __name__ == "__main__":
+    main()
