--- a/oakmux/cli.py
+++ b/oakmux/cli.py
@@ -152,11 +152,13 @@
 @click.argument("config", type=click.Path())
 @click.option("--schedules", type=click.Path(), metavar="FILE",
               help="Keep cron tables and calendars, by these settings (INI).")
-def serve(config: str, schedules: str | None) -> None:
+@click.option("--spread", type=click.Path(), metavar="FILE",
+              help="How load is spread, by these settings (INI).")
+def serve(config: str, schedules: str | None, spread: str | None) -> None:
     """Run a controller with the platform's settings file CONFIG until killed."""
     from oakmux import service  # the service is not needed by the other commands
 
-    sys.exit(service.serve(config, schedules))
+    sys.exit(service.serve(config, schedules, spread))
 
 
 @main.command("check-config")
--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -190,6 +190,8 @@
 URGENT = 2
 # Jobs that an owner samples machines for in one tick, at most (count).
 SAMPLES_PER_TICK = 40
+# Lines that get a turn beside these, should there be more (count).
+SAMPLES_LOWER = 4
 # Seconds between two requests to peers for changes at the state service; how many times what is
 # missing is asked for in all (some can't lend); changes that a lender keeps; least that is lent.
 BORROW_S = 0.3
@@ -214,6 +216,47 @@
 # known to have changed, at most; less for urgent work: what may give way changes with time.
 LINE_MOST_S = 6.4
 LINE_URGENT_S = 1.6
+# Share of what all teams together are guaranteed that one array is taken to have to itself: it
+# counts as younger by the time that its work takes there, and by so many seconds at most.
+SIZE_PART = 0.04
+SIZE_MOST_S = 300.0
+# GPUs that a task without any counts for there.
+GPULESS_WEIGHT = 0.1
+# Share of the room offered that belongs to work that waited longest, whatever its priority, and
+# what may be owed to it at most (machines): a calm hour must not pay for a minute of all.
+FLOOR_SHARE = 0.1
+FLOOR_MOST = 2.0
+# Most that operators may set as that share.
+FLOOR_SHARE_MOST = 0.5
+# Work counts as aged after this many times its class's longest aim for starting, or, without one,
+# after so many seconds.
+AGED_AIMS = 2.0
+AGED_S = 120.0
+# Seconds for which an opening stands unless its owner says it again, and seconds by which other
+# room has to be ready sooner before a plan changes.
+OPENING_S = 5.0
+OPENING_MARGIN_S = 10.0
+# Seconds before an opening is ready within which nothing more is started there for others.
+OPENING_SOON_S = 6.0
+# What is to end before an opening is ready may take so many times its estimate.
+OPENING_ERROR = 1.5
+# Seconds after which room must be ready that machines are named for: further on, something else is
+# more likely to end first.
+OPENING_MOST_S = 120.0
+# Tasks that a gang must have for an opening, seconds that it must have waited, and machines that
+# it names beside those it needs, for those that die meanwhile (share).
+OPENING_TASKS = 4
+OPENING_AFTER_S = 5.0
+OPENING_SPARE = 0.1
+# Openings known at a time (count), machines that one is chosen from (count), and the share of the
+# machines that all of them may name: the rest is for smaller and younger work.
+OPENINGS_MOST = 64
+OPENING_LOOKS = 1500
+OPENING_SHARE = 0.5
+# Seconds until work ends that ran longer than was estimated, as a share of what it ran, and at
+# least: estimates are often wrong by half.
+OVERRUN_SHARE = 0.3
+OVERRUN_LEAST_S = 5.0
 # Seconds between two looks at whether a role should go to a controller that has fewer.
 YIELD_S = 5.0
 # Share of a fetch for which a task waits for room at a machine that holds its image, and seconds
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -12,6 +12,7 @@
 from oakmux.core.keeper.reports import hold_image, take_report
 from oakmux.core.membership import FLEET, Membership
 from oakmux.core.owner import Owner
+from oakmux.core.spread.openings import Openings
 from oakmux.core.world import World, event
 from oakmux.settings import Settings
 from oakmux.wire import MachineType, Report
@@ -34,6 +35,7 @@
     def __init__(self, settings: Settings, rng: random.Random, wall: int,
                  parts: Sequence[Callable[[World], Part]] = ()) -> None:
         self.world = World(settings, rng, wall)
+        self.world.openings = Openings(self.world)
         self.membership = Membership(self.world)
         self.keeper = Keeper(self.world, self.membership)
         self.owner = Owner(self.world, self.keeper)
@@ -71,6 +73,7 @@
             "move": self.keeper.orders.move,
             "drain": self._drain,
             "gone": self._gone,
+            "opening": self.world.openings.take,
             "borrow": lambda label, wanted: self.world.emit("lend", label, wanted),
             "lent": lambda given: self.world.emit("credit", given),
         }
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -9,7 +9,6 @@
 from oakmux.core import teams
 from oakmux.core.fleet.lists import Listed, Lists
 from oakmux.core.index import Class, class_of, may_fit
-from oakmux.core.jobs import Job
 from oakmux.core.keeper.queue import rank
 from oakmux.core.keeper.room import Room, full, has_room, less, room, times, usable
 from oakmux.core.keeper.word import Word
@@ -94,11 +93,6 @@
         return enough
 
 
-def unbound(job: Job) -> int:
-    """Count a job's tasks that are neither done nor bound, by the records."""
-    return job.tasks - job.done_count() - sum(len(chunk.bound) for chunk in job.chunks.values())
-
-
 class Demand:
     """Counts what is missing, and rents it."""
 
@@ -125,7 +119,7 @@
         """The records of a job changed."""
         job = self.world.replica.jobs.get(job_id)
         if (job is not None and job.spec is not None and not job.final and job.ready
-                and unbound(job) > 0):
+                and job.unbound() > 0):
             self.lines.put(job, job.spec)
         else:
             self.lines.drop(job_id)
@@ -171,7 +165,7 @@
             job = world.replica.jobs[job_id]
             spec = job.spec
             assert spec is not None
-            wanted = min(unbound(job), left, teams.tasks_left(world, job.team, spec, used))
+            wanted = min(job.unbound(), left, teams.tasks_left(world, job.team, spec, used))
             more = wanted > 0  # at its team's limit, no other of the line may start either
             if more and job_id not in self.word.cancelled:
                 zones = [b.zone for b in job.bindings()]
@@ -203,10 +197,10 @@
         line = self.lines.lines[shape]
         if number >= len(line):
             return None
-        _, since, job_id = line[number]
+        *_, job_id = line[number]
         job = self.world.replica.jobs[job_id]
         assert job.spec is not None
-        return rank(self.world, job, job.spec, used), since, job_id, shape, number
+        return rank(self.world, job, job.spec, used), job.since, job_id, shape, number
 
     def _place(self, spec: JobSpec, zones: list[str], wanted: int, pool: Pool,
                rent: dict[Key, int]) -> tuple[list[Slot], list[Slot]]:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -148,6 +148,11 @@
             return self.tasks
         return sum(chunk.done.bit_count() for chunk in self.chunks.values())
 
+    def unbound(self) -> int:
+        """Count tasks that are neither done nor bound."""
+        return self.tasks - self.done_count() - sum(
+            len(chunk.bound) for chunk in self.chunks.values())
+
 
 def job_value(state: str, team: str, spec: JobSpec | None, order: int, tasks: int) -> list:
     """Return the value of a job's record; order is its place among submissions, roughly."""
@@ -233,6 +238,8 @@
         # Unfinished jobs that need no GPU: they fit where all GPUs are taken.
         self.gpuless: set[str] = set()
         self.roles: dict[str, tuple[str, int, int]] = {}
+        # Counts the changes of roles: they are looked at several times in each step.
+        self.role_changes = 0
         self.nodes: dict[str, int] = {}
         self.gone: dict[str, int] = {}
         self.term = (0, 0)
@@ -301,6 +308,7 @@
             job_id, _, number = rest.partition("/")
             self._apply_chunk(job_id, int(number), value, stamp)
         elif kind == "own":
+            self.role_changes += 1
             if value is None:
                 if rest in self.roles and self.roles[rest][2] <= stamp:
                     del self.roles[rest]
--- /dev/null
+++ b/oakmux/core/keeper/floor.py
@@ -0,0 +1,50 @@
+"""A floor for work that waited longest: a stated share of what frees up, by construction."""
+
+from collections.abc import Iterable
+
+from oakmux import constants
+from oakmux.core.jobs import Job
+from oakmux.core.keeper.room import Room, has_room
+from oakmux.core.spread.order import aged
+from oakmux.core.world import World
+from oakmux.wire import JobSpec, MachineType
+
+
+def weight(spec: JobSpec, kind: MachineType) -> float:
+    """Return the part of a machine that a task takes, of what it takes most of."""
+    return max(spec.cpus / kind.cpus, spec.memory_gb / kind.memory_gb,
+               spec.gpus / kind.gpus if kind.gpus else 0.0)
+
+
+class Floor:
+    """What is owed to aged work of the room that a keeper's machines freed: a share of it.
+
+    While work of more right is offered room, the debt grows by that share; once it is worth a
+    task of the oldest aged job with a reservation where room is, that task comes first and the
+    debt falls by it. So aged work gets its share in the order of age whatever stands above it, and
+    never more. Gangs gather room in their own way.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.owed = 0.0
+        self.share = world.settings.spread.floor_share
+
+    def oldest(self, kind: MachineType, free: Room, jobs: Iterable[Job]) -> Job | None:
+        """Return who is due by age among jobs that have a reservation on a machine, or None."""
+        if self.owed <= 0:
+            return None
+        due = [job for job in jobs if job.spec is not None and not job.spec.joint
+               and has_room(free, job.spec) and aged(self.world, job, job.spec)]
+        job = min(due, key=lambda job: (job.since, job.id), default=None)
+        if job is None or job.spec is None or weight(job.spec, kind) > self.owed:
+            return None
+        return job
+
+    def gave(self, spec: JobSpec, kind: MachineType, by_age: bool) -> None:
+        """A task was offered room: by its age, or by its rank."""
+        part = weight(spec, kind)
+        if by_age:
+            self.owed -= part
+        else:
+            self.owed = min(constants.FLOOR_MOST, self.owed + self.share / (1 - self.share) * part)
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -1,11 +1,15 @@
 """The queues at machines: reservations, offers of room, and work that gives way to other work."""
 
+from collections.abc import Collection
+
 from oakmux import constants
 from oakmux.core import teams
 from oakmux.core.jobs import Job
+from oakmux.core.keeper.floor import Floor
 from oakmux.core.keeper.kept import Kept, Reservation, Ward
-from oakmux.core.keeper.room import full, gather_s, has_room, less, room, usable
+from oakmux.core.keeper.room import Room, full, gather_s, has_room, less, room, usable
 from oakmux.core.keeper.word import Word
+from oakmux.core.spread.order import late, turn_ms
 from oakmux.core.world import Machine, Task, World, event
 from oakmux.wire import JobSpec
 
@@ -18,6 +22,7 @@
         self.ward = ward
         self.word = word
         self.next_offer = 0
+        self.floor = Floor(world)
 
     def reserve(self, name: str, job_id: str, count: int, preempt: bool = False) -> None:
         """Queue a reservation at a machine that we keep; make room for it if told to."""
@@ -42,7 +47,8 @@
         if (job is None or job.spec is None or job.final or stopping
                 or not usable(world, machine)):
             return
-        chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept))
+        chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept),
+                         kept.firm)
         for task in chosen[1] if chosen is not None else ():
             kept.stops[task] = world.now
             event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
@@ -81,6 +87,7 @@
                     del kept.offers[offer_id]
                     break
         kept.known = known
+        kept.firm &= {row[0] for row in known} | {row[0] for row in kept.offers.values()}
 
     def offer(self, name: str) -> None:
         """Offer free room to the owners of queued reservations, best rank first."""
@@ -102,37 +109,56 @@
                     or world.now - reservation.since > constants.RETRY_MOST_S):
                 del kept.queue[reservation.job_id]
                 continue
+            if world.openings.bars(name, job, job.spec):
+                continue
             # The age of the job, not of the reservation: of two gangs that wait for the same
             # machines, one must come first at all of them.
             ranked.append((rank(world, job, job.spec, used), job.since, job.id, reservation, job))
         ranked.sort(key=lambda row: row[:3])
+        kind = world.types[machine.type]
+        oldest = self.floor.oldest(kind, free, (row[-1] for row in ranked
+                                                if row[-1].team in world.replica.roles))
+        if oldest is not None and oldest.spec is not None:
+            # Work that came by its age is not stopped again for what stands above it.
+            kept.firm.add(oldest.id)
+            free = self._hand(kept, machine, oldest, oldest.spec, free)
+            self.floor.gave(oldest.spec, kind, True)
         for *_, reservation, job in ranked:
             spec = job.spec
             assert spec is not None
-            owner = world.replica.roles.get(job.team)
-            if owner is None:
+            if job.team not in world.replica.roles:
                 continue
             while reservation.count > 0 and has_room(free, spec):
-                free = less(free, spec)
-                reservation.count -= 1
-                self.next_offer += 1
-                hold = constants.OFFER_HOLD_S
-                if spec.joint:
-                    hold += gather_s(spec) + constants.PREEMPT_S
-                kept.offers[self.next_offer] = (job.id, world.now + hold, owner[2])
-                world.emit("send", owner[0], ("offer", name, job.id, self.next_offer,
-                                              machine.session, world.term, world.label))
-            if reservation.count <= 0:
-                kept.queue.pop(reservation.job_id, None)
+                free = self._hand(kept, machine, job, spec, free)
+                self.floor.gave(spec, kind, False)
+
+    def _hand(self, kept: Kept, machine: Machine, job: Job, spec: JobSpec, free: Room) -> Room:
+        """Offer room for one task of a job that has a reservation; return what is left."""
+        world = self.world
+        label, _, claim = world.replica.roles[job.team]
+        reservation = kept.queue[job.id]
+        reservation.count -= 1
+        if reservation.count <= 0:
+            del kept.queue[job.id]
+        self.next_offer += 1
+        hold = constants.OFFER_HOLD_S
+        if spec.joint:
+            hold += gather_s(spec) + constants.PREEMPT_S
+        kept.offers[self.next_offer] = (job.id, world.now + hold, claim)
+        world.emit("send", label, ("offer", machine.name, job.id, self.next_offer,
+                                   machine.session, world.term, world.label))
+        return less(free, spec)
 
 
 def victims(world: World, machine: Machine, job: Job, spec: JobSpec,
             used: dict[str, tuple[float, float]],
-            held: list[JobSpec] | None = None) -> tuple[float, list[Task]] | None:
+            held: list[JobSpec] | None = None, firm: Collection[str] = ()
+            ) -> tuple[float, list[Task]] | None:
     """Return (lost work, tasks) whose end makes room for one task of a job, or None.
 
     Only work of lower priority may go, and, for a job within its team's guarantee, work that
-    another team runs beyond its own guarantee. What has least to lose goes first.
+    another team runs beyond its own guarantee. What has least to lose goes first, and nothing of
+    the jobs in `firm`.
     """
     beyond = teams.beyond(world, job, spec, used)
     rows = []
@@ -143,7 +169,7 @@
         if (other is None or other.spec is None or state is None or binding.stop
                 or state[0] not in ("fetching", "waiting", "running")
                 or other.spec.kind == "service" or other.id == job.id
-                or other.spec.joint):
+                or other.spec.joint or other.id in firm):
             continue
         if other.priority >= job.priority and other.team not in beyond:
             continue
@@ -169,6 +195,6 @@
 
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
     """Return the order in a queue: guaranteed work and priority first, then what has to start
-    first for a deadline, then fair between teams."""
+    first for a deadline, what can meet its aim, fair between teams, and by turn."""
     return (not teams.inside(world, job, spec, used), -job.priority, job.latest,
-            teams.share(world, job.team, used))
+            late(world, job, spec), teams.share(world, job.team, used), turn_ms(world, job, spec))
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -47,6 +47,9 @@
         self.node_written = False
         self.next_try = 0.0
         self.next_yield = 0.0
+        # What the roles were last seen at, and whether a claim is newer than our records then.
+        self.seen: tuple[int, int, int] | None = None
+        self.early = False
 
     def need_term_above(self, token: int) -> None:
         """Ask for a term above a token that a worker showed."""
@@ -232,6 +235,12 @@
         earlier owner can come after it, so the records are then complete.
         """
         world = self.world
+        seen = (world.replica.role_changes, world.life, world.replica.epoch if self.early else 0)
+        if seen == self.seen:
+            return []
+        self.early = any(stamp > world.replica.epoch
+                         for _, _, stamp in world.replica.roles.values())
+        self.seen = (*seen[:2], world.replica.epoch if self.early else 0)
         held = {
             role: stamp
             for role, (label, life, stamp) in world.replica.roles.items()
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -26,11 +26,13 @@
 
 
 class LimitClaim(NamedTuple):
-    """A part of a team's limit that is kept for a job of higher priority, until a time."""
+    """A part of a team's limit that is kept for a job, until a time: from work of lower priority,
+    and from such of the same as came after `since` (ms)."""
 
     until: float
     team: str
     priority: int
+    since: float
     cpus: float
     gpus: float
 
@@ -52,6 +54,7 @@
         limits = world.facts.state.least
         self.least_bytes = value_limit(limits)
         share = limits.write_rps / world.settings.size
+        self.own_chunk = chunk_tasks(world.facts.state.value_kb)
         self.coalesce_s = min(max(constants.COALESCE_S, constants.COALESCE_CHANGES / share),
                               constants.COALESCE_MOST_S)
         # A transaction far above our share of the rate would hold up all that comes after it.
@@ -62,7 +65,7 @@
     def per_chunk(self) -> int:
         """How many tasks share a record. The mapping never moves with the limits: a task that is
         bound would look unbound (R ran_twice). Once the format is recorded, it stands there."""
-        return self.world.replica.per_chunk or chunk_tasks(self.world.facts.state.value_kb)
+        return self.world.replica.per_chunk or self.own_chunk
 
     def _limit(self) -> int:
         """Bytes that a value may take when it is written. What earlier versions left larger may
@@ -187,7 +190,8 @@
         for other, claim in list(self.limit_claims.items()):
             if claim.until <= self.world.now:
                 del self.limit_claims[other]
-            elif claim.team == job.team and claim.priority > job.priority:
+            elif claim.team == job.team and other != job.id and (
+                    claim.priority, -claim.since) > (job.priority, -job.since):
                 cpus += claim.cpus
                 gpus += claim.gpus
         return teams.beyond_limit(self.world, job.team, cpus + tasks * spec.cpus,
@@ -197,21 +201,24 @@
         """A job is kept back by its team's limit: what its lower work lets go of is kept for it.
 
         Else a gang never gets in beside an array of its own team, whose next task takes each
-        place that one leaves. Nothing is kept where lower work could not make up for it.
+        place that one leaves; nor one that has waited beside smaller, younger gangs. Nothing is
+        kept where that work could not make up for it.
         """
         now = self.world.now
         least = spec.tasks if spec.kind == "gang" else 1
         use = cpus, gpus = self.team_use(job.team)
+        old = spec.kind == "gang" and (self.world.clock_ms - job.since
+                                       > 1000 * constants.OPENING_AFTER_S)
         for priority, lower in self.world.replica.used_at.get(job.team, {}).items():
-            if priority < job.priority:
+            if priority < job.priority or (priority == job.priority and old):
                 cpus -= lower[0]
                 gpus -= lower[1]
         if (cpus, gpus) != use and not teams.beyond_limit(
                 self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
             tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB))
             self.limit_claims[job.id] = LimitClaim(
-                now + constants.LIMIT_CLAIM_S, job.team, job.priority, tasks * spec.cpus,
-                tasks * spec.gpus)
+                now + constants.LIMIT_CLAIM_S, job.team, job.priority,
+                job.since if old else math.inf, tasks * spec.cpus, tasks * spec.gpus)
 
     # --- writing ---
 
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -13,7 +13,9 @@
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.places import best, fetch_s, make_room, reserve, worth_s
 from oakmux.core.owner.state import Open
-from oakmux.core.world import Machine, World
+from oakmux.core.spread.opening import choose
+from oakmux.core.spread.sites import sites
+from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
 
 Group = tuple[float, int, list[Drawn], list[str]]
@@ -48,7 +50,8 @@
 
     def end(self, job: Job, state: Open) -> None:
         """A gathering is over: the job is bound, or begins anew later."""
-        self.end_turn(job)
+        if not state.opening:
+            self.end_turn(job)
         self.index.freed(state.asked)
         for name in state.asked:
             claims = self.claims.get(name, {})
@@ -60,6 +63,8 @@
 
     def left(self, job: Job, machine: Machine, free: Room) -> Room:
         """Return the room on a machine that other gangs of ours have not asked for."""
+        if job.spec is not None and self.world.openings.bars(machine.name, job, job.spec):
+            return 0.0, 0.0, 0.0
         claims = self.claims.get(machine.name)
         if not claims:
             return free
@@ -134,10 +139,56 @@
         waiting = self.open.get(self.gathering)
         if waiting is None or waiting.next_sample == math.inf:
             self.gathering = job.id
-        if self.gathering == job.id:
+        if self.gathering == job.id and not self._open(job, spec, state):
             self._reserve(job, spec, state, groups[0])
         return bool(state.asked or state.offers)
 
+    def _open(self, job: Job, spec: JobSpec, state: Open) -> bool:
+        """Name the machines that are to be opened for a gang; return whether there are such.
+
+        Only where there is no room for all even with what can be stopped. Then nothing is held:
+        the gang asks for all at once when all is ready.
+        """
+        world = self.world
+        if (not world.settings.spread.openings or world.replica.format < 2
+                or spec.tasks < constants.OPENING_TASKS or spec.spread
+                or world.clock_ms - job.since < 1000 * constants.OPENING_AFTER_S):
+            return False
+        fitting = self.index.fitting(spec, world.facts.zones)
+        others = world.openings.held(job.id)
+        taken = self.index.numbers(others)
+        rows = sites(world, job, spec, self.index.some(fitting - taken, constants.OPENING_LOOKS,
+                                                       state.avoid))
+        spare = math.ceil(spec.tasks * constants.OPENING_SPARE)
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        chosen = (choose(need, spec.tasks + spare, rows, spec.one_zone, state.opening)
+                  or choose(need, spec.tasks, rows, spec.one_zone, state.opening))
+        # One opening may always be; with others, enough must be left for other work.
+        if (chosen is None or chosen.ready_s > constants.OPENING_MOST_S
+                or (taken and len(taken) + len(chosen.machines)
+                    > constants.OPENING_SHARE * len(fitting))):
+            return False
+        if set(chosen.machines) != set(state.opening):
+            event("opening", job=job.id, zone=chosen.zone, machines=len(chosen.machines),
+                  ready_s=round(chosen.ready_s), lost_s=round(chosen.lost_s),
+                  kept=len(chosen.machines.keys() & state.opening.keys()))
+        state.opening = chosen.machines
+        self._say(job, list(chosen.machines), chosen.ready_s)
+        return True
+
+    def _say(self, job: Job, names: list[str], ready_s: float) -> None:
+        """Tell all controllers of an opening, or that it is over."""
+        for label in (self.world.label, *(m.label for m in self.world.settings.members)):
+            self.world.emit("send", label, ("opening", job.id, job.priority, job.since, names,
+                                            ready_s))
+
+    def close(self, job: Job, state: Open) -> None:
+        """End a job's opening: it is bound, or over."""
+        if state.opening:
+            state.opening = {}
+            self.end_turn(job)
+            self._say(job, [], 0.0)
+
     def _make_room(self, job: Job, spec: JobSpec, state: Open, among: BitMap, wanted: int,
                    most: float) -> bool:
         """Ask for work to stop on as many machines as tasks lack room; return whether it was."""
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -2,17 +2,19 @@
 
 import heapq
 import math
+from collections.abc import Callable
 
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.room import times
+from oakmux.core.keeper.room import Room, times
 from oakmux.core.owner.binding import Binder
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.places import best, make_room, reserve, worth_s, zone_allowed
 from oakmux.core.owner.state import Open
 from oakmux.core.spread.lines import Shape
+from oakmux.core.spread.order import aged
 from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
@@ -34,7 +36,7 @@
 
     def sample(self) -> None:
         """Send out reservations for jobs whose turn it is."""
-        waiting = self.waiting
+        world, waiting = self.world, self.waiting
         self._choose()
         waiting.ripen()
         self.index.refresh()
@@ -57,6 +59,8 @@
                 heapq.heappop(turns)
             else:
                 heapq.heapreplace(turns, turn)
+        for *_, job_id, _ in world.rng.sample(turns, min(len(turns), constants.SAMPLES_LOWER)):
+            self._sample(job_id)  # nor do lines of lower priority go without
 
     def _choose(self) -> None:
         """Bind tasks to the offers that were gathered for long enough."""
@@ -101,11 +105,15 @@
             wanted = 0  # a new attempt only when every task of the old one is proven gone
         if not wanted:
             self.gangs.end(job, state)
+            self.gangs.close(job, state)
             waiting.later(job.id, math.inf)  # until a task of it is proven gone
             return
         shape = waiting.lines.put(job, spec)
         if self.copies.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
-            self.gangs.end_turn(job)
+            if state.gather_until:  # it must not hold what others may use
+                self.binder.release(state)
+                self.gangs.end(job, state)
+            self.gangs.close(job, state)
             self.copies.claim_limit(job, spec, self._wanted(shape, spec))
             waiting.beyond_limit(shape)
             return
@@ -122,7 +130,7 @@
                 self._none_found(job, state, shape, zones_left)
             return
         count = min(math.ceil(constants.PROBE_RATIO * wanted), constants.MAX_RESERVATIONS_PER_JOB)
-        rows = self.index.draw(spec, zones_left, state.avoid, count)
+        rows = self.index.draw(spec, zones_left, state.avoid, count, self._left(job, spec))
         if rows:
             self._take_room(job, spec, state, zones_left, rows, wanted, count)
             waiting.later(job.id, state.next_sample)
@@ -135,6 +143,14 @@
         else:
             self._none_found(job, state, shape, zones_left)
 
+    def _left(self, job: Job, spec: JobSpec) -> Callable[[Machine, Room], Room] | None:
+        """Return what takes off room that an opening keeps from a job, if any is known."""
+        openings = self.world.openings
+        if not openings.by_machine:
+            return None
+        return lambda machine, free: (0.0, 0.0, 0.0) if openings.bars(
+            machine.name, job, spec) else free
+
     def _wanted(self, shape: Shape, spec: JobSpec) -> int:
         """Count what the first jobs of a line have to start."""
         most = max(constants.MAX_RESERVATIONS_PER_JOB, spec.tasks if spec.kind == "gang" else 1)
@@ -168,8 +184,19 @@
                 chosen[machine.name] = chosen.get(machine.name, 0) + 1
             count -= len(some)
         reserve(world, job, chosen)
+        self._queue_oldest(job, spec)
         return len(made) >= wanted
 
+    def _queue_oldest(self, job: Job, spec: JobSpec) -> None:
+        """Queue a line's oldest job as well, once it is aged: keepers owe it a share."""
+        shape = self.waiting.lines.put(job, spec)
+        oldest = self.world.replica.jobs[self.waiting.lines.oldest(shape)]
+        if oldest is not job and oldest.spec is not None and aged(self.world, oldest, oldest.spec):
+            fitting = self.index.fitting(oldest.spec, self.world.facts.zones)
+            some = self.index.some(fitting, constants.MAX_RESERVATIONS_PER_JOB,
+                                   self.open[oldest.id].avoid)
+            reserve(self.world, oldest, {machine.name: 1 for machine in some})
+
     def _take_room(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
                    rows: list[Drawn], wanted: int, count: int) -> None:
         """Reserve room that was drawn, or wait a little where the image is."""
--- a/oakmux/core/owner/state.py
+++ b/oakmux/core/owner/state.py
@@ -6,7 +6,7 @@
 
     __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
                  "quiet_until", "preempt_at", "next_wide", "patient_until", "asked",
-                 "gather_until")
+                 "gather_until", "opening")
 
     def __init__(self) -> None:
         self.next_sample = 0.0
@@ -23,3 +23,5 @@
         # tasks; and when it lets go of what it has gathered.
         self.asked: dict[str, tuple[float, int]] = {}
         self.gather_until = 0.0
+        # Machines that are being opened for it, with the tasks that each is for.
+        self.opening: dict[str, int] = {}
--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -13,6 +13,7 @@
 from oakmux import constants
 from oakmux.core.index import Class
 from oakmux.core.jobs import Job
+from oakmux.core.spread.order import late, turn_ms
 from oakmux.core.world import World
 from oakmux.wire import JobSpec, MachineType
 
@@ -61,8 +62,9 @@
                  spec.spread)
 
 
-Place = tuple[float, float, str]
-"""Where a job stands in its line: by what has to start first (ms), then age (ms), then name."""
+Place = tuple[float, bool, float, str]
+"""Where a job stands in its line: by when a chain's deadline has it start (ms), whether its aim
+is lost, its turn (ms), and its name."""
 
 
 class Lines:
@@ -71,7 +73,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.lines: dict[Shape, SortedList] = {}
-        self.where: dict[str, tuple[Shape, Place]] = {}
+        self.ages: dict[Shape, SortedList] = {}
+        self.where: dict[str, tuple[Shape, Place, float]] = {}
         self.sizes: dict[str, tuple[float, float, float]] = {}
 
     def resize(self) -> bool:
@@ -93,14 +96,16 @@
     def put(self, job: Job, spec: JobSpec) -> Shape:
         """Put a job where it belongs now; return its line."""
         shape = shape_of(self.world, job, spec)
-        place = (job.latest, job.since, job.id)
-        if self.where.get(job.id) != (shape, place):
+        place = (job.latest, late(self.world, job, spec), turn_ms(self.world, job, spec), job.id)
+        if self.where.get(job.id) != (shape, place, job.since):
             self.drop(job.id)
             line = self.lines.get(shape)
             if line is None:
                 line = self.lines[shape] = SortedList()
+                self.ages[shape] = SortedList()
             line.add(place)
-            self.where[job.id] = (shape, place)
+            self.ages[shape].add((job.since, job.id))
+            self.where[job.id] = (shape, place, job.since)
         return shape
 
     def drop(self, job_id: str) -> Shape | None:
@@ -108,24 +113,38 @@
         known = self.where.pop(job_id, None)
         if known is None:
             return None
-        shape, place = known
+        shape, place, since = known
         line = self.lines[shape]
         line.remove(place)
+        self.ages[shape].remove((since, job_id))
         if not line:
             del self.lines[shape]
+            del self.ages[shape]
         return shape
 
+    def oldest(self, shape: Shape) -> str:
+        """Return the oldest job of a line that is not empty."""
+        return self.ages[shape][0][1]
+
     def head(self, shape: Shape) -> Place | None:
         """Return who stands first in a line, or None."""
         line = self.lines.get(shape)
-        return line[0] if line else None
+        if not line:
+            return None
+        while not line[0][1]:  # one whose aim was lost meanwhile goes behind the others
+            job = self.world.replica.jobs[line[0][3]]
+            if job.spec is None or not late(self.world, job, job.spec):
+                break
+            self.put(job, job.spec)
+        return line[0]
 
     def first(self, shape: Shape, count: int) -> Iterator[str]:
         """Return the jobs that stand first in a line."""
         line = self.lines.get(shape)
-        return iter(()) if line is None else (place[2] for place in line.islice(0, count))
+        return iter(()) if line is None else (place[3] for place in line.islice(0, count))
 
     def clear(self) -> None:
         """Forget all."""
         self.lines.clear()
+        self.ages.clear()
         self.where.clear()
--- /dev/null
+++ b/oakmux/core/spread/openings.py
@@ -0,0 +1,63 @@
+"""Openings that stand: what every controller knows of machines that wait for a gang."""
+
+from typing import NamedTuple
+
+from oakmux import constants
+from oakmux.core.jobs import Job
+from oakmux.core.world import World
+from oakmux.wire import JobSpec
+
+
+class Standing(NamedTuple):
+    """An opening as its owner last said it; without word of it, it ends by itself."""
+
+    priority: int
+    since: float
+    until: float
+    ready_at: float
+    machines: frozenset[str]
+
+
+class Openings:
+    """Openings of all owners. The older gang has a machine that two of them name."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.by_job: dict[str, Standing] = {}
+        self.by_machine: dict[str, str] = {}
+
+    def take(self, job_id: str, priority: int, since: float, names: list[str],
+             ready_s: float) -> None:
+        """Take an owner's word; no names end the opening."""
+        now = self.world.now
+        self.by_job.pop(job_id, None)
+        for other in [o for o, row in self.by_job.items() if row.until <= now]:
+            del self.by_job[other]
+        if names and len(self.by_job) < constants.OPENINGS_MOST:
+            self.by_job[job_id] = Standing(priority, since, now + constants.OPENING_S,
+                                           now + ready_s, frozenset(names))
+        self.by_machine = {}
+        for other, row in sorted(self.by_job.items(), key=lambda entry: (
+                entry[1].priority, -entry[1].since, entry[0])):
+            self.by_machine.update(dict.fromkeys(row.machines, other))
+
+    def bars(self, machine: str, job: Job, spec: JobSpec) -> bool:
+        """Whether an opening keeps a job off a machine: what is younger, could not be stopped for
+        it and may not end in time; and what could be stopped but would have to be very soon."""
+        name = self.by_machine.get(machine)
+        row = self.by_job.get(name or "")
+        if row is None or name == job.id or row.until <= self.world.now:
+            return False
+        if job.priority > row.priority or (job.priority == row.priority and (
+                job.since, job.id) < (row.since, name)):
+            return False
+        left = row.ready_at - self.world.now
+        if job.priority < row.priority and spec.kind != "service" and not spec.joint:
+            return left < constants.OPENING_SOON_S
+        ends = spec.estimate_s * constants.OPENING_ERROR + max(
+            (self.world.fetch_s(spec, name) for name in self.world.types), default=0.0)
+        return spec.kind == "service" or ends > left
+
+    def held(self, besides: str) -> set[str]:
+        """Return the machines that openings of other jobs name."""
+        return {machine for machine, job_id in self.by_machine.items() if job_id != besides}
--- /dev/null
+++ b/oakmux/core/spread/order.py
@@ -0,0 +1,35 @@
+"""Who goes first among jobs of one priority, and who has waited for too long.
+
+In a burst above the fleet's capacity some jobs miss their class's aim for finishing whatever the
+order. By age alone all miss it: each is served just as its time is over. So an array counts as
+younger by its size, as if each had a small part of the fleet to itself, and what can't meet its
+aim any more goes behind what can. Both would starve large arrays: what has waited for too long
+is owed a share whatever its place (core/keeper/floor.py).
+"""
+
+from oakmux import constants
+from oakmux.core.jobs import Job
+from oakmux.core.world import World
+from oakmux.wire import JobSpec
+
+
+def turn_ms(world: World, job: Job, spec: JobSpec) -> float:
+    """Return the time (ms) by which a job's age counts: an array of much work is younger."""
+    if spec.kind != "array":
+        return job.since
+    work = spec.tasks * spec.estimate_s * max(spec.gpus, constants.GPULESS_WEIGHT)
+    return job.since + 1000 * min(constants.SIZE_MOST_S, work / world.part_gpus)
+
+
+def late(world: World, job: Job, spec: JobSpec) -> bool:
+    """Whether an array can't meet its class's aim for finishing any more, by its estimate."""
+    within = world.finish_aims.get(spec.lane)
+    return (spec.kind == "array" and within is not None and world.clock_ms
+            > job.since + 1000 * (within - spec.estimate_s))
+
+
+def aged(world: World, job: Job, spec: JobSpec) -> bool:
+    """Whether a job has waited for so long that a share of what frees up is for it."""
+    aims = world.wait_aims.get(spec.lane)
+    patience = constants.AGED_AIMS * max(aims) if aims else constants.AGED_S
+    return world.clock_ms - job.since > 1000 * patience
--- /dev/null
+++ b/oakmux/core/spread/sites.py
@@ -0,0 +1,51 @@
+"""Machines as an opening sees them: when what is on them ends, and what a stop would lose."""
+
+import math
+from collections.abc import Iterable
+
+from oakmux import constants
+from oakmux.core import teams
+from oakmux.core.jobs import Binding, Job
+from oakmux.core.keeper.room import room
+from oakmux.core.spread.opening import Held, Site
+from oakmux.core.world import Machine, Task, World
+from oakmux.wire import JobSpec
+
+
+def left_s(world: World, machine: Machine, task: Task, spec: JobSpec) -> float:
+    """Return the seconds until a task ends by itself, by its owner's estimate."""
+    if spec.kind == "service":
+        return math.inf
+    state = machine.tasks.get(task, ("",))[0]
+    ran = world.now - machine.since.get(task, world.now)
+    if state != "running":  # it has yet to fetch its image, or to meet its gang
+        return spec.estimate_s + world.fetch_s(spec, machine.type)
+    overrun = max(constants.OVERRUN_LEAST_S, constants.OVERRUN_SHARE * ran)
+    return max(spec.estimate_s - ran, overrun if ran > spec.estimate_s else 0.0)
+
+
+def sites(world: World, job: Job, spec: JobSpec, machines: Iterable[Machine]) -> list[Site]:
+    """Return machines for a job that looks for room on them."""
+    beyond = teams.beyond(world, job, spec, teams.usage(world))
+    found = []
+    for machine in machines:
+        held = []
+        for (name, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+            other = world.replica.jobs.get(name)
+            if other is not None and other.spec is not None and name != job.id:
+                held.append(_held(world, job, machine, other, other.spec, index, binding, beyond))
+        found.append(Site(machine.name, machine.zone, room(world, machine), tuple(held)))
+    return found
+
+
+def _held(world: World, job: Job, machine: Machine, other: Job, spec: JobSpec, index: int,
+          binding: Binding, beyond: list[str]) -> Held:
+    task = (f"{other.id}/{index}", binding.attempt)
+    takes = (spec.cpus, spec.gpus, spec.memory_gb)
+    if binding.stop or other.final:
+        return Held(takes, 0.0, 0.0)
+    if (spec.kind != "service" and not spec.joint
+            and (other.priority < job.priority or other.team in beyond)):
+        ran = world.now - machine.since.get(task, world.now)
+        return Held(takes, 0.0, min(ran, spec.save_s) if spec.checkpoint_s else ran)
+    return Held(takes, left_s(world, machine, task, spec), 0.0)
--- a/oakmux/core/spread/waiting.py
+++ b/oakmux/core/spread/waiting.py
@@ -21,6 +21,10 @@
     from oakmux.core.owner.state import Open
 
 
+Turn = tuple[int, float, bool, float, str, Shape]
+"""The first job of a line among all: by priority, place in its line, name."""
+
+
 class Shut:
     """Why a line is shut: until when at the latest, after which pause, and whether by its team's
     limit (then room that machines got does not open it)."""
@@ -144,18 +148,20 @@
                 elif job.spec is not None:
                     self.lines.put(job, job.spec)
 
-    def turns(self) -> list[tuple[int, float, float, str, Shape]]:
+    def turns(self) -> list[Turn]:
         """Return the first job of each open line as a heap, the most urgent first."""
         now = self.world.now
-        rows = []
-        for shape, line in self.lines.lines.items():
+        rows: list[Turn] = []
+        for shape in self.lines.lines:
             shut = self.shut.get(shape)
             if shut is None or shut.until <= now:
-                rows.append((-shape.priority, *line[0], shape))
+                head = self.lines.head(shape)
+                assert head is not None
+                rows.append((-shape.priority, *head, shape))
         heapq.heapify(rows)
         return rows
 
-    def turn(self, shape: Shape) -> tuple[int, float, float, str, Shape] | None:
+    def turn(self, shape: Shape) -> Turn | None:
         """Return the turn of a line's first job, or None if the line is shut or empty."""
         shut = self.shut.get(shape)
         head = self.lines.head(shape)
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -2,12 +2,16 @@
 
 import logging
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from oakmux import constants
 from oakmux.core.jobs import Replica
 from oakmux.settings import Settings, Team
 from oakmux.wire import JobSpec, MachineType, Report
 
+if TYPE_CHECKING:  # it is about a world
+    from oakmux.core.spread.openings import Openings
+
 log = logging.getLogger("oakmux.core")
 
 Task = tuple[str, int]
@@ -75,9 +79,16 @@
         self.types: dict[str, MachineType] = {}
         self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
         self.wait_aims: dict[str, list[float]] = {}
+        self.finish_aims: dict[str, float] = {}
+        # The GPUs that one array is taken to have to itself when its size makes it younger.
+        self.part_gpus = max(1.0, constants.SIZE_PART * sum(
+            team.gpus or team.gpus_max for team in settings.facts.teams))
         for aim in settings.facts.objectives:
             if aim.kind == "wait" and aim.lane and aim.within_s is not None:
                 self.wait_aims.setdefault(aim.lane, []).append(aim.within_s)
+            elif aim.kind == "finished" and aim.lane and aim.within_s is not None:
+                self.finish_aims[aim.lane] = max(aim.within_s,
+                                                 self.finish_aims.get(aim.lane, 0.0))
         self.guarantee_s = min((aim.within_s for aim in settings.facts.objectives
                                 if aim.kind == "guarantee" and aim.within_s is not None),
                                default=None)
@@ -96,6 +107,8 @@
         # subsystems that are switched on.
         self.more_roles: list[str] = []
         self.reserved = ""
+        # Machines that wait for gangs; set by the controller, which joins the parts.
+        self.openings: Openings
         self._op = 0
         self.ops: dict[int, Any] = {}
 
@@ -112,6 +125,11 @@
         self.ops[self._op] = then
         self.effects.append((effect[0], self._op, *effect[1:]))
 
+    @property
+    def clock_ms(self) -> int:
+        """The time of day in milliseconds, by which jobs' ages are recorded."""
+        return self.wall + int(self.now * 1000)
+
     def drain(self, name: str) -> None:
         """Put nothing new on a machine; said anew, the time of it counts from now."""
         if name not in self.draining:  # a notice is repeated once a second
--- a/oakmux/schedules/plugin.py
+++ b/oakmux/schedules/plugin.py
@@ -65,19 +65,7 @@
 
 def load(path: str) -> Plugin:
     """Read the operator's settings for schedules (INI); raises SettingsError with one line."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise settings.SettingsError(f"{path}: {error.strerror}") from None
-    except (configparser.Error, UnicodeDecodeError) as error:
-        raise settings.SettingsError(f"{path}: {str(error).splitlines()[0]}") from None
-    for section in parser.sections():
-        if section not in SECTIONS:
-            raise settings.SettingsError(f"{path}: unknown section [{section}]")
-        for name in parser[section]:
-            if name not in SECTIONS[section]:
-                raise settings.SettingsError(f"{path}: [{section}] {name}: unknown setting")
+    parser = settings.read_ini(path, SECTIONS)
     try:
         if not parser.getboolean("schedules", "enabled", fallback=True):
             raise settings.SettingsError(f"{path}: [schedules] enabled: to switch schedules off, "
--- a/oakmux/service.py
+++ b/oakmux/service.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Protocol
 
+import msgspec
+
 from oakmux import constants, settings
 from oakmux.core.controller import Controller, Part
 from oakmux.core.world import World
@@ -168,12 +170,14 @@
     return plugin.load(path)
 
 
-def serve(path: str, schedules: str | None = None) -> int:
-    """Run a controller with the platform's settings file, and with schedules if the operator's
-    file for them is given; return the exit code."""
+def serve(path: str, schedules: str | None = None, spread: str | None = None) -> int:
+    """Run a controller with the platform's settings file, with schedules if the operator's file
+    for them is given, and load spread as another of theirs says; return the exit code."""
     plugins: list[Plugin] = []
     try:
         conf = settings.load(path)
+        if spread is not None:
+            conf = msgspec.structs.replace(conf, spread=settings.load_spread(spread))
         if schedules is not None:
             plugins.append(load_schedules(schedules))
     except settings.SettingsError as error:
@@ -200,5 +204,7 @@
     parser.add_argument("--config", required=True, help="the platform's settings file (TOML)")
     parser.add_argument("--schedules", metavar="FILE",
                         help="keep cron tables and calendars, by the operator's settings (INI)")
+    parser.add_argument("--spread", metavar="FILE",
+                        help="how load is spread, by the operator's settings (INI)")
     given = parser.parse_args(argv)
-    return serve(given.config, given.schedules)
+    return serve(given.config, given.schedules, given.spread)
--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -1,10 +1,14 @@
 """The platform's settings file, checked."""
 
+import configparser
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 
 import msgspec
 
+from oakmux import constants
+
 # A job's end is written together with the end of its last tasks.
 MIN_TXN_OPS = 2
 
@@ -113,8 +117,15 @@
     state: str
 
 
+class Spread(msgspec.Struct, frozen=True):
+    """The operator's settings for how load is spread."""
+
+    openings: bool = False
+    floor_share: float = constants.FLOOR_SHARE
+
+
 class Settings(msgspec.Struct, frozen=True):
-    """All that the platform hands over."""
+    """All that the platform hands over, and what operators set beside it."""
 
     label: str
     public_addr: str
@@ -123,6 +134,8 @@
     facts: Facts
     area: str = ""
     members: list[Member] = []
+    # Not the platform's: its file has no key of this name.
+    spread: Spread = msgspec.field(default=Spread(), name="operators.spread")
 
     @property
     def size(self) -> int:
@@ -194,3 +207,35 @@
         return check(msgspec.convert(raw, Settings))
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}") from None
+
+
+def read_ini(path: str, sections: Mapping[str, set[str]]) -> configparser.ConfigParser:
+    """Read an operator's file (INI) with these sections and settings; raises SettingsError."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {str(error).splitlines()[0]}") from None
+    for section in parser.sections():
+        if section not in sections:
+            raise SettingsError(f"{path}: unknown section [{section}]")
+        for name in parser[section]:
+            if name not in sections[section]:
+                raise SettingsError(f"{path}: [{section}] {name}: unknown setting")
+    return parser
+
+
+def load_spread(path: str) -> Spread:
+    """Read the operator's settings for how load is spread; raises SettingsError with one line."""
+    parser = read_ini(path, {"spread": {"openings", "floor_share"}})
+    try:
+        openings = parser.getboolean("spread", "openings", fallback=False)
+        share = parser.getfloat("spread", "floor_share", fallback=constants.FLOOR_SHARE)
+    except ValueError as error:
+        raise SettingsError(f"{path}: [spread] {error}") from None
+    if not 0 <= share <= constants.FLOOR_SHARE_MOST:
+        raise SettingsError(f"{path}: [spread] floor_share: must be from 0 to "
+                            f"{constants.FLOOR_SHARE_MOST}, not {share}")
+    return Spread(openings, share)
--- /dev/null
+++ b/tests/test_opening.py
@@ -0,0 +1,191 @@
+"""Openings for gangs: against the optimum of a solver, and while several machines fail."""
+
+import math
+import random
+
+import highspy
+import pytest
+
+from oakmux import constants
+from oakmux.core.jobs import Job
+from oakmux.core.spread.opening import Held, Site, choose, fits
+from oakmux.core.spread.openings import Openings
+from oakmux.core.world import World
+from oakmux.settings import Spread
+from tests.fakes import Sim, settings_for, spec
+from tests.test_stories import quiet
+
+NEED = (2.0, 2.0, 8.0)
+
+
+def fragmented(dice: random.Random) -> tuple[list[Site], int]:
+    """Return a small fleet with work of all kinds scattered over it, and a gang's size."""
+    sites = []
+    for number in range(dice.randint(3, 9)):
+        free, held = [4.0, 4.0, 16.0], []
+        for _ in range(dice.randint(0, 4)):
+            gpus = dice.choice([1.0, 1.0, 2.0])
+            takes = (gpus, gpus, 4.0 * gpus)
+            if takes[1] > free[1]:
+                continue
+            free = [have - want for have, want in zip(free, takes, strict=True)]
+            ready = dice.choice([0.0, 0.0, round(dice.uniform(1, 100)), math.inf])
+            held.append(Held(takes, ready, round(dice.uniform(1, 60)) if not ready else 0.0))
+        sites.append(Site(f"m{number}", dice.choice("ab"), (free[0], free[1], free[2]),
+                          tuple(held)))
+    return sites, dice.randint(1, 6)
+
+
+def best(sites: list[Site], tasks: int, by: float) -> float | None:
+    """Return the least work lost so that a gang has room in these by a time, or None."""
+    model = highspy.Highs()
+    model.setOptionValue("output_flag", False)
+    placed, cost = [], []
+    for site in sites:
+        count = model.addIntegral(lb=0, ub=tasks)
+        ended = [(model.addBinary(), held) for held in site.held if held.ready_s <= by]
+        for kind in range(3):
+            model.addConstr(NEED[kind] * count <= site.free[kind]
+                            + sum(held.takes[kind] * var for var, held in ended))
+        placed.append(count)
+        cost += [held.lost_s * var for var, held in ended]
+    model.addConstr(sum(placed) >= tasks)
+    model.minimize(sum(cost) if cost else 0 * placed[0])
+    if model.getModelStatus() != highspy.HighsModelStatus.kOptimal:
+        return None
+    return model.getInfo().objective_function_value
+
+
+def soonest(sites: list[Site], tasks: int) -> tuple[float, float] | None:
+    """Return when a gang can have room in these at the earliest, and at what loss."""
+    for by in sorted({0.0, *(h.ready_s for s in sites for h in s.held if h.ready_s < math.inf)}):
+        lost = best(sites, tasks, by)
+        if lost is not None:
+            return by, lost
+    return None
+
+
+def test_openings_are_about_as_good_as_a_solvers_best_and_never_infeasible():
+    dice = random.Random(5)
+    ours = least = 0.0
+    found = exact = 0
+    for _ in range(400):
+        sites, tasks = fragmented(dice)
+        zones = [[s for s in sites if s.zone == zone] for zone in "ab"]
+        answers = [answer for zone in zones if zone and (answer := soonest(zone, tasks))]
+        opening = choose(NEED, tasks, sites, True)
+        assert (opening is None) == (not answers)
+        if opening is None:
+            continue
+        by = min(answer[0] for answer in answers)
+        assert opening.ready_s <= by + min(by, constants.OPENING_MARGIN_S)
+        assert sum(opening.machines.values()) == tasks
+        for site in sites:  # never what is protected, never more than there is
+            if site.name in opening.machines:
+                assert site.zone == opening.zone
+                room = [have + sum(h.takes[k] for h in site.held if h.ready_s <= opening.ready_s)
+                        for k, have in enumerate(site.free)]
+                assert fits(NEED, tuple(room)) >= opening.machines[site.name]
+        bound = best([s for s in sites if s.zone == opening.zone], tasks, opening.ready_s)
+        assert opening.lost_s >= bound - 1e-6
+        found += 1
+        exact += opening.lost_s <= bound + 1e-6
+        ours, least = ours + opening.lost_s, least + bound
+    assert found > 200 and ours <= 1.2 * least and exact > 0.8 * found
+
+
+def test_an_opening_does_not_go_back_and_forth():
+    dice = random.Random(6)
+    for _ in range(200):
+        sites, tasks = fragmented(dice)
+        first = choose(NEED, tasks, sites, False)
+        if first is not None:
+            again = choose(NEED, tasks, sites, False, first.machines)
+            assert set(again.machines) == set(first.machines)
+
+
+def crowded(seed: int, capacity: int = 4) -> Sim:
+    """Return a fleet full of small gangs, of which more come, when a large one comes."""
+    sim = Sim(seed, spread=Spread(openings=True))
+    sim.run(12)
+    sim.capacity = capacity
+    dice = random.Random(seed)
+    sim.run_s = lambda task: 5.0 + (int(task[4:].split("/")[0]) * 7) % 9
+    for number in range(1, 90):
+        sim.after(number * 0.7, lambda n=number: sim.submit(f"job-{n}", spec(
+            "gang", 2, dice.choice(["red", "blue"]), priority=2, gpus=1.0, cpus=1.0)))
+    sim.run(30)
+    return sim
+
+
+@pytest.mark.parametrize("trouble", ["none", "machines", "owner", "frozen", "zone"])
+def test_a_large_gang_gets_in_among_small_ones_whatever_fails(trouble):
+    # Gangs of 32 waited 230 s and more in a full fleet: younger small ones took what was free.
+    sim = crowded(3)
+    sim.submit("job-100", spec("gang", 4, "blue", priority=2, cpus=2.0, one_zone=True))
+    sim.run(6)
+    owner = next(label for label, core in sim.cores.items() if "blue" in core.world.my_roles)
+    alive = sorted(name for name, worker in sim.workers.items() if not worker.dead)
+    if trouble == "machines":
+        for name in alive[:3]:
+            sim.kill(name)
+    elif trouble == "owner":
+        sim.crash(owner)
+        sim.kill(alive[0])
+        sim.kill(alive[-1])
+    elif trouble == "frozen":
+        sim.freeze(owner, 12.0)
+        sim.kill(alive[0])
+    elif trouble == "zone":
+        cut = {frozenset((label, name)) for label in sim.labels for name in alive
+               if sim.workers[name].zone == "a"}
+        sim.cuts |= cut
+        sim.after(15.0, lambda: sim.cuts.difference_update(cut))
+        sim.kill(alive[-1])
+    sim.run(80)
+    started = [at for at, task, _, _ in sim.start_log if task.startswith("job-100/")]
+    assert started
+    assert sim.unfinished(150) == set()
+
+
+def test_only_what_gives_way_goes_to_machines_that_are_being_opened():
+    world = World(settings_for("h0"), random.Random(1), 0)
+    openings = Openings(world)
+
+    def job(name: str, since: int, **more) -> Job:
+        found = Job(name, "red", "queued", 1, spec(**more), 0, 1)
+        found.since = since
+        return found
+
+    def barred(other: Job) -> bool:
+        return openings.bars("m1", other, other.spec)
+
+    openings.take("job-2", 2, 50.0, ["m1", "m2"], 30.0)
+    older, younger = (job(name, since, kind="gang", priority=2, estimate_s=25.0)
+                      for name, since in (("job-1", 40), ("job-3", 60)))
+    assert not barred(job("job-7", 60, kind="gang", priority=2, estimate_s=10.0))  # ends in time
+    above, array, service = job("job-4", 60, priority=3), job("job-5", 60), job(
+        "job-6", 60, kind="service")
+    assert [barred(j) for j in (older, younger, above, array, service)] == [
+        False, True, False, False, True]
+    assert not openings.bars("m3", younger, younger.spec)
+    openings.take("job-1", 2, 40.0, ["m1"], 30.0)  # the older has what both name
+    assert openings.by_machine == {"m1": "job-1", "m2": "job-2"}
+    openings.take("job-1", 2, 40.0, [], 0.0)
+    world.now = 26.0
+    assert not barred(younger)  # whoever said it is gone
+    openings.take("job-2", 2, 50.0, ["m1"], 1.0)
+    assert barred(array)  # it would be stopped in a moment
+
+
+def test_a_large_gang_gets_in_at_its_teams_limit_beside_younger_small_ones():
+    # What a small gang let go of below the limit went to the next small one, for ever.
+    sim = quiet(seed=3)
+    sim.run_s = lambda task: 5.0 + (int(task[4:].split("/")[0]) * 7) % 9
+    for number in range(1, 120):
+        sim.after(number * 0.7, lambda n=number: sim.submit(f"job-{n}", spec(
+            "gang", 2, "blue", priority=2)))
+    sim.run(30)
+    sim.submit("job-200", spec("gang", 6, "blue", priority=2))
+    sim.run(80)  # some thirty are older
+    assert [at for at, task, _, _ in sim.start_log if task.startswith("job-200/")]
--- a/tests/test_plugin.py
+++ b/tests/test_plugin.py
@@ -54,3 +54,21 @@
             "m.startswith('oakmux.schedules')]; sys.exit(', '.join(bad) or 0)")
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode == 0
 
+
+
+@pytest.mark.parametrize("text, word", [
+    ("[spread]\nopenings = perhaps\n", "boolean"), ("[spread]\nfloor_share = 0.9\n", "0.5"),
+    ("[spread]\nfloor_share = much\n", "float"), ("[spread]\nfloors = 1\n", "unknown setting"),
+    ("[spreads]\n", "unknown section"), ("openings = yes\n", "no section"),
+])
+def test_settings_for_spreading_load_that_can_not_work_are_told_in_one_line(tmp_path, text, word):
+    path = tmp_path / "spread.ini"
+    path.write_text(text)
+    with pytest.raises(settings.SettingsError) as error:
+        settings.load_spread(str(path))
+    assert word in str(error.value) and "\n" not in str(error.value)
+
+
+def test_the_file_under_deploy_is_good_and_says_what_it_switches_on():
+    assert settings.load_spread(str(ROOT / "deploy" / "spread.ini")) == settings.Spread(
+        openings=True)
