--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,59 @@
+"""Stories of the tools that read controllers' logs."""
+
+import pytest
+from click.testing import CliRunner
+
+from tools import paper, spread
+from tools.recovery import events
+
+LOG = """\
+  1.000 h0 INFO oakmux.core event=heard machine=m1 keeper=h0 session=1
+  1.000 h0 INFO oakmux.core event=heard machine=m2 keeper=h0 session=1
+  2.000 h0 INFO oakmux.core event=accepted job=job-1 lane=x kind=array tasks=2 gpus=1.0 priority=1
+  2.500 h0 INFO oakmux.core event=bind task=job-1/0 attempt=1 machine=m1
+  3.500 h0 INFO oakmux.core event=bind task=job-1/1 attempt=2 machine=m1
+  4.500 h0 INFO oakmux.core event=running task=job-1/0 attempt=1 machine=m1
+  4.500 h0 INFO oakmux.core event=running task=job-1/1 attempt=2 machine=m1
+  5.000 h1 INFO oakmux.core event=accepted job=job-2 lane=y kind=gang tasks=2 gpus=2.0 priority=2
+  8.000 h1 INFO oakmux.core event=preempt task=job-1/1 attempt=2 machine=m1 by=job-2
+  9.000 h0 INFO oakmux.core event=unbind task=job-1/1 attempt=2 machine=m1 why=stopped saved=0
+  9.500 h0 INFO oakmux.core event=unbind task=job-1/0 attempt=1 machine=m1 why=done saved=0
+ 10.000 h1 INFO oakmux.core event=bind task=job-2/0 attempt=1 machine=m1
+ 10.000 h1 INFO oakmux.core event=bind task=job-2/1 attempt=1 machine=m2
+ 12.000 h1 INFO oakmux.core event=running task=job-2/0 attempt=1 machine=m1
+ 12.000 h1 INFO oakmux.core event=running task=job-2/1 attempt=1 machine=m2
+ torn line
+ 22.000 h1 INFO oakmux.core event=unbind task=job-2/0 attempt=1 machine=m1 why=done saved=0
+ 22.000 h1 INFO oakmux.core event=unbind task=job-2/1 attempt=1 machine=m2 why=done saved=0
+ 23.000 h0 INFO oakmux.core event=bind task=job-1/1 attempt=3 machine=m1
+ 23.000 h0 INFO oakmux.core event=running task=job-1/1 attempt=3 machine=m1
+ 27.000 h0 INFO oakmux.core event=unbind task=job-1/1 attempt=3 machine=m1 why=done saved=0
+"""
+
+
+def test_gpu_time_and_who_gave_way_are_counted_from_a_log():
+    load = spread.Load(events(LOG.splitlines()), [4.0, 15.0])
+    assert load.spent == {("x", "fetch"): 3.0, ("x", "ended: stopped"): 4.5, ("x", "ran"): 9.0,
+                          ("y", "fetch"): 8.0, ("y", "ran"): 40.0}
+    assert load.waits == {("x", 0): [0.5, 1.5], ("y", 2): [5.0, 5.0]}
+    assert load.gave_way == {("x", "y"): 1}
+    assert [(at, dict(used)) for at, _, used in load.rows] == [(4.0, {2: 1}), (15.0, {2: 2})]
+
+
+def test_on_paper_a_gang_starts_once_all_its_room_is_free_and_knows_no_fetch():
+    day = paper.Day(events(LOG.splitlines()))
+    capacity = day.capacity(2.0)
+    # Four GPUs: the array takes two at 2 s, for 5 and 4 s; the gang needs all four.
+    assert paper.replay(day.work(False), capacity) == {"x": [0.0, 0.0], "y": [2.0, 2.0]}
+    with_fetches = paper.replay(day.work(True), capacity)
+    assert with_fetches["y"] == [6.0, 6.0] and sorted(with_fetches["x"]) == [0.0, 2.0]
+
+
+@pytest.mark.parametrize("tool, more", [(spread.main, []), (paper.main, ["--gpus", "2"])])
+def test_a_log_is_shown_and_one_without_events_refused(tmp_path, tool, more):
+    good, bad = tmp_path / "good", tmp_path / "bad"
+    good.write_text(LOG)
+    bad.write_text("nothing\n")
+    assert "y" in CliRunner().invoke(tool, [str(good), *more]).output
+    refused = CliRunner().invoke(tool, [str(bad), *more])
+    assert refused.exit_code == 2 and "no event" in refused.output
