Nothing is stopped that a larger victim makes needless; offers rank only what has room

Cause: victims were taken from the least work upwards until there was room; where the last alone made it, the ones before were stopped for nothing. A keeper ranked all reservations of a machine before it looked which fit.

Change: what the room does not need is spared, the dearest first; reservations without room are passed over before they are ranked.

--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -109,7 +109,7 @@
                     or world.now - reservation.since > constants.RETRY_MOST_S):
                 del kept.queue[reservation.job_id]
                 continue
-            if world.openings.bars(name, job, job.spec):
+            if not has_room(free, job.spec) or world.openings.bars(name, job, job.spec):
                 continue
             # The age of the job, not of the reservation: of two gangs that wait for the same
             # machines, one must come first at all of them.
@@ -190,7 +190,15 @@
         free = less(free, other_spec, -1)
         chosen.append(task)
         total += lost
-    return (total, chosen) if chosen and has_room(free, spec) else None
+    if not chosen or not has_room(free, spec):
+        return None
+    for _, lost, task, other_spec in reversed(rows[:len(chosen)]):
+        less_free = less(free, other_spec)
+        if len(chosen) > 1 and has_room(less_free, spec):  # made needless by what came after it
+            free = less_free
+            chosen.remove(task)
+            total -= lost
+    return total, chosen
 
 
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -220,3 +220,17 @@
         order.append(head[-1])
         lines.drop(head[-1])
     assert order[-1] == "job-0" and order.index("job-1") < order.index("job-2")
+
+
+def test_no_more_is_stopped_than_the_room_needs():
+    # The least to lose went first, and stayed stopped when a larger one made all the room.
+    sim = quiet()
+    sim.capacity = 1
+    sim.submit("job-1", spec("array", 1, "blue", gpus=3.0, cpus=3.0, estimate_s=100.0))
+    sim.run(10)
+    sim.submit("job-2", spec("array", 1, "red", priority=0, estimate_s=100.0))
+    sim.run(10)
+    sim.submit("job-3", spec("array", 1, "blue", priority=2, gpus=3.0, estimate_s=5.0))
+    sim.run(6)
+    assert any(task == "job-3/0" for _, task, _, _ in sim.start_log)
+    assert any(task == "job-2/0" for _, task, _ in sim.live())
