--- a/tests/test_opening.py
+++ b/tests/test_opening.py
@@ -8,7 +8,7 @@
 
 from oakmux import constants
 from oakmux.core.jobs import Job
-from oakmux.core.spread.opening import Held, Site, choose, fits
+from oakmux.core.spread.opening import Held, Site, choose, fits, parts
 from oakmux.core.spread.openings import Openings
 from oakmux.core.world import World
 from oakmux.settings import Spread
@@ -94,6 +94,12 @@
     assert found > 200 and ours <= 1.2 * least and exact > 0.8 * found
 
 
+def test_what_a_larger_task_makes_needless_is_spared():
+    small, large = (Held((gpus, gpus, 4.0), 0.0, 5.0 * gpus) for gpus in (1.0, 2.0))
+    [part] = parts(NEED, Site("m", "a", (0.0, 0.0, 8.0), (small, large)), 1)
+    assert part.lost_s == large.lost_s
+
+
 def test_an_opening_does_not_go_back_and_forth():
     dice = random.Random(6)
     for _ in range(200):
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -234,3 +234,4 @@
     sim.run(6)
     assert any(task == "job-3/0" for _, task, _, _ in sim.start_log)
     assert any(task == "job-2/0" for _, task, _ in sim.live())
+    assert sum(task == "job-2/0" for _, task, _, _ in sim.start_log) == 1
