--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -193,9 +193,6 @@
 URGENT = 2
 # Jobs that an owner samples machines for in one tick, at most (count).
 SAMPLES_PER_TICK = 40
-# Machines that changed and jobs that were sampled in one tick (count) after which the next tick
-# samples nothing: what changes meanwhile is looked at once, and a start is later by a tick.
-BUSY_LOOKS = 30
 # Lines that get a turn beside these, should there be more (count).
 SAMPLES_LOWER = 4
 # Seconds between two requests to peers for changes at the state service; how many times what is
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -91,8 +91,8 @@
 
     # --- keeping up ---
 
-    def refresh(self) -> int:
-        """Find the place of every machine of which something changed; return how many."""
+    def refresh(self) -> None:
+        """Find the place of every machine of which something changed."""
         if self.types is not self.world.types:
             self.types = self.world.types
             self.orders.clear()
@@ -103,7 +103,6 @@
                 self._drop(name)
             else:
                 self._set(machine)
-        return len(stale)
 
     def _drop(self, name: str) -> None:
         number = self.ids.pop(name, None)
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -33,24 +33,18 @@
         self.gangs = gangs
         self.waiting = waiting
         self.used: dict[str, tuple[float, float]] = {}
-        # Whether the last tick had so much to do that this one may gather more.
-        self.busy = False
 
     def sample(self) -> None:
         """Send out reservations for jobs whose turn it is."""
         world, waiting = self.world, self.waiting
         self._choose()
-        if self.busy:
-            self.busy = False
-            return
         waiting.ripen()
-        looks = self.index.refresh()
+        self.index.refresh()
         gained, self.index.gained = self.index.gained, set()
         waiting.open_fitting(gained)
         waiting.use_fell(self._use_fell())
         gathering, waiting.gathering = waiting.gathering, []
         for job_id in gathering:
-            looks += 1
             self._sample(job_id)
         # With thousands of jobs waiting, those of higher priority and those that waited longest
         # go first; the work of one tick stays bounded.
@@ -59,7 +53,6 @@
             if not turns:
                 break
             *_, job_id, shape = turns[0]
-            looks += 1
             self._sample(job_id)
             turn = waiting.turn(shape)
             if turn is None:
@@ -68,7 +61,6 @@
                 heapq.heapreplace(turns, turn)
         for *_, job_id, _ in world.rng.sample(turns, min(len(turns), constants.SAMPLES_LOWER)):
             self._sample(job_id)  # nor do lines of lower priority go without
-        self.busy = looks >= constants.BUSY_LOOKS
 
     def _choose(self) -> None:
         """Bind tasks to the offers that were gathered for long enough."""
