The only job of a line may lose its aim: the line is looked up anew

When the only job of a line was found late it was put anew, which took the line away and made another; the old one was then asked for its first job, and that tick of the owner sampled nothing (IndexError, logged as part_failed).

A story does just that and fails on the sources before. What `drop` returned was used nowhere.

--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -108,11 +108,11 @@
             self.where[job.id] = (shape, place, job.since)
         return shape
 
-    def drop(self, job_id: str) -> Shape | None:
-        """Take a job out; return the line in which it stood. An empty line goes."""
+    def drop(self, job_id: str) -> None:
+        """Take a job out. An empty line goes."""
         known = self.where.pop(job_id, None)
         if known is None:
-            return None
+            return
         shape, place, since = known
         line = self.lines[shape]
         line.remove(place)
@@ -120,7 +120,6 @@
         if not line:
             del self.lines[shape]
             del self.ages[shape]
-        return shape
 
     def oldest(self, shape: Shape) -> str:
         """Return the oldest job of a line that is not empty."""
@@ -128,15 +127,13 @@
 
     def head(self, shape: Shape) -> Place | None:
         """Return who stands first in a line, or None."""
-        line = self.lines.get(shape)
-        if not line:
-            return None
-        while not line[0][1]:  # one whose aim was lost meanwhile goes behind the others
-            job = self.world.replica.jobs[line[0][3]]
-            if job.spec is None or not late(self.world, job, job.spec):
-                break
-            self.put(job, job.spec)
-        return line[0]
+        while line := self.lines.get(shape):  # it is another once its only job was put anew
+            place: Place = line[0]
+            job = self.world.replica.jobs[place[3]]
+            if place[1] or job.spec is None or not late(self.world, job, job.spec):
+                return place
+            self.put(job, job.spec)  # its aim was lost meanwhile: it goes behind the others
+        return None
 
     def first(self, shape: Shape, count: int) -> Iterator[str]:
         """Return the jobs that stand first in a line."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -11,6 +11,7 @@
 from oakmux.core.keeper.floor import Floor
 from oakmux.core.spread.lines import Lines
 from oakmux.core.spread.order import turn_ms
+from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import World
 from tests.fakes import TYPE, Sim, settings_for, spec
 from tests.test_stories import quiet
@@ -222,6 +223,19 @@
     assert order[-1] == "job-0" and order.index("job-1") < order.index("job-2")
 
 
+def test_the_only_job_of_a_line_may_lose_its_aim():
+    # Put anew, it left a line that was gone, and the tick with it.
+    world = World(settings_for("h0"), random.Random(1), 0)
+    world.finish_aims["l"] = 60.0
+    world.types = {"big": TYPE}
+    waiting = Waiting(world, {})
+    job = Job("job-1", "red", "queued", 1, spec(), 0, 1)
+    world.replica.jobs[job.id] = job
+    waiting.lines.put(job, job.spec)
+    world.now = 100.0
+    assert [turn[-2] for turn in waiting.turns()] == ["job-1"]
+
+
 def test_no_more_is_stopped_than_the_room_needs():
     # The least to lose went first, and stayed stopped when a larger one made all the room.
     sim = quiet()
