--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -97,6 +97,13 @@
 DRAIN_S = 2.0
 # A machine that boots longer than this many times the catalogue's time is returned.
 BOOT_PATIENCE = 4.0
+# A machine that boots for longer than this many times the catalogue's time is late (PROTOCOL:
+# usually 0.6 to 1.5 times): of such, every second one is counted on, the others are replaced.
+BOOT_LATE = 1.7
+# Late or lost machines of a kind in a zone (count) from which on others are preferred, and seconds
+# for which a lost one is held against it.
+BOOT_TROUBLE = 3
+BOOT_TROUBLE_S = 60.0
 # Seconds for which a zone that had no capacity is not asked again.
 NO_CAPACITY_S = 12.0
 # Reports that a machine may be late with before nothing new is put on it (count).
@@ -108,8 +115,25 @@
 ABSENT_LAGS = 3.0
 # Multiples of the list's lag between two readings of the list.
 LIST_EVERY_LAGS = 0.6
-# Failed tasks in a row after which a machine is returned.
+# Signs in a row after which a machine is taken not to hear us (count): one that was handed over,
+# or whose controller fell, goes to another controller once.
+UNHEARD_MOST = 2
+# Share of a zone's machines that may be deaf at a time before the way there is blamed (fraction).
+DEAF_SHARE = 0.5
+# Seconds between two steps of the core after which its process had stood still: it ticks ten times
+# a second, and the slowest seen under load were some tenths apart.
+STOOD_STILL_S = 3.0
+# Seconds without a word of any peer after which we are alone: a word takes a second, and a request
+# that is not answered two.
+ALONE_S = 4.0
+# Failed jobs in a row after which a machine is returned, and how many are remembered.
 SICK_ERRORS = 3
+ERRORS_KEPT = 8
+# Seconds for which it must look so: the first failures of a job with a mistake look the same.
+SICK_HOLD_S = 8.0
+# Machines on which a job must have failed, without a task done, before the job itself is blamed:
+# two sick machines at a time are rare, three tries cost little.
+SUSPECT_MACHINES = 3
 # First and longest pause in seconds before a failed task is tried again.
 RETRY_FIRST_S = 1.0
 RETRY_MOST_S = 60.0
@@ -249,6 +273,9 @@
 # Tasks that a gang must have for an opening, seconds that it must have waited, and machines that
 # it names beside those it needs, for those that die meanwhile (share).
 OPENING_TASKS = 4
+# Machines that a gang must need to have an opening where these are off, once it must begin; or the
+# share of all that stands below, if that is less.
+OPENING_MACHINES = 8.0
 OPENING_AFTER_S = 5.0
 OPENING_SPARE = 0.1
 # Openings known at a time (count), machines that one is chosen from (count), and the share of the
@@ -278,6 +305,11 @@
 # Machines looked at for each task that needs room made (ratio), and DRAW_LOOKS more: the cheapest
 # to make room on are taken.
 PREEMPT_LOOKS = 4.0
+# Seconds after which work must have begun, also the largest of its class (from the operators:
+# within four minutes), and share of it after which a job of which nothing has started comes before
+# all others of its priority: what is in its way has to end first, and runs for a minute or two.
+BEGIN_S = 240.0
+ELDER_SHARE = 0.4
 # Seconds within which a machine that shows room answers a gang's reservation, if it will: offers
 # come with the next message; after that the room is somebody else's, and other room is asked for.
 GANG_ANSWER_S = 1.0
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -81,6 +81,11 @@
     def step(self, now: float, commands: Iterable[tuple]) -> list[tuple]:
         """Work through a batch of commands; return the effects."""
         world = self.world
+        if now - world.now > constants.STOOD_STILL_S:
+            # The process stood still while its clocks ran on. What is in its queue was said at
+            # some time meanwhile: machines heard before are not silent, only unheard by us.
+            world.resumed_at = now
+            event("stood_still", seconds=round(now - world.now, 1))
         world.now = max(world.now, now)
         for command in commands:
             try:
@@ -205,8 +210,14 @@
         fresh = self.keeper.word.state_fresh()
         served = any(world.now - at < constants.STATE_STALE_S
                      for at in self.keeper.word.peer_fresh.values())
+        # Without the state service alone, all may be: an outage. Without any peer as well, users
+        # are served by whoever has them, if anybody: we can't tell, and could only refuse them.
+        members = world.settings.members
+        alone = bool(members) and all(
+            world.now - self.keeper.word.peer_heard.get(m.label, -1e9) >= constants.ALONE_S
+            for m in members)
         ready = (world.replica.loaded and not world.replica.foreign and bool(world.types)
-                 and (fresh or not served))
+                 and (fresh or not (served or alone)))
         world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
 
     def _status(self, rid: Any) -> None:
@@ -263,7 +274,7 @@
             same = (session, seq) == machine.version and machine.keeper == label
             if not newer and not same:
                 return
-        elif name in world.replica.gone or name in self.fleet.lists.returned:
+        elif name in world.replica.gone or name in world.departed:
             return
         report = Report(name, addr, type_name, zone, spot, session, seq, token, notice,
                         {(row[0], row[1]): (row[2], row[3], row[4]) for row in tasks})
@@ -308,8 +319,5 @@
 
     def _gone(self, names: list[str]) -> None:
         for name in names:
-            self.world.machines.pop(name, None)
-            self.world.draining.pop(name, None)
-            self.world.silent.discard(name)
-            self.world.replica.touch(name)
+            self.world.depart(name)
             self.keeper.ward.kept.pop(name, None)
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -241,6 +241,16 @@
             self._catch_up()
         if world.replica.doomed or self.doom_at:
             self._write_doomed()
+        if len(self.waiting) > self.most_guards and self.reading < constants.READS_IN_FLIGHT:
+            # More than one transaction can compare: one that only brings the service's revision
+            # serves any number of them, once the watch has brought all changes up to it. So what
+            # polls cost the service does not follow their rate.
+            batch, self.waiting = self.waiting, []
+            self.reading += 1
+            job_id = batch[0][1]
+            job = world.replica.jobs.get(job_id)
+            world.call(lambda s, r: self._revision(batch, s, r), "txn",
+                       [(job_key(job_id), job.stamp if job is not None else 0)], [], 0)
         while self.waiting and self.reading < constants.READS_IN_FLIGHT:
             most = self.most_guards
             batch, self.waiting = self.waiting[:most], self.waiting[most:]
@@ -263,6 +273,19 @@
             else:
                 self._settled(result[0], rid, job_id, then)
 
+    def _revision(self, batch: list, status: int, result: Any) -> None:
+        """Answer requests once we have all changes up to the revision that was told."""
+        self.reading -= 1
+        until = self.world.now + constants.STATE_TIMEOUT_S
+        for rid, job_id, then in batch:
+            if status not in (200, 409):
+                self.unavailable(rid, "no current records")
+            elif len(self.behind) >= constants.MAX_WAITING:
+                self.unavailable(rid, "busy")
+            else:
+                self.behind.append((result[0], until, rid, job_id, then))
+        self._catch_up()
+
     def _after_get(self, epoch: int, rid: Any, job_id: str, then: Then) -> Then:
         return lambda _: self._settled(epoch, rid, job_id, then)
 
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -10,7 +10,16 @@
 from oakmux.core.fleet.lists import Listed, Lists
 from oakmux.core.index import Class, class_of, may_fit
 from oakmux.core.keeper.queue import rank
-from oakmux.core.keeper.room import Room, full, has_room, less, room, times, usable
+from oakmux.core.keeper.room import (
+    Room,
+    full,
+    has_room,
+    less,
+    room,
+    soon_usable,
+    times,
+    usable,
+)
 from oakmux.core.keeper.word import Word
 from oakmux.core.owner.places import zone_allowed
 from oakmux.core.spread.lines import Lines, Shape
@@ -104,6 +113,8 @@
         self.renting: dict[str, tuple[str, str, bool, int]] = {}
         self.requests = 0
         self.unplaced = False
+        # Kinds of machines that came up late or never of late: others are rented where they do.
+        self.troubled: set[Key] = set()
         self.there: Counter[str] = Counter()
         # Unfinished jobs of all teams that have tasks which are not bound, by the records.
         self.lines = Lines(world)
@@ -129,23 +140,42 @@
         slots = []
         silent = world.facts.workers.lease_s
         for machine in world.machines.values():
-            if usable(world, machine) and world.now - machine.heard < silent:
+            if (usable(world, machine) or soon_usable(world, machine)) \
+                    and world.now - machine.heard < silent:
                 slots.append(Slot(machine.name, machine.type, machine.zone, machine.spot,
                                   room(world, machine), False))
+        late: Counter[Key] = Counter()
         for name, known in self.lists.listed.items():
             kind = world.types.get(known.type)
             if (name in world.machines or name in self.lists.returned or kind is None
                     or known.state == "failed"
                     or world.now - known.since > constants.BOOT_PATIENCE * kind.boot_s):
                 continue
+            if world.now - known.since > constants.BOOT_LATE * kind.boot_s:
+                # Neither room nor nothing: all of them counted on, work waits for what never
+                # comes; none, and a late hour rents everything twice.
+                late[(known.type, known.zone, known.spot)] += 1
+                if late.total() % 2:
+                    continue
             slots.append(Slot(name, known.type, known.zone, known.spot,
                               (kind.cpus, kind.gpus, kind.memory_gb)))
+        self._note_trouble(late)
         for type_name, zone, spot, count in self.renting.values():
             kind = world.types[type_name]
             slots.extend(Slot("", type_name, zone, spot, (kind.cpus, kind.gpus, kind.memory_gb))
                          for _ in range(count))
         return slots
 
+    def _note_trouble(self, late: Counter[Key]) -> None:
+        """Note the kinds of machines that come up late or never, zone by zone, for a while."""
+        lists, now = self.lists, self.world.now
+        lists.never_up = [row for row in lists.never_up if now - row[0] < constants.BOOT_TROUBLE_S]
+        late.update(key for _, key in lists.never_up)
+        troubled = {key for key, count in late.items() if count >= constants.BOOT_TROUBLE}
+        for key in troubled - self.troubled:
+            event("boot_trouble", type=key[0], zone=key[1], spot=int(key[2]), late=late[key])
+        self.troubled = troubled
+
     def count(self) -> list[Slot]:
         """Place unstarted tasks on what is there or coming; rent for the rest."""
         world = self.world
@@ -157,6 +187,7 @@
         left = constants.DEMAND_TASKS
         self.unplaced = False
         self.lines.resize()
+        self.lines.grow_old()
         turns = [turn for shape in self.lines.lines
                  if (turn := self._turn(shape, 0, used)) is not None]
         heapq.heapify(turns)
@@ -166,8 +197,11 @@
             spec = job.spec
             assert spec is not None
             wanted = min(job.unbound(), left, teams.tasks_left(world, job.team, spec, used))
-            more = wanted > 0  # at its team's limit, no other of the line may start either
-            if more and job_id not in self.word.cancelled:
+            if world.failures.suspect(job):
+                wanted = 0  # it is tried where there is room; none is rented for it
+            # At its team's limit, no other of the line may start either.
+            more = wanted > 0 or world.failures.suspect(job)
+            if wanted and job_id not in self.word.cancelled:
                 zones = [b.zone for b in job.bindings()]
                 placed, new = self._place(spec, zones, wanted, pool, rent)
                 slots += new
@@ -261,10 +295,10 @@
                     if self.no_capacity.get(key, 0.0) > world.now:
                         continue
                     price = kind.spot_price if spot else kind.price
-                    row = (price, self.there[zone], world.rng.random(), key)
+                    row = (key in self.troubled, price, self.there[zone], world.rng.random(), key)
                     if best is None or row < best:
                         best = row
-        return None if best is None else best[3]
+        return None if best is None else best[4]
 
     def _rent(self, type_name: str, zone: str, spot: bool, count: int) -> None:
         if self.world.now < self.lists.cloud_after:
--- a/oakmux/core/fleet/lists.py
+++ b/oakmux/core/fleet/lists.py
@@ -35,6 +35,8 @@
         self.listed: dict[str, Listed] = {}
         self.returned: dict[str, float] = {}
         self.returning: set[str] = set()
+        # When machines were given up that never came up, and which: (type, zone, spot).
+        self.never_up: list[tuple[float, tuple[str, str, bool]]] = []
         self.known_since: dict[str, float] = {}
         self.listing = False
         self.next_list = 0.0
--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -1,9 +1,12 @@
 """What to give back: idle machines, bad ones, and those that services can be moved away from."""
 
+from collections import Counter
+
 from oakmux import constants
 from oakmux.core.fleet.demand import Slot
 from oakmux.core.fleet.lists import Lists
-from oakmux.core.keeper.room import has_room, less
+from oakmux.core.keeper.hearing import deaf_s, hears
+from oakmux.core.keeper.room import has_room, less, sick
 from oakmux.core.keeper.word import Word
 from oakmux.core.owner.places import zone_allowed
 from oakmux.core.world import Machine, World, event
@@ -17,6 +20,7 @@
         self.word = word
         self.lists = lists
         self.moving: dict[str, float] = {}
+        self.sick_since: dict[str, float] = {}
 
     def _empty(self, name: str) -> bool:
         machine = self.world.machines.get(name)
@@ -34,13 +38,15 @@
             if drained is not None:
                 if not self._empty(name):
                     # Work came before the drain was known everywhere, or a move did not end.
-                    if (len(machine.errors) < constants.SICK_ERRORS
+                    if (not sick(world, machine)
                             and self.moving.get(name, 0.0) < world.now):
                         world.undrain(name)
                         self.moving.pop(name, None)
-                elif world.now - drained >= constants.DRAIN_S:
+                elif (world.now - drained >= constants.DRAIN_S
+                        and name not in self.sick_since):
                     self._return([name], "idle")
-            elif (machine.idle_since is not None and self._empty(name) and name not in needed
+            elif (machine.idle_since is not None and hears(machine) and self._empty(name)
+                    and name not in needed
                     and world.now - machine.idle_since > constants.IDLE_KEEP_S
                     and world.now - machine.first_heard > constants.IDLE_KEEP_S):
                 world.drain(name)
@@ -112,6 +118,8 @@
         """Return machines that never boot, fell silent or fail all that they run."""
         world = self.world
         silent = constants.SILENT_LEASES * world.facts.workers.lease_s
+        deaf_zones = self._deaf_zones()
+        self.sick_since = {n: at for n, at in self.sick_since.items() if n in world.machines}
         for name, known in list(self.lists.listed.items()):
             if name in self.lists.returning or not known.listed:
                 continue
@@ -120,23 +128,43 @@
             if machine is None:
                 patience = constants.BOOT_PATIENCE * kind.boot_s if kind is not None else silent
                 if known.state == "booting" and world.now - known.since > patience:
+                    self.lists.never_up.append((world.now, (known.type, known.zone, known.spot)))
                     self._return([name], "never_booted")
                 elif (known.running_since is not None
                         and world.now - max(known.running_since, self.lists.since) > silent):
                     self._return([name], "never_heard")
                 continue
-            quiet = world.now - max(machine.heard, self.lists.since)
+            quiet = world.now - max(machine.heard, self.lists.since, world.resumed_at)
             keeper_hears = (machine.keeper in world.replica.nodes
                             and machine.keeper != world.label
                             and world.now - self.word.peer_heard.get(machine.keeper, -1e9)
                             > constants.ALIVE_S * 3)
             if quiet > silent * (2 if keeper_hears else 1):
                 self._return([name], "silent")
-            elif len(machine.errors) >= constants.SICK_ERRORS:
-                if name not in world.draining:
+            elif min(deaf_s(world, machine), world.now - self.lists.since) > silent * (
+                    2 if machine.zone in deaf_zones else 1):
+                self._return([name], "deaf")
+            elif sick(world, machine):
+                # Nothing new goes there; it is given back if that still stands once the jobs that
+                # failed there were tried elsewhere.
+                if name not in self.sick_since:
+                    self.sick_since[name] = world.now
                     world.drain(name)
-                elif self._empty(name):
+                elif (self._empty(name)
+                        and world.now - self.sick_since[name] > constants.SICK_HOLD_S):
                     self._return([name], "sick")
+            elif self.sick_since.pop(name, None) is not None:
+                world.undrain(name)
+
+    def _deaf_zones(self) -> set[str]:
+        """Return the zones where most machines don't hear us: a fault of the way there that may
+        end for all of them at once, not one of so many machines."""
+        all_of, deaf = Counter[str](), Counter[str]()
+        for machine in self.world.machines.values():
+            all_of[machine.zone] += 1
+            deaf[machine.zone] += machine.deaf_since is not None
+        return {zone for zone, count in deaf.items()
+                if count > 1 and count > all_of[zone] * constants.DEAF_SHARE}
 
     def _return(self, names: list[str], why: str) -> None:
         world = self.world
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -138,6 +138,11 @@
         """Whether the state can't change any more."""
         return self.state != "queued"
 
+    @property
+    def begun(self) -> bool:
+        """Whether a task is bound or done."""
+        return any(chunk.bound or chunk.done for chunk in self.chunks.values())
+
     def bindings(self) -> list[Binding]:
         """Return all that the records say is bound."""
         return [b for chunk in self.chunks.values() for b in chunk.bound.values()]
--- /dev/null
+++ b/oakmux/core/keeper/hearing.py
@@ -0,0 +1,53 @@
+"""Whether a machine hears us: that its reports arrive does not say so.
+
+A machine whose answers and orders are lost reports to one controller after the other, and its
+session rises with every lease, while its room looks free and its tasks look started. A copy of a
+report that is minutes old looks like a machine that is not there any more. Neither has shown
+that it took an answer of ours; nothing is placed on a machine that has not.
+"""
+
+from oakmux import constants
+from oakmux.core.world import Machine, World
+from oakmux.wire import Report
+
+
+def first_word(world: World, machine: Machine, ours: bool) -> None:
+    """Judge a machine that nobody here knew. A report to us proves nothing, whatever it says; a
+    peer that has settled it under its own term has heard it before."""
+    if ours or machine.token != machine.keeper_term:
+        machine.unheard = constants.UNHEARD_MOST
+        machine.deaf_since = world.now
+
+
+def next_word(world: World, machine: Machine, report: Report, keeper: str, term: int) -> bool:
+    """Judge a machine by a newer report than its last, before that is taken over; return whether
+    it has just proven to hear us.
+
+    One that took an answer stays with its controller and shows that one's term; one that did not
+    goes on to the next controller, or its lease ends while it reports. A lease that ends in
+    silence says nothing: machines hang, and zones are cut.
+    """
+    if report.session == machine.session and keeper == machine.keeper:
+        if machine.unheard and term and report.token == term:
+            machine.unheard, machine.deaf_since = 0, None
+            return True
+        return False
+    spoke = world.now - machine.heard < world.facts.workers.lease_s / 2
+    if report.session > machine.session and spoke:
+        machine.unheard = constants.UNHEARD_MOST
+    elif keeper != machine.keeper:
+        machine.unheard += 1
+    if machine.unheard >= constants.UNHEARD_MOST and machine.deaf_since is None:
+        machine.deaf_since = world.now
+    return False
+
+
+def hears(machine: Machine) -> bool:
+    """Whether nothing speaks against it that a machine hears us."""
+    return machine.unheard < constants.UNHEARD_MOST
+
+
+def deaf_s(world: World, machine: Machine) -> float:
+    """Return the seconds for which a machine has not heard us, as far as this process saw."""
+    return 0.0 if machine.deaf_since is None else world.now - max(machine.deaf_since,
+                                                                  world.resumed_at)
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -9,7 +9,7 @@
 from oakmux.core.keeper.kept import Kept, Reservation, Ward
 from oakmux.core.keeper.room import Room, full, gather_s, has_room, less, room, usable
 from oakmux.core.keeper.word import Word
-from oakmux.core.spread.order import late, turn_ms
+from oakmux.core.spread.order import elder, late, turn_ms
 from oakmux.core.world import Machine, Task, World, event
 from oakmux.wire import JobSpec
 
@@ -202,7 +202,9 @@
 
 
 def rank(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]) -> tuple:
-    """Return the order in a queue: guaranteed work and priority first, then what has to start
-    first for a deadline, what can meet its aim, fair between teams, and by turn."""
-    return (not teams.inside(world, job, spec, used), -job.priority, job.latest,
-            late(world, job, spec), teams.share(world, job.team, used), turn_ms(world, job, spec))
+    """Return the order in a queue: guaranteed work and priority first, then what must begin at
+    last, what has to start first for a deadline, what can meet its aim, fair between teams, and
+    by turn."""
+    return (not teams.inside(world, job, spec, used), -job.priority, not elder(world, job),
+            job.latest, late(world, job, spec), teams.share(world, job.team, used),
+            turn_ms(world, job, spec))
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from oakmux import constants
+from oakmux.core.keeper.hearing import first_word, next_word
 from oakmux.core.keeper.kept import Kept, Ward
 from oakmux.core.keeper.orders import Orders
 from oakmux.core.keeper.queue import Queue
@@ -35,7 +36,7 @@
         if machine is not None and (report.session, report.seq) <= machine.version:
             world.emit("answer", rid, 503, ("error", "old report"))
             return
-        if report.machine in world.replica.gone:
+        if report.machine in world.replica.gone or report.machine in world.departed:
             world.emit("answer", rid, 503, ("error", "returned"))
             return
         if not world.replica.loaded or world.replica.foreign or not self.word.may_keep():
@@ -101,10 +102,13 @@
     before: dict[Task, tuple[str, str, bool]] = {}
     if machine is None:
         machine = world.machines[report.machine] = Machine(report, world.now)
+        machine.keeper_term = keeper_term
+        first_word(world, machine, keeper == world.label)
         changed = True
     else:
         before = machine.tasks if machine.session == report.session else {}
-        changed = (machine.session, machine.token, machine.tasks, machine.keeper,
+        proven = next_word(world, machine, report, keeper, keeper_term)
+        changed = proven or (machine.session, machine.token, machine.tasks, machine.keeper,
                    machine.keeper_term, machine.notice_at is None) != (
                        report.session, report.token, report.tasks, keeper, keeper_term,
                        report.notice_s is None)
@@ -136,8 +140,11 @@
                 event("exited", task=task[0], attempt=task[1], machine=machine.name, why=why)
             if why == "done":
                 machine.errors.clear()
-            elif why == "error" and job_id not in machine.errors:
-                machine.errors.append(job_id)
+            elif why == "error":
+                world.failures.note(job_id, machine.name)
+                if job_id not in machine.errors:
+                    machine.errors.append(job_id)
+                    del machine.errors[:-constants.ERRORS_KEPT]
             if old[0] == "fetching" and why != "done" and spec is not None:
                 machine.images.pop(spec.image, None)  # a fetch that nobody waits for is given up
     for spec in live:
--- a/oakmux/core/keeper/room.py
+++ b/oakmux/core/keeper/room.py
@@ -3,6 +3,7 @@
 import math
 
 from oakmux import constants
+from oakmux.core.keeper.hearing import deaf_s, hears
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
 
@@ -95,4 +96,19 @@
     return (world.now - machine.heard < silent_s(world)
             and machine.name not in world.draining and machine.notice_at is None
             and machine.name not in world.replica.gone
-            and len(machine.errors) < constants.SICK_ERRORS)
+            and hears(machine) and not sick(world, machine))
+
+
+def sick(world: World, machine: Machine) -> bool:
+    """Whether tasks of several jobs failed on a machine, and none that fails elsewhere too."""
+    return len(machine.errors) >= constants.SICK_ERRORS and sum(
+        world.failures.blames(job_id, machine.name)
+        for job_id in machine.errors) >= constants.SICK_ERRORS
+
+
+def soon_usable(world: World, machine: Machine) -> bool:
+    """Whether a machine is new and has yet to show that it hears us, which takes a report or two:
+    until then it counts as room that comes, or as much would be rented anew."""
+    return (not hears(machine) and world.now - machine.first_heard < silent_s(world)
+            and deaf_s(world, machine) < silent_s(world) and not sick(world, machine)
+            and machine.name not in world.draining and machine.notice_at is None)
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -45,6 +45,7 @@
         self.raise_above = 0
         self.want_term = True
         self.node_written = False
+        self.node_at = 0.0
         self.next_try = 0.0
         self.next_yield = 0.0
         # What the roles were last seen at, and whether a claim is newer than our records then.
@@ -76,6 +77,11 @@
             self.busy.add("renew")
             self.next_renew = world.now + constants.NODE_RENEW_S
             world.call(self._renewed, "renew", self.lease)
+        if (self.node_written and world.replica.nodes.get(world.label) != world.life
+                and world.now - self.node_at > constants.STATE_STALE_S):
+            # A late write of the process before us has put its own life and lease there: once
+            # that lease ends the key is gone, and others would share out roles without us.
+            self.node_written = False
         if not self.node_written and "node" not in self.busy:
             self.busy.add("node")
             world.call(self._node_done, "txn", [], [(node_key(world.label), world.life,
@@ -170,6 +176,7 @@
         self.busy.discard("node")
         if status == 200:
             self.node_written = True
+            self.node_at = self.world.now
         elif status == 400:
             self.drop_lease("no_such_lease")
         else:
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -19,6 +19,7 @@
     value_limit,
 )
 from oakmux.core.owner.state import Open
+from oakmux.core.spread.order import elder
 from oakmux.core.world import World, event
 from oakmux.wire import JobSpec
 
@@ -207,13 +208,14 @@
         now = self.world.now
         least = spec.tasks if spec.kind == "gang" else 1
         use = cpus, gpus = self.team_use(job.team)
-        old = spec.kind == "gang" and (self.world.clock_ms - job.since
-                                       > 1000 * constants.OPENING_AFTER_S)
+        first = elder(self.world, job)
+        old = first or (spec.kind == "gang" and (
+            self.world.clock_ms - job.since > 1000 * constants.OPENING_AFTER_S))
         for priority, lower in self.world.replica.used_at.get(job.team, {}).items():
             if priority < job.priority or (priority == job.priority and old):
                 cpus -= lower[0]
                 gpus -= lower[1]
-        if (cpus, gpus) != use and not teams.beyond_limit(
+        if (first or (cpus, gpus) != use) and not teams.beyond_limit(
                 self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
             tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB))
             self.limit_claims[job.id] = LimitClaim(
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -9,11 +9,13 @@
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
+from oakmux.core.keeper.floor import weight
 from oakmux.core.keeper.room import Room, gather_s, less, times
 from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.places import best, fetch_s, make_room, reserve, worth_s
 from oakmux.core.owner.state import Open
 from oakmux.core.spread.opening import choose
+from oakmux.core.spread.order import elder
 from oakmux.core.spread.sites import sites
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
@@ -137,12 +139,29 @@
                     self._reserve(job, spec, state, group)
                     return True
         waiting = self.open.get(self.gathering)
-        if waiting is None or waiting.next_sample == math.inf:
+        if (waiting is None or waiting.next_sample == math.inf
+                or (elder(world, job) and self._before(job, self.gathering))):
             self.gathering = job.id
         if self.gathering == job.id and not self._open(job, spec, state):
             self._reserve(job, spec, state, groups[0])
         return bool(state.asked or state.offers)
 
+    def _must_open(self, job: Job, spec: JobSpec) -> bool:
+        """Whether a gang is to have machines opened for it though openings are off: a large one
+        that must begin at last. Smaller ones find room without, and many openings at a time cost
+        other work more than they gain."""
+        machines = max((spec.tasks * weight(spec, kind) for kind in self.world.types.values()
+                        if self.world.fits_type(spec, kind.name)), default=0.0)
+        large = min(constants.OPENING_MACHINES, constants.OPENING_SHARE * len(
+            self.index.fitting(spec, self.world.facts.zones)))
+        return machines >= large and elder(self.world, job)
+
+    def _before(self, job: Job, name: str) -> bool:
+        """Whether a gang that must begin at last goes before the one that gathers now."""
+        mine, other = (((-one.priority, not elder(self.world, one), one.since, one.id))
+                       for one in (job, self.world.replica.jobs[name]))
+        return mine < other
+
     def _open(self, job: Job, spec: JobSpec, state: Open) -> bool:
         """Name the machines that are to be opened for a gang; return whether there are such.
 
@@ -150,7 +169,8 @@
         the gang asks for all at once when all is ready.
         """
         world = self.world
-        if (not world.settings.spread.openings or world.replica.format < 2
+        if (not (world.settings.spread.openings or self._must_open(job, spec))
+                or world.replica.format < 2
                 or spec.tasks < constants.OPENING_TASKS or spec.spread
                 or world.clock_ms - job.since < 1000 * constants.OPENING_AFTER_S):
             return False
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -108,7 +108,7 @@
     that costs less than `most` seconds; return which were asked. For a gang, all its
     tasks must find room so. Looked at are some machines drawn from `among`, those that hold
     the image before others."""
-    if world.now < state.preempt_at:
+    if world.now < state.preempt_at or world.failures.suspect(job):
         return []
     used = teams.usage(world)
     among = among & index.yielding(job, teams.beyond(world, job, spec, used))
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -14,7 +14,7 @@
 from oakmux.core.owner.places import best, make_room, reserve, worth_s, zone_allowed
 from oakmux.core.owner.state import Open
 from oakmux.core.spread.lines import Shape
-from oakmux.core.spread.order import aged
+from oakmux.core.spread.order import aged, elder
 from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
@@ -103,6 +103,11 @@
         zones = [b.zone for b in self.copies.bindings(job)]
         if spec.kind == "gang" and zones:
             wanted = 0  # a new attempt only when every task of the old one is proven gone
+        suspect = world.failures.suspect(job)
+        if suspect and not spec.joint:
+            # It fails wherever it starts: one task at a time, or a mistake in a large array takes
+            # hundreds of places, and as many fetches, at each try.
+            wanted = min(wanted, 0 if zones else 1)
         if not wanted:
             self.gangs.end(job, state)
             self.gangs.close(job, state)
@@ -122,6 +127,10 @@
         zones_left = [zone for zone in world.facts.zones if zone_allowed(spec, zones, zone)]
         state.next_sample = world.now + constants.RESAMPLE_S
         if spec.joint:
+            if elder(world, job):
+                # While it gathers room, its part of the limit is kept as well: younger work of
+                # its team took it in that time, and the gang began anew for minutes.
+                self.copies.claim_limit(job, spec, wanted)
             if self.gangs.sample(job, spec, state):
                 waiting.later(job.id, state.next_sample)
                 waiting.found(shape, 0, None)
--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -4,6 +4,7 @@
 follows the number of lines and not that of jobs.
 """
 
+import heapq
 import math
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -13,7 +14,7 @@
 from oakmux import constants
 from oakmux.core.index import Class
 from oakmux.core.jobs import Job
-from oakmux.core.spread.order import late, turn_ms
+from oakmux.core.spread.order import elder, late, turn_ms
 from oakmux.core.world import World
 from oakmux.wire import JobSpec, MachineType
 
@@ -62,9 +63,9 @@
                  spec.spread)
 
 
-Place = tuple[float, bool, float, str]
-"""Where a job stands in its line: by when a chain's deadline has it start (ms), whether its aim
-is lost, its turn (ms), and its name."""
+Place = tuple[bool, float, bool, float, str]
+"""Where a job stands in its line: whether it is no elder, by when a chain's deadline has it start
+(ms), whether its aim is lost, its turn (ms), and its name."""
 
 
 class Lines:
@@ -76,6 +77,8 @@
         self.ages: dict[Shape, SortedList] = {}
         self.where: dict[str, tuple[Shape, Place, float]] = {}
         self.sizes: dict[str, tuple[float, float, float]] = {}
+        # When each job that stands in a line becomes an elder, the first of them first.
+        self.elders: list[tuple[float, str]] = []
 
     def resize(self) -> bool:
         """Line all jobs up anew if the machine types changed, and with them the shapes; return
@@ -96,7 +99,8 @@
     def put(self, job: Job, spec: JobSpec) -> Shape:
         """Put a job where it belongs now; return its line."""
         shape = shape_of(self.world, job, spec)
-        place = (job.latest, late(self.world, job, spec), turn_ms(self.world, job, spec), job.id)
+        place = (not elder(self.world, job), job.latest, late(self.world, job, spec),
+                 turn_ms(self.world, job, spec), job.id)
         if self.where.get(job.id) != (shape, place, job.since):
             self.drop(job.id)
             line = self.lines.get(shape)
@@ -106,8 +110,20 @@
             line.add(place)
             self.ages[shape].add((job.since, job.id))
             self.where[job.id] = (shape, place, job.since)
+            if place[0]:
+                heapq.heappush(self.elders, (
+                    job.since + 1000 * constants.BEGIN_S * constants.ELDER_SHARE, job.id))
         return shape
 
+    def grow_old(self) -> None:
+        """Put those anew that have waited for so long that they come first: their place in line
+        was found when they were younger."""
+        while self.elders and self.elders[0][0] < self.world.clock_ms:
+            _, job_id = heapq.heappop(self.elders)
+            job = self.world.replica.jobs[job_id]
+            if job_id in self.where and job.spec is not None and elder(self.world, job):
+                self.put(job, job.spec)
+
     def drop(self, job_id: str) -> None:
         """Take a job out. An empty line goes."""
         known = self.where.pop(job_id, None)
@@ -129,8 +145,8 @@
         """Return who stands first in a line, or None."""
         while line := self.lines.get(shape):  # it is another once its only job was put anew
             place: Place = line[0]
-            job = self.world.replica.jobs[place[3]]
-            if place[1] or job.spec is None or not late(self.world, job, job.spec):
+            job = self.world.replica.jobs[place[4]]
+            if place[2] or job.spec is None or not late(self.world, job, job.spec):
                 return place
             self.put(job, job.spec)  # its aim was lost meanwhile: it goes behind the others
         return None
@@ -138,10 +154,11 @@
     def first(self, shape: Shape, count: int) -> Iterator[str]:
         """Return the jobs that stand first in a line."""
         line = self.lines.get(shape)
-        return iter(()) if line is None else (place[3] for place in line.islice(0, count))
+        return iter(()) if line is None else (place[4] for place in line.islice(0, count))
 
     def clear(self) -> None:
         """Forget all."""
         self.lines.clear()
         self.ages.clear()
         self.where.clear()
+        self.elders.clear()
--- a/oakmux/core/spread/openings.py
+++ b/oakmux/core/spread/openings.py
@@ -4,6 +4,7 @@
 
 from oakmux import constants
 from oakmux.core.jobs import Job
+from oakmux.core.spread.order import elder
 from oakmux.core.world import World
 from oakmux.wire import JobSpec
 
@@ -48,9 +49,13 @@
         row = self.by_job.get(name or "")
         if row is None or name == job.id or row.until <= self.world.now:
             return False
-        if job.priority > row.priority or (job.priority == row.priority and (
-                job.since, job.id) < (row.since, name)):
+        if job.priority > row.priority:
             return False
+        if job.priority == row.priority and (job.since, job.id) < (row.since, name):
+            # Older work goes first, but not on and on: what has begun lets the others begin.
+            other = self.world.replica.jobs.get(name or "")
+            if not job.begun or other is None or not elder(self.world, other):
+                return False
         left = row.ready_at - self.world.now
         if job.priority < row.priority and spec.kind != "service" and not spec.joint:
             return left < constants.OPENING_SOON_S
--- a/oakmux/core/spread/order.py
+++ b/oakmux/core/spread/order.py
@@ -13,9 +13,17 @@
 from oakmux.wire import JobSpec
 
 
+def elder(world: World, job: Job) -> bool:
+    """Whether a job of which nothing has started comes before all others of its priority: it is
+    well on its way to the time by which all work must have begun, the largest too."""
+    return (world.clock_ms - job.since > 1000 * constants.BEGIN_S * constants.ELDER_SHARE
+            and not job.begun
+            and not world.failures.suspect(job))
+
+
 def turn_ms(world: World, job: Job, spec: JobSpec) -> float:
     """Return the time (ms) by which a job's age counts: an array of much work is younger."""
-    if spec.kind != "array":
+    if spec.kind != "array" or elder(world, job):
         return job.since
     work = spec.tasks * spec.estimate_s * max(spec.gpus, constants.GPULESS_WEIGHT)
     return job.since + 1000 * min(constants.SIZE_MOST_S, work / world.part_gpus)
@@ -25,11 +33,11 @@
     """Whether an array can't meet its class's aim for finishing any more, by its estimate."""
     within = world.finish_aims.get(spec.lane)
     return (spec.kind == "array" and within is not None and world.clock_ms
-            > job.since + 1000 * (within - spec.estimate_s))
+            > job.since + 1000 * (within - spec.estimate_s) and not elder(world, job))
 
 
 def aged(world: World, job: Job, spec: JobSpec) -> bool:
     """Whether a job has waited for so long that a share of what frees up is for it."""
     aims = world.wait_aims.get(spec.lane)
     patience = constants.AGED_AIMS * max(aims) if aims else constants.AGED_S
-    return world.clock_ms - job.since > 1000 * patience
+    return world.clock_ms - job.since > 1000 * patience or elder(world, job)
--- a/oakmux/core/spread/waiting.py
+++ b/oakmux/core/spread/waiting.py
@@ -21,7 +21,7 @@
     from oakmux.core.owner.state import Open
 
 
-Turn = tuple[int, float, bool, float, str, Shape]
+Turn = tuple[int, bool, float, bool, float, str, Shape]
 """The first job of a line among all: by priority, place in its line, name."""
 
 
@@ -137,6 +137,7 @@
         if self.lines.resize():
             self.shut.clear()
             self.asked.clear()
+        self.lines.grow_old()
         jobs = self.world.replica.jobs
         while self.timers and self.timers[0][0] <= now:
             at, job_id = heapq.heappop(self.timers)
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from oakmux import constants
+from oakmux.core.failing import Failures
 from oakmux.core.jobs import Replica
 from oakmux.settings import Settings, Team
 from oakmux.wire import JobSpec, MachineType, Report
@@ -22,7 +23,7 @@
 
     __slots__ = ("name", "addr", "type", "zone", "spot", "session", "seq", "token", "notice_at",
                  "tasks", "keeper", "keeper_term", "heard", "images", "errors", "idle_since",
-                 "first_heard", "since")
+                 "first_heard", "since", "unheard", "deaf_since")
 
     def __init__(self, report: Report, now: float) -> None:
         self.name = report.machine
@@ -34,6 +35,9 @@
         self.notice_at: float | None = None
         self.keeper = ""
         self.keeper_term = 0
+        # Signs in a row that it does not hear us, and since when that is taken for certain.
+        self.unheard = 0
+        self.deaf_since: float | None = None
         self.take(report, now)
 
     def take(self, report: Report, now: float) -> None:
@@ -76,6 +80,7 @@
         self.now = 0.0
         self.wall = wall
         self.replica = Replica()
+        self.failures = Failures(self.replica)
         self.types: dict[str, MachineType] = {}
         self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
         self.wait_aims: dict[str, list[float]] = {}
@@ -93,6 +98,11 @@
                                 if aim.kind == "guarantee" and aim.within_s is not None),
                                default=None)
         self.machines: dict[str, Machine] = {}
+        # Machines that are certainly gone, the newest last: copies of their reports may come late,
+        # also after their record was cleaned up.
+        self.departed: dict[str, None] = {}
+        # When this process last went on after it had stood still: what it had heard before is old.
+        self.resumed_at = -1e9
         self.draining: dict[str, float] = {}
         # Machines that were found unusable, to be looked at again when they are heard.
         self.silent: set[str] = set()
@@ -148,6 +158,16 @@
             self.silent.discard(machine.name)
             self.replica.touch(machine.name)
 
+    def depart(self, name: str) -> None:
+        """A machine is certainly gone, and its name never comes again: forget what is on it."""
+        self.machines.pop(name, None)
+        self.draining.pop(name, None)
+        self.silent.discard(name)
+        self.replica.touch(name)
+        self.departed[name] = None
+        while len(self.departed) > constants.MAX_QUEUE:
+            del self.departed[next(iter(self.departed))]
+
     def types_changed(self) -> None:
         """The catalogue changed: what is free on a machine counts anew."""
         self.replica.rooms.clear()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -151,6 +151,7 @@
         self.sick = False
         self.taken_at: float | None = None
         self.waiting = 0
+        self.told_token = -1e9
         self.up = False
 
     def start(self) -> None:
@@ -204,6 +205,7 @@
                 return
             self.waiting += 1
             self.advance()
+            before = self.token
             if status == 200 and answer[0] == "orders" and report.session == self.session:
                 if answer[1] >= self.token:
                     self.lease_from = sent
@@ -212,7 +214,11 @@
                 self.node = sim.labels.index(answer[1])
             elif status != 200:
                 self.node = (self.node + 1) % len(sim.labels)
-            sim.after(REPORT_S * sim.rng.uniform(0.75, 1.25), self.report)
+            # A higher token is a change, which is reported sooner, once in half a lease.
+            sooner = self.token > before and sim.now - self.told_token > LEASE_S / 2
+            if sooner:
+                self.told_token = sim.now
+            sim.after(0.5 if sooner else REPORT_S * sim.rng.uniform(0.75, 1.25), self.report)
 
         def lost() -> None:
             if turn == self.waiting and not self.dead:
@@ -220,6 +226,11 @@
                 self.node = (self.node + 1) % len(sim.labels)
                 sim.after(1.0, self.report)
 
+        if sim.copies and sim.rng.random() < sim.copies:
+            # To whom it may be, its answer goes nowhere; the machine may be gone by then.
+            other = sim.rng.choice(sim.labels)
+            sim.after(sim.rng.uniform(0.5, 4 * LEASE_S), lambda: sim.command(
+                other, ("report", lambda *a: None, report)))
         sim.after(4.0, lost)
         sim.pass_on(self.name, label, lambda: sim.command(
             label, ("report", lambda *a: sim.pass_on(label, self.name, lambda: answered(*a)),
@@ -274,6 +285,12 @@
         self.capacity = 12
         self.history: list[tuple[float, list[tuple]]] = []
         self.cuts: set[frozenset[str]] = set()
+        self.one_way: set[tuple[str, str]] = set()  # from, to: held up
+        self.copies = 0.0  # share of reports of which a copy comes much later
+        self.broken: set[str] = set()  # jobs that fail on every machine
+        self.boot_s: Callable[[], float | None] = lambda: self.rng.uniform(1.0, 4.0)
+        self.submitted: dict[str, float] = {}
+        self.answered: dict[str, float] = {}
         self.frozen: dict[str, list[tuple]] = {}
         self.loss = self.twice = self.slow = 0.0
         self.specs: dict[str, JobSpec] = {}
@@ -305,7 +322,7 @@
         return self.rng.uniform(0.001, 0.01)
 
     def cut(self, a: str, b: str) -> bool:
-        return frozenset((a, b)) in self.cuts
+        return frozenset((a, b)) in self.cuts or (a, b) in self.one_way
 
     def pass_on(self, a: str, b: str, run: Callable[[], None]) -> None:
         """Carry a message: now, much later (held by a cut or a slow way), twice or never."""
@@ -337,6 +354,18 @@
         self.after(timeout, lambda: answer(lost))
         self.pass_on(a, b, at_server)
 
+    def deafen(self, names: list[str], seconds: float) -> None:
+        """What machines say arrives; answers and orders do not reach them."""
+        pairs = {(label, name) for label in self.labels for name in names}
+        self.one_way |= pairs
+        self.after(seconds, lambda: self.one_way.difference_update(pairs))
+
+    def isolate(self, label: str, seconds: float) -> None:
+        """A controller loses the state service and its peers, but not its workers."""
+        pairs = {frozenset((label, other)) for other in [*self.labels, "state"] if other != label}
+        self.cuts |= pairs
+        self.after(seconds, lambda: self.cuts.difference_update(pairs))
+
     # --- controllers ---
 
     def boot_all(self) -> None:
@@ -492,13 +521,16 @@
             return 200, None
         request, _, zone, spot, count = args
         if request not in self.requests:
-            if sum(1 for w in self.workers.values() if not w.dead) + count > self.capacity:
+            left = self.capacity - sum(1 for w in self.workers.values() if not w.dead)
+            if left <= 0:
                 return 503, "no capacity"
-            names = [f"m{len(self.workers) + i}" for i in range(count)]
+            names = [f"m{len(self.workers) + i}" for i in range(min(count, left))]
             self.requests[request] = names
             for name in names:
                 self.workers[name] = FakeWorker(self, name, zone, spot)
-                self.after(self.rng.uniform(1.0, 4.0), self.workers[name].start)
+                boot_s = self.boot_s()
+                if boot_s is not None:
+                    self.after(boot_s, self.workers[name].start)
         return 200, self.requests[request]
 
     def kill(self, name: str) -> None:
@@ -532,7 +564,7 @@
                     for (task, attempt), r in w.tasks.items()
                     if task.startswith(job_id + "/") and attempt == key[1] and r[0] == "running"]
         whole = len(rows) == (job.tasks if job.kind == "gang" else 1)
-        why = "error" if sick else "done" if whole else "peers"
+        why = "error" if sick or job_id in self.broken else "done" if whole else "peers"
         for one in rows if why == "done" else [row]:
             one[:2] = ["exited", why]
         if why == "done":
@@ -541,6 +573,7 @@
 
     def submit(self, job_id: str, job: JobSpec) -> None:
         self.specs[job_id] = job
+        self.submitted.setdefault(job_id, self.now)
         self._user(job_id, lambda rid: ("submit", rid, job_id, job, ""),
                    lambda s, a: s in (200, 201, 400, 422))
 
@@ -551,6 +584,51 @@
     def query(self, job_id: str) -> None:
         self._user(job_id, lambda rid: ("query", rid, job_id), lambda s, a: True)
 
+    def silent(self, seconds: float = 90.0) -> set[str]:
+        """Ask for every job ever accepted, and return those about which no question was answered
+        for 75 s."""
+        found: set[str] = set()
+        begun, end = self.now, self.now + seconds
+        while self.now < end:
+            for job_id in self.told:
+                self.query(job_id)
+            self.run(5)
+            found |= {job_id for job_id in self.told
+                      if self.now - max(begun, self.answered.get(job_id, 0.0)) >= 75}
+        return found
+
+    def begun_at(self, job_id: str) -> float | None:
+        """Return when a job began: an array with one task, else with all, one after the other."""
+        first: dict[str, float] = {}
+        for at, task, _, _ in self.start_log:
+            if task.startswith(job_id + "/"):
+                first.setdefault(task, at)
+        job = self.specs[job_id]
+        if len(first) < (1 if job.kind == "array" else job.tasks):
+            return None
+        return min(first.values()) if job.kind == "array" else max(first.values())
+
+    def underserved(self, begin_s: float = 240.0) -> list[str]:
+        """Return which classes, teams and classes' largest jobs had less than half served, and
+        which of the largest did not begin in time. Served is what began in time."""
+        groups: dict[str, list[str]] = {}
+        jobs = {j: s for j, s in self.specs.items() if j in self.told and j not in self.broken
+                and self.told[j] != "cancelled" and self.submitted[j] <= self.now - begin_s}
+        for job_id, job in jobs.items():
+            groups.setdefault(f"class {job.lane}", []).append(job_id)
+            groups.setdefault(f"team {job.team}", []).append(job_id)
+            if job.tasks == max(s.tasks for s in jobs.values() if s.lane == job.lane):
+                groups.setdefault(f"largest {job.lane}", []).append(job_id)
+        bad = []
+        for name, ids in sorted(groups.items()):
+            begun = [j for j in ids if (at := self.begun_at(j)) is not None
+                     and at - self.submitted[j] <= begin_s]
+            if 2 * len(begun) < len(ids):
+                bad.append(f"{name}: {len(begun)} of {len(ids)}")
+            elif name.startswith("largest") and len(begun) < len(ids):
+                bad.append(f"{name}: late {sorted(set(ids) - set(begun))[0]}")
+        return bad
+
     def unfinished(self, seconds: float) -> set[str]:
         """Cancel services, go on, ask for every job; return those not told done or cancelled."""
         for job_id, job in self.specs.items():
@@ -603,6 +681,7 @@
             self.refusals[job_id] = status
         if status not in (200, 201):
             return
+        self.answered[job_id] = self.now
         assert job_id in self.specs, f"invented: {job_id}"
         state = answer[2]
         if before in ("done", "cancelled"):
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,105 @@
+"""The end of a day: nobody is forgotten, the largest begin in time, half of all are served."""
+
+import pytest
+
+from oakmux import constants
+from oakmux.core.spread import order
+from tests.fakes import LEASE_S, Sim, spec
+from tests.test_oncall import up
+
+DAY_S = 240.0
+
+
+def flood(sim: Sim, seconds: float, **fields) -> None:
+    """Submit small arrays of both teams every second: more than there is room for."""
+    begun = sim.now
+    for number in range(int(seconds)):
+        team = ("red", "blue")[number % 2]
+        sim.after(number, lambda n=number, t=team: sim.submit(
+            f"job-9{n:03}", spec("array", 2, t, lane="small", **{"estimate_s": 8.0, **fields})))
+    assert sim.now == begun
+
+
+def full(seed: int, count: int, **fields) -> Sim:
+    """Return a small deployment in a flood, without room for all of it."""
+    sim = Sim(seed, count)
+    sim.capacity = 3
+    sim.run(12)
+    flood(sim, 250, **fields)
+    sim.run(20)
+    return sim
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_the_largest_begin_in_a_flood_of_smaller_ones_while_machines_and_controllers_fail(count):
+    sim = full(1, count)
+    sim.submit("job-1", spec("array", 40, "blue", lane="scan", estimate_s=20.0))
+    sim.submit("job-2", spec("gang", 8, "red", lane="press", priority=1))
+    sim.submit("job-3", spec("array", 300, "red", lane="visit", priority=0, estimate_s=10.0))
+    sim.run(30)
+    sim.kill(up(sim)[0])
+    sim.crash(sim.labels[0], 0.3)
+    sim.run(40)
+    sim.deafen(up(sim)[:1], 2 * LEASE_S)
+    sim.run(DAY_S - 70)
+    late = [name for name in sim.underserved(DAY_S) if "small" not in name and "team" not in name]
+    assert late == []
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_a_gang_of_the_whole_fleet_begins_among_younger_gangs(count):
+    sim = Sim(2, count)
+    sim.capacity = 2
+    sim.run(12)
+    for number in range(110):  # each leaves a machine half empty for the next
+        sim.after(2.0 * number, lambda n=number: sim.submit(f"job-9{n:03}", spec(
+            "gang", 2, "blue", lane="pair", priority=2, estimate_s=6.0)))
+    sim.run(20)
+    sim.submit("job-1", spec("gang", 8, "red", lane="book", priority=2, one_zone=False))
+    sim.run(DAY_S)
+    assert sim.begun_at("job-1") is not None
+    assert sim.begun_at("job-1") - sim.submitted["job-1"] < DAY_S
+
+
+def test_without_elders_the_largest_may_wait_for_ever(monkeypatch):
+    for module in ("core.spread.order", "core.keeper.queue", "core.spread.lines",
+                   "core.owner.copies", "core.owner.gangs"):
+        monkeypatch.setattr(f"oakmux.{module}.elder", lambda world, job: False)
+    with pytest.raises(AssertionError):
+        for count in (3, 7):
+            test_the_largest_begin_in_a_flood_of_smaller_ones_while_machines_and_controllers_fail(
+                count)
+
+
+def test_what_has_begun_is_no_elder_and_what_waits_is_one_in_time():
+    sim = full(3, 3)
+    sim.submit("job-1", spec("array", 40, "blue", lane="scan", estimate_s=20.0))
+    sim.run(10)
+    core = sim.cores["h0"]
+    job = core.world.replica.jobs["job-1"]
+    assert not order.elder(core.world, job)
+    job.since -= 1000 * constants.BEGIN_S * constants.ELDER_SHARE
+    assert order.elder(core.world, job) == (not job.begun)
+
+
+def test_the_check_of_a_day_tells_what_was_not_served():
+    sim = Sim(4)
+    sim.run(12)
+    sim.cloud_down = True  # nothing is rented: nothing of this can begin
+    sim.submit("job-1", spec("array", 2, "red", lane="scan"))
+    sim.run(DAY_S + 1)
+    assert sim.underserved(DAY_S) == ["class scan: 0 of 1", "largest scan: 0 of 1",
+                                      "team red: 0 of 1"]
+
+
+def test_the_check_of_a_day_tells_who_is_forgotten():
+    sim = Sim(5)
+    sim.run(12)
+    sim.submit("job-1", spec("array", 2, "red"))
+    sim.submit("job-2", spec("array", 2, "blue"))
+    sim.run(20)
+    for core in sim.cores.values():  # each answers, but never for this one
+        query = core.desk.query
+        core.handlers["query"] = lambda rid, job_id, query=query, core=core: (
+            core.desk.unavailable(rid, "busy") if job_id == "job-2" else query(rid, job_id))
+    assert sim.silent() == {"job-2"}
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -34,7 +34,7 @@
         job = Job(name, "red", "queued", 1, spec(cpus=cpus, priority=priority), 0, 1)
         job.since, job.due = move * 10, 100.0 - move
         shape = lines.put(job, job.spec)
-        expected[name] = (shape, (job.latest, False, turn_ms(world, job, job.spec), name))
+        expected[name] = (shape, (True, job.latest, False, turn_ms(world, job, job.spec), name))
     by_line = {}
     for shape, place in expected.values():
         by_line.setdefault(shape, []).append(place)
@@ -168,7 +168,7 @@
     for number in range(1, 500):
         sim.after(number * 0.2, lambda n=number: sim.submit(f"job-{n}", spec(
             "array", 1, ("red", "blue")[n % 2], priority=2, estimate_s=3.5)))
-    sim.run(25)
+    sim.run(40)
     sim.submit("job-0", spec("array", 6, "blue", priority=0, estimate_s=2.0))
     sim.run(4)
     return sim
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -215,9 +215,9 @@
     assert all(w.dead for w in sim.workers.values())
 
 
-def troubled(seed: int, seconds: float = 150.0, recount: bool = False) -> Sim:
+def troubled(seed: int, seconds: float = 150.0, recount: bool = False, count: int = 3) -> Sim:
     """Play a random story: jobs come, everything fails, then all is well again."""
-    sim = Sim(seed)
+    sim = Sim(seed, count)
     sim.recount = recount
     sim.loss, sim.twice, sim.slow = 0.01, 0.01, 0.005
     dice = random.Random(seed)
@@ -232,7 +232,8 @@
         if dice.random() < 0.3:
             sim.after(dice.uniform(0, 20), lambda n=number: sim.cancel(f"job-{n}"))
         trouble = dice.choice(["none", "crash", "all", "state", "refused", "cut", "machine",
-                               "peers", "die", "cloud"])
+                               "peers", "die", "cloud", "deaf", "copies", "alone", "blink",
+                               "broken", "boots", "freeze"])
         if trouble == "crash":
             sim.crash(dice.choice(sim.labels), dice.uniform(1, 6))
         elif trouble == "all" and dice.random() < 0.5:
@@ -255,14 +256,39 @@
             sim.after(dice.uniform(2, 20), lambda p=pairs: sim.cuts.difference_update(p))
         elif trouble == "die" and sim.workers:
             sim.kill(dice.choice(sorted(sim.workers)))
+        elif trouble == "deaf" and sim.workers:
+            names = sorted(sim.workers)
+            sim.deafen(dice.sample(names, min(3, len(names))), dice.uniform(2, 30))
+        elif trouble == "copies":
+            sim.copies = dice.choice([0.0, 0.1, 0.4])
+        elif trouble == "alone":
+            sim.isolate(dice.choice(sim.labels), dice.uniform(2, 30))
+        elif trouble == "blink":  # back at once, one or all, maybe twice in a row
+            for label in sim.labels if dice.random() < 0.2 else dice.sample(sim.labels, 1):
+                sim.crash(label, dice.uniform(0.05, 0.5))
+                if dice.random() < 0.5:
+                    sim.after(dice.uniform(0.3, 1.5),
+                              lambda la=label: sim.crash(la, dice.uniform(0.05, 0.5)))
+        elif trouble == "broken":
+            sim.broken.add(f"job-{number}")
+            sim.after(dice.uniform(10, 60), lambda n=number: sim.cancel(f"job-{n}"))
+        elif trouble == "boots":
+            sim.boot_s = dice.choice([lambda: 0.05, lambda: sim.rng.uniform(3.0, 15.0),
+                                      lambda: sim.rng.choice([None, 2.0])])
+        elif trouble == "freeze":
+            label = dice.choice(sim.labels)
+            if label not in sim.frozen and sim.cores[label] is not None:
+                sim.freeze(label, dice.uniform(1, 15))
         elif trouble == "cloud":
             sim.cloud_down = True
             sim.after(dice.uniform(2, 20), lambda: setattr(sim, "cloud_down", False))
         for _ in range(3):
             sim.query(f"job-{dice.randrange(number + 1)}")
             sim.run(5 / 3)
-    sim.loss = sim.twice = sim.slow = 0.0
+    sim.loss = sim.twice = sim.slow = sim.copies = 0.0
     sim.cuts.clear()
+    sim.one_way.clear()
+    sim.boot_s = lambda: 2.0
     sim.state.refused, sim.cloud_down = set(), False
     return sim
 
@@ -270,10 +296,18 @@
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_rules_hold_in_a_random_story(seed):
     sim = troubled(seed)
+    assert sim.silent() == set()
     assert sim.unfinished(150) == set()
     assert sim.starts > 20
 
 
+@pytest.mark.parametrize("seed", [11, 12])
+def test_rules_hold_in_a_random_story_of_seven(seed):
+    sim = troubled(seed, 100.0, count=7)
+    assert sim.silent() == set()
+    assert sim.unfinished(150) == set()
+
+
 def test_room_and_team_use_that_are_kept_up_to_date_agree_with_a_full_count():
     # Counted anew for each machine and job, they took most of the time at 590 machines.
     assert troubled(7, 100.0, recount=True).starts > 10
--- a/tools/spread.py
+++ b/tools/spread.py
@@ -1,7 +1,8 @@
 """How the load lay over the fleet, from the controllers' logs at LOG_LEVEL=info.
 
-Reads what tools.recovery reads. Prints waits of each class and size, what the fleet's GPU time
-went into, who gave way to whom, moves and openings, and how full machines were at some moments.
+Reads what tools.recovery reads. Prints who began in time by class, team and the largest jobs of
+a class, waits of each class and size, what the fleet's GPU time went into, who gave way to whom,
+moves and openings, and how full machines were at some moments.
 """
 
 import sys
@@ -11,6 +12,7 @@
 
 import click
 
+from oakmux import constants
 from tools.recovery import Event, events, histogram, spread
 
 WON = ("done",)
@@ -30,6 +32,9 @@
         self.gave_way: Counter[tuple[str, str]] = Counter()
         self.on: dict[str, set[str]] = defaultdict(set)
         self.rows: list[tuple[float, Counter[str], Counter[int]]] = []
+        self.ran: dict[str, dict[str, float]] = defaultdict(dict)
+        self.cancelled: dict[str, float] = {}
+        self.last = 0.0
         due = sorted(moments)
         for event in log:
             while due and event.at >= due[0]:
@@ -47,6 +52,7 @@
     def take(self, event: Event) -> None:
         """Take one event."""
         at, fields = event.at, event.fields
+        self.last = at
         task = fields.get("task", "")
         if event.name == "accepted":
             self.jobs[fields["job"]] = fields
@@ -58,7 +64,10 @@
                 self.waits[self.lane(task), size].append(at - self.accepted[job])
             self.bound[task] = at
             self.on[fields["machine"]].add(task)
+        elif event.name == "cancelled":
+            self.cancelled.setdefault(fields["job"], at)
         elif event.name == "running" and task in self.bound:
+            self.ran[task.partition("/")[0]].setdefault(task, at)
             self.running[task] = at
             self.spent[self.lane(task), "fetch"] += self.gpus(task) * (at - self.bound[task])
         elif event.name == "unbind":
@@ -82,8 +91,42 @@
                     lanes[self.lane(task)] += round(self.gpus(task))
         return at, lanes, used
 
+    def began(self, job: str) -> float | None:
+        """Return after how many seconds a job began: an array with one task, else with all."""
+        fields, first = self.jobs[job], self.ran.get(job, {})
+        if len(first) < (1 if fields["kind"] == "array" else int(fields["tasks"])):
+            return None
+        return (min if fields["kind"] == "array" else max)(first.values()) - self.accepted[job]
+
+    def served(self) -> Iterator[tuple[str, int, int, float]]:
+        """Yield (group, jobs, of these begun in time, longest wait in s) of classes, teams, and
+        the largest jobs of each class, but for what was cancelled or came too late to judge."""
+        groups: dict[str, list[str]] = defaultdict(list)
+        due = {job: self.accepted[job] + constants.BEGIN_S for job in self.jobs}
+        jobs = [job for job in self.jobs if self.cancelled.get(job, self.last) >= due[job]]
+        most: dict[str, int] = defaultdict(int)
+        for job in jobs:
+            most[self.lane(job)] = max(most[self.lane(job)], int(self.jobs[job]["tasks"]))
+        for job in jobs:
+            groups[f"class {self.lane(job)}"].append(job)
+            groups[f"team {self.jobs[job].get('team', 'unknown')}"].append(job)
+            if int(self.jobs[job]["tasks"]) == most[self.lane(job)]:
+                groups[f"largest {self.lane(job)} ({most[self.lane(job)]})"].append(job)
+        for name, members in sorted(groups.items()):
+            waits = [self.last - self.accepted[job] if (wait := self.began(job)) is None else wait
+                     for job in members]
+            begun = sum(self.began(job) is not None and wait <= constants.BEGIN_S
+                        for job, wait in zip(members, waits, strict=True))
+            yield name, len(members), begun, max(waits)
+
     def lines(self) -> Iterator[str]:
         """Yield the tables."""
+        yield f"{'group':36}  jobs  begun in {constants.BEGIN_S:g} s  longest (s)"
+        for name, count, begun, longest in self.served():
+            word = "HALF" if 2 * begun < count else "late" if (
+                name.startswith("largest") and begun < count) else ""
+            yield f"{name:36} {count:5} {begun:7} {begun / count:6.3f} {longest:9.1f}  {word}"
+        yield ""
         yield "class and size of gang     tasks   accepted to bound p50 p90 max (s)"
         for (lane, size), waits in sorted(self.waits.items()):
             yield f"{lane:20} {size or '':5} {len(waits):6}   {spread(histogram(waits))}"
