--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -192,8 +192,8 @@
 PEER_BODY = 4 * 1024 * 1024
 # Rounds over all controllers that the command line makes before it gives up (count).
 CLI_TRIES = 3
-# Seconds before a job asks again for work to be stopped in its favour: a stop with its saving and
-# the offer that follows take about as long.
+# Seconds, beside what the victims take to save, before a job asks again for work to be stopped in
+# its favour: the stop and the offer that follows take about as long.
 PREEMPT_S = 4.0
 # Share of the cloud's rate that one controller uses (fraction): the holder of the fleet needs most
 # of it, the others read the catalogue. The cloud allows bursts of two seconds' worth.
@@ -306,10 +306,12 @@
 # to make room on are taken.
 PREEMPT_LOOKS = 4.0
 # Seconds after which work must have begun, also the largest of its class (from the operators:
-# within four minutes), and share of it after which a job of which nothing has started comes before
-# all others of its priority: what is in its way has to end first, and runs for a minute or two.
+# within four minutes), and shares of it after which a job, or a gang, of which nothing has started
+# comes before all others of its priority: what is in its way has to end first, and runs for a
+# minute or two.
 BEGIN_S = 240.0
 ELDER_SHARE = 0.4
+ELDER_GANG_SHARE = 0.25
 # Seconds within which a machine that shows room answers a gang's reservation, if it will: offers
 # come with the next message; after that the room is somebody else's, and other room is asked for.
 GANG_ANSWER_S = 1.0
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -138,6 +138,9 @@
                 if self._make_room(job, spec, state, fitting, spec.tasks - there, math.inf):
                     self._reserve(job, spec, state, group)
                     return True
+        if self.gathering != job.id and self._must_open(job, spec) and self._open(
+                job, spec, state):
+            return bool(state.asked or state.offers)  # no turn is needed to have machines named
         waiting = self.open.get(self.gathering)
         if (waiting is None or waiting.next_sample == math.inf
                 or (elder(world, job) and self._before(job, self.gathering))):
@@ -215,9 +218,10 @@
         now = self.world.now
         names = make_room(self.world, self.index, job, spec, state, among, wanted, most)
         if names:
-            state.gather_until = min(max(state.gather_until, now + constants.PREEMPT_S),
-                                     state.gather_until + constants.PREEMPT_S)
-            self._ask(job, spec, state, dict.fromkeys(names, 1), constants.PREEMPT_S)
+            wait_s = state.preempt_at - now
+            state.gather_until = min(max(state.gather_until, now + wait_s),
+                                     state.gather_until + wait_s)
+            self._ask(job, spec, state, dict.fromkeys(names, 1), wait_s)
         return bool(names)
 
     def _spare_fetch(self, job: Job, spec: JobSpec, state: Open, group: Group) -> bool:
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -8,7 +8,7 @@
 from oakmux.core import teams
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.queue import victims
+from oakmux.core.keeper.queue import save_s, victims
 from oakmux.core.keeper.room import Room, times
 from oakmux.core.owner.state import Open
 from oakmux.core.world import Machine, World
@@ -107,7 +107,7 @@
     """Ask the keepers of as many machines as tasks wait to stop work of less right, where
     that costs less than `most` seconds; return which were asked. For a gang, all its
     tasks must find room so. Looked at are some machines drawn from `among`, those that hold
-    the image before others."""
+    the image before others. Until `state.preempt_at` what was asked for may come."""
     if world.now < state.preempt_at or world.failures.suspect(job):
         return []
     used = teams.usage(world)
@@ -122,14 +122,14 @@
         if found is not None:
             cost = found[0] + fetch_s(world, spec, machine)
             if cost < most:
-                rows.append((cost, world.rng.random(), machine))
+                rows.append((cost, world.rng.random(), machine, save_s(world, found[1])))
     rows.sort(key=lambda row: row[:2])
     if spec.kind == "gang" and len(rows) < wanted:
         return []
-    for _, _, machine in rows[:wanted]:
-        state.preempt_at = world.now + constants.PREEMPT_S
+    for _, _, machine, saving in rows[:wanted]:
+        state.preempt_at = max(state.preempt_at, world.now + constants.PREEMPT_S + saving)
         world.emit("send", machine.keeper, ("reserve", machine.name, job.id, 1, True))
-    return [machine.name for _, _, machine in rows[:wanted]]
+    return [machine.name for _, _, machine, _ in rows[:wanted]]
 
 
 def choose_gang(spec: JobSpec, offers: list[tuple]) -> list[tuple] | None:
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -147,7 +147,7 @@
             all_drawn = there < count * constants.DRAW_RATIO + constants.DRAW_MORE
             waiting.found(shape, wanted, there if all_drawn else None)
         elif self._widely(job, spec, state, zones_left, wanted, count):
-            waiting.later(job.id, world.now + constants.PREEMPT_S)
+            waiting.later(job.id, max(state.preempt_at, world.now + constants.PREEMPT_S))
             waiting.found(shape, 0, None)
         else:
             self._none_found(job, state, shape, zones_left)
@@ -215,7 +215,7 @@
         # A fetch blocks its place as well: stopping young work where the image is costs less.
         if holders and not there and make_room(world, self.index, job, spec, state, holders,
                                                wanted, worth_s(world, spec, rows[0].machine)):
-            state.next_sample = world.now + constants.PREEMPT_S
+            state.next_sample = max(state.preempt_at, world.now + constants.PREEMPT_S)
         elif (len(holders) >= wanted > sum(times(row.free, spec) for row in there)
                 and self._patient(spec, state, rows[0].machine)):
             state.next_sample = world.now + constants.WAIT_RESAMPLE_S
--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -14,7 +14,7 @@
 from oakmux import constants
 from oakmux.core.index import Class
 from oakmux.core.jobs import Job
-from oakmux.core.spread.order import elder, late, turn_ms
+from oakmux.core.spread.order import elder, elder_s, late, turn_ms
 from oakmux.core.world import World
 from oakmux.wire import JobSpec, MachineType
 
@@ -111,8 +111,7 @@
             self.ages[shape].add((job.since, job.id))
             self.where[job.id] = (shape, place, job.since)
             if place[0]:
-                heapq.heappush(self.elders, (
-                    job.since + 1000 * constants.BEGIN_S * constants.ELDER_SHARE, job.id))
+                heapq.heappush(self.elders, (job.since + 1000 * elder_s(job), job.id))
         return shape
 
     def grow_old(self) -> None:
--- a/oakmux/core/spread/order.py
+++ b/oakmux/core/spread/order.py
@@ -16,11 +16,17 @@
 def elder(world: World, job: Job) -> bool:
     """Whether a job of which nothing has started comes before all others of its priority: it is
     well on its way to the time by which all work must have begun, the largest too."""
-    return (world.clock_ms - job.since > 1000 * constants.BEGIN_S * constants.ELDER_SHARE
-            and not job.begun
+    return (world.clock_ms - job.since > 1000 * elder_s(job) and not job.begun
             and not world.failures.suspect(job))
 
 
+def elder_s(job: Job) -> float:
+    """Return the seconds after which a job is an elder. A gang needs room for all its tasks at
+    once, and most of what runs there has to end first."""
+    joint = job.spec is not None and job.spec.joint
+    return constants.BEGIN_S * (constants.ELDER_GANG_SHARE if joint else constants.ELDER_SHARE)
+
+
 def turn_ms(world: World, job: Job, spec: JobSpec) -> float:
     """Return the time (ms) by which a job's age counts: an array of much work is younger."""
     if spec.kind != "array" or elder(world, job):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -188,6 +188,8 @@
                 row[0], row[2] = "waiting", now + GANG_WAIT_S
             if row[0] == "waiting":
                 self.sim.meet(key, row, job)
+            if row[0] == "saving" and row[2] <= now:
+                row[:2] = ["exited", "stopped"]
             if row[0] == "running" and row[2] <= now:
                 self.sim.finish(key, row, self.sick)
 
@@ -255,7 +257,12 @@
                     fetch = 0.0 if job.image in self.images else job.image_gb
                     self.tasks[key] = ["fetching", "", self.sim.now + fetch]
             elif order["verb"] == "halt" and self.tasks.get(key, [""])[0] not in ("", "exited"):
-                self.tasks[key][:2] = ["exited", "stopped"]
+                job = self.sim.specs[key[0].partition("/")[0]]
+                row, grace = self.tasks[key], order["mercy_s"]
+                if row[0] == "running" and job.checkpoint_s and grace >= job.save_s > 0:
+                    row[0], row[2] = "saving", self.sim.now + job.save_s
+                elif row[0] != "saving" or not grace:
+                    row[:2] = ["exited", "stopped"]
             elif order["verb"] == "forget" and self.tasks.get(key, [""])[0] == "exited":
                 del self.tasks[key]
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from oakmux import constants
 from oakmux.core.spread import order
 from tests.fakes import LEASE_S, Sim, spec
 from tests.test_oncall import up
@@ -61,6 +60,40 @@
     assert sim.begun_at("job-1") - sim.submitted["job-1"] < DAY_S
 
 
+def test_a_gang_waits_for_what_saves_before_it_makes_room():
+    # It let go just before the room that it had asked for came, again and again.
+    sim = Sim(6)
+    sim.capacity = 2
+    sim.run(12)
+    sim.submit("job-1", spec("array", 60, "red", lane="scan", priority=0, estimate_s=300.0,
+                             checkpoint_s=5.0, save_s=12.0))
+    sim.run(15)
+    assert len(sim.live()) == 8
+    sim.submit("job-9", spec("gang", 2, "blue", lane="press", priority=2))
+    owner = next(core for core in sim.cores.values() if "blue" in core.world.my_roles).owner
+    sim.run(2)
+    until = owner.open["job-9"].gather_until
+    sim.run(8)
+    assert owner.open["job-9"].gather_until == until > sim.now  # it has not begun anew
+    sim.run(7)
+    assert sim.begun_at("job-9") is not None
+
+
+def test_what_came_by_its_age_protects_no_more_than_itself():
+    sim = Sim(6)
+    sim.capacity = 1
+    sim.run(12)
+    sim.submit("job-1", spec("array", 4, "red", lane="scan", priority=0, estimate_s=300.0))
+    sim.run(15)
+    core = next(core for core in sim.cores.values() if core.keeper.ward.kept)
+    name, = core.keeper.ward.kept
+    core.keeper.ward.kept[name].firm = {"job-1": 1}
+    sim.submit("job-9", spec("array", 4, "blue", lane="press", priority=2, estimate_s=200.0))
+    sim.run(20)
+    running = [task.partition("/")[0] for _, task, _ in sim.live()]
+    assert sorted(running) == ["job-1", "job-9", "job-9", "job-9"]
+
+
 def test_without_elders_the_largest_may_wait_for_ever(monkeypatch):
     for module in ("core.spread.order", "core.keeper.queue", "core.spread.lines",
                    "core.owner.copies", "core.owner.gangs"):
@@ -78,7 +111,7 @@
     core = sim.cores["h0"]
     job = core.world.replica.jobs["job-1"]
     assert not order.elder(core.world, job)
-    job.since -= 1000 * constants.BEGIN_S * constants.ELDER_SHARE
+    job.since -= 1000 * order.elder_s(job)
     assert order.elder(core.world, job) == (not job.begun)
 
 
