A gang asks at once for what it did not get; openings are judged every two seconds

Change: what is missing beyond what may still come is asked for at each look; an opening is looked at every 2 s, its word stands 5 s. A suspect job has room for one task rented, else it would never be tried again where no machine is up.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -262,6 +262,8 @@
 # Seconds for which an opening stands unless its owner says it again, and seconds by which other
 # room has to be ready sooner before a plan changes.
 OPENING_S = 5.0
+# Seconds between two looks for the machines of one opening: each goes through a thousand of them.
+OPENING_EVERY_S = 2.0
 OPENING_MARGIN_S = 10.0
 # Seconds before an opening is ready within which nothing more is started there for others.
 OPENING_SOON_S = 6.0
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -198,10 +198,9 @@
             assert spec is not None
             wanted = min(job.unbound(), left, teams.tasks_left(world, job.team, spec, used))
             if world.failures.suspect(job):
-                wanted = 0  # it is tried where there is room; none is rented for it
-            # At its team's limit, no other of the line may start either.
-            more = wanted > 0 or world.failures.suspect(job)
-            if wanted and job_id not in self.word.cancelled:
+                wanted = min(wanted, 1)  # it is tried one task at a time
+            more = wanted > 0  # at its team's limit, no other of the line may start either
+            if more and job_id not in self.word.cancelled:
                 zones = [b.zone for b in job.bindings()]
                 placed, new = self._place(spec, zones, wanted, pool, rent)
                 slots += new
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -129,7 +129,7 @@
                 self._reserve(job, spec, state, group)
             return True
         groups.sort(key=lambda group: -group[1])
-        if world.now >= max(state.next_wide, state.preempt_at):
+        if world.now >= state.next_wide:
             state.next_wide = world.now + constants.WIDE_S
             for group in groups:
                 _, there, rows, zones = group
@@ -177,6 +177,9 @@
                 or spec.tasks < constants.OPENING_TASKS or spec.spread
                 or world.clock_ms - job.since < 1000 * constants.OPENING_AFTER_S):
             return False
+        if world.now < state.next_open:  # its word stands for longer than that
+            return bool(state.opening)
+        state.next_open = world.now + constants.OPENING_EVERY_S
         fitting = self.index.fitting(spec, world.facts.zones)
         others = world.openings.held(job.id)
         taken = self.index.numbers(others)
@@ -216,6 +219,9 @@
                    most: float) -> bool:
         """Ask for work to stop on as many machines as tasks lack room; return whether it was."""
         now = self.world.now
+        # What was asked for and may still come is counted already: the rest is asked for at once,
+        # or a gang waits for room that others had before it, and lets go of all.
+        state.preempt_at = 0.0
         names = make_room(self.world, self.index, job, spec, state, among, wanted, most)
         if names:
             wait_s = state.preempt_at - now
--- a/oakmux/core/owner/state.py
+++ b/oakmux/core/owner/state.py
@@ -6,7 +6,7 @@
 
     __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
                  "quiet_until", "preempt_at", "next_wide", "patient_until", "asked",
-                 "gather_until", "opening")
+                 "gather_until", "opening", "next_open")
 
     def __init__(self) -> None:
         self.next_sample = 0.0
@@ -25,3 +25,4 @@
         self.gather_until = 0.0
         # Machines that are being opened for it, with the tasks that each is for.
         self.opening: dict[str, int] = {}
+        self.next_open = 0.0
