A huge array and a swarm of tiny jobs cost their owner less; a zone that was deaf a lease ago is not blamed on machines

A story of a deaf zone: the first machines that heard again made those behind them the minority, and these were returned at once.

Change: no use is counted for teams without a limit; chunks without bound tasks are skipped; a zone counts as deaf for a lease more. Tests: each sign of deafness alone, sick machines after a while, suspects one at a time, elders in lines, limits and openings.

--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -21,6 +21,8 @@
         self.lists = lists
         self.moving: dict[str, float] = {}
         self.sick_since: dict[str, float] = {}
+        # Zones where most machines did not hear us, until when that counts.
+        self.deaf_until: dict[str, float] = {}
 
     def _empty(self, name: str) -> bool:
         machine = self.world.machines.get(name)
@@ -157,14 +159,17 @@
                 world.undrain(name)
 
     def _deaf_zones(self) -> set[str]:
-        """Return the zones where most machines don't hear us: a fault of the way there that may
-        end for all of them at once, not one of so many machines."""
+        """Return the zones where most machines don't hear us, or did not a lease ago: a fault of
+        the way there that ends for all of them, though not for all in the same second."""
+        now = self.world.now
         all_of, deaf = Counter[str](), Counter[str]()
         for machine in self.world.machines.values():
             all_of[machine.zone] += 1
             deaf[machine.zone] += machine.deaf_since is not None
-        return {zone for zone, count in deaf.items()
-                if count > 1 and count > all_of[zone] * constants.DEAF_SHARE}
+        for zone, count in deaf.items():
+            if count > 1 and count > all_of[zone] * constants.DEAF_SHARE:
+                self.deaf_until[zone] = now + self.world.facts.workers.lease_s
+        return {zone for zone, until in self.deaf_until.items() if until > now}
 
     def _return(self, names: list[str], why: str) -> None:
         world = self.world
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -151,9 +151,12 @@
         """Count the tasks that are neither done nor bound."""
         if job.spec is None or job.final:
             return 0
-        return job.spec.tasks - sum(c.done.bit_count() + len(
-            [i for i in c.bound if not c.done >> (i % self.per_chunk) & 1])
-            for c in self.chunks(job))
+        left, size = job.spec.tasks, self.per_chunk
+        for chunk in self.chunks(job):  # hundreds, of a huge array: most of them over, or not begun
+            left -= chunk.done.bit_count()
+            if chunk.bound:
+                left -= sum(1 for i in chunk.bound if not chunk.done >> (i % size) & 1)
+        return left
 
     def next_unstarted(self, job: Job, state: Open, offer: tuple) -> int | None:
         """Return the number of a task that may be bound to an offer, or None."""
@@ -187,6 +190,9 @@
     def beyond_limit(self, job: Job, spec: JobSpec, tasks: int = 1) -> bool:
         """Whether that many more tasks of a job would break its team's limit, with what is kept
         for jobs of higher priority that wait for it."""
+        limits = self.world.teams.get(job.team)
+        if limits is not None and not limits.cpus_max and not limits.gpus_max:
+            return False  # nor is its use counted: asked at each offer to thousands of tiny jobs
         cpus, gpus = self.team_use(job.team)
         for other, claim in list(self.limit_claims.items()):
             if claim.until <= self.world.now:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,10 +1,17 @@
 """The end of a day: nobody is forgotten, the largest begin in time, half of all are served."""
 
+import random
+
 import pytest
 
 from oakmux import constants
+from oakmux.core.jobs import Binding, Chunk, Job
+from oakmux.core.owner.copies import Copies
 from oakmux.core.spread import order
-from tests.fakes import LEASE_S, Sim, spec
+from oakmux.core.spread.lines import Lines
+from oakmux.core.spread.openings import Openings
+from oakmux.core.world import World
+from tests.fakes import LEASE_S, TYPE, Sim, settings_for, spec
 from tests.test_oncall import up
 
 DAY_S = 240.0
@@ -151,6 +158,58 @@
     assert order.elder(core.world, job) == (not job.begun)
 
 
+def waiting(**jobs: tuple[float, dict]) -> tuple[World, dict[str, Job]]:
+    """Return a world 100 s after its begin, and jobs by name: (age then in s, fields)."""
+    world = World(settings_for("h0"), random.Random(1), 0)
+    world.types = {"big": TYPE}
+    world.now = 100.0
+    made = {}
+    for name, (age, fields) in jobs.items():
+        described = spec(**fields)
+        made[name] = Job(name, described.team, "queued", 1, described,
+                         round(1000 * (world.now - age)), described.tasks)
+        world.replica.jobs[name] = world.replica.active[name] = made[name]
+    return world, made
+
+
+def test_a_large_array_comes_first_in_its_line_once_it_is_an_elder():
+    world, jobs = waiting(big=(100.0, dict(tasks=5000)), small=(90.0, dict(tasks=1)))
+    world.now = 20.0
+    lines = Lines(world)
+    for job in jobs.values():
+        shape = lines.put(job, job.spec)
+    assert lines.head(shape)[-1] == "small"  # it counts as younger by its size
+    world.now = 100.0
+    lines.grow_old()
+    assert lines.head(shape)[-1] == "big"
+
+
+def test_an_elder_is_owed_a_share_whatever_its_classs_aims_are():
+    world, jobs = waiting(old=(97.0, {}), young=(50.0, {}))
+    world.wait_aims["l"] = [400.0]
+    assert order.aged(world, jobs["old"], jobs["old"].spec)
+    assert not order.aged(world, jobs["young"], jobs["young"].spec)
+
+
+def test_an_elder_gang_keeps_its_part_of_the_limit_while_it_gathers():
+    world, jobs = waiting(gang=(70.0, dict(kind="gang", tasks=8)), young=(10.0, {}))
+    copies = Copies(world)
+    assert not copies.beyond_limit(jobs["young"], jobs["young"].spec)
+    copies.claim_limit(jobs["gang"], jobs["gang"].spec, 8)  # nothing of the team runs
+    assert copies.beyond_limit(jobs["young"], jobs["young"].spec)
+    assert not copies.beyond_limit(jobs["gang"], jobs["gang"].spec, 8)
+
+
+def test_what_is_older_but_has_begun_lets_an_elder_begin():
+    world, jobs = waiting(gang=(70.0, dict(kind="gang", tasks=8)),
+                          older=(80.0, dict(tasks=40, estimate_s=60.0)))
+    openings = Openings(world)
+    openings.take("gang", 1, jobs["gang"].since, ["m1"], 10.0)
+    assert not openings.bars("m1", jobs["older"], jobs["older"].spec)
+    jobs["older"].chunks[0] = Chunk(1, 1, 0, {0: Binding(1, "m2", 1, 1, "a")})
+    assert openings.bars("m1", jobs["older"], jobs["older"].spec)
+
+
 def test_the_check_of_a_day_tells_what_was_not_served():
     sim = Sim(4)
     sim.run(12)
--- a/tests/test_oncall.py
+++ b/tests/test_oncall.py
@@ -1,6 +1,8 @@
 """Troubles that on-call met: machines that don't hear, copies that come late, controllers alone,
 processes back at once, jobs with mistakes, machines that come up late or never."""
 
+import random
+
 import pytest
 
 from oakmux import constants
@@ -8,8 +10,9 @@
 from oakmux.core.jobs import node_key
 from oakmux.core.keeper import hearing
 from oakmux.core.membership import FLEET
+from oakmux.core.world import Machine, World
 from oakmux.wire import Report
-from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Sim, spec
+from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Sim, settings_for, spec
 from tests.test_stories import asked, quiet
 
 
@@ -18,12 +21,12 @@
     return sorted(w.name for w in sim.workers.values() if w.up and not w.dead)
 
 
-def busy(count: int = 3, seed: int = 1, run_s: float = 60.0) -> Sim:
+def busy(count: int = 3, seed: int = 1, run_s: float = 60.0, zone: str | None = None) -> Sim:
     """Return a deployment whose machines all run arrays, two of them at the least."""
     sim = Sim(seed, count)
     sim.run(12)
     for number, team in enumerate(("red", "blue")):
-        sim.submit(f"job-{number}", spec("array", 8, team, estimate_s=run_s))
+        sim.submit(f"job-{number}", spec("array", 8, team, estimate_s=run_s, zone=zone))
     sim.run(12)
     assert len(up(sim)) >= 2 and len(sim.live()) >= 12
     return sim
@@ -47,10 +50,10 @@
 
 
 def test_a_machine_that_hears_again_is_used_again():
-    sim = busy()
+    sim = busy(zone="a")
     sim.capacity = len(up(sim))
     deaf = up(sim)
-    sim.deafen(deaf, 2.5 * LEASE_S)
+    sim.deafen(deaf, 5.5 * LEASE_S)
     sim.run(12 * LEASE_S)
     assert not any(sim.workers[name].dead for name in deaf)  # a cut of all that ended by itself
     assert sim.unfinished(60) == set()
@@ -84,6 +87,43 @@
     assert sim.told["job-1"] == "cancelled" and not sim.live()
 
 
+def moved(world: World, machine: Machine, keeper: str, session: int = 1, token: int = 0) -> None:
+    """Take the next report of a machine, as a controller hears of it."""
+    report = Report(machine.name, "a:1", "big", "a", False, session, machine.seq + 1, token, None,
+                    {})
+    hearing.next_word(world, machine, report, keeper, 5)
+    machine.take(report, world.now)
+    machine.keeper = keeper
+
+
+@pytest.mark.parametrize("sign", ["goes from one to the next", "a lease ends while it reports"])
+def test_each_sign_alone_tells_that_a_machine_does_not_hear(sign):
+    world = World(settings_for("h0"), random.Random(1), 0)
+    machine = Machine(Report("m", "a:1", "big", "a", False, 1, 1, 5, None, {}), 0.0)
+    machine.keeper, machine.keeper_term = "h1", 5
+    if sign == "goes from one to the next":
+        moved(world, machine, "h2")
+        assert hearing.hears(machine)  # handed over, or its controller fell
+        moved(world, machine, "h0")
+    else:
+        world.now = LEASE_S / 3
+        moved(world, machine, "h1", session=2)
+    assert not hearing.hears(machine)
+    moved(world, machine, machine.keeper, machine.session)  # it stays, but does not show the term
+    assert not hearing.hears(machine)
+    moved(world, machine, machine.keeper, machine.session, 5)
+    assert hearing.hears(machine)
+
+
+def test_a_lease_that_ended_in_silence_is_no_sign():
+    world = World(settings_for("h0"), random.Random(1), 0)
+    machine = Machine(Report("m", "a:1", "big", "a", False, 1, 1, 5, None, {}), 0.0)
+    machine.keeper = "h1"
+    world.now = 1.5 * LEASE_S
+    moved(world, machine, "h1", session=2)
+    assert hearing.hears(machine)
+
+
 # --- copies that come late ---
 
 
@@ -271,6 +311,7 @@
     sim.state.outage(4 * LEASE_S)
     sim.run(1)
     sim.freeze(holder, 4 * LEASE_S - 1)
+    sim.after(4 * LEASE_S - 1.001, lambda: sim.frozen[holder].clear())  # its connections are gone
     sim.run(4 * LEASE_S + 1.5)
     assert not any(sim.workers[name].dead for name in names)
 
@@ -334,6 +375,45 @@
     assert all(sim.told[f"job-{number}"] == "cancelled" for number in range(1, 7))
 
 
+def test_a_job_that_failed_everywhere_is_tried_one_task_at_a_time_and_stops_nothing(caplog):
+    caplog.set_level("INFO")
+    sim = busy(run_s=500.0)
+    sim.capacity = len(up(sim))  # full: what it needs has to be stopped for it, at first
+    sim.broken.add("job-7")
+    sim.submit("job-7", spec("array", 8, "red", priority=2, estimate_s=0.5, gpus=0.0,
+                             cpus=6.0))
+    sim.run(20)
+    assert len({name for _, task, _, name in sim.start_log if task.startswith("job-7/")}) >= 3
+    caplog.clear()
+    before = len(sim.start_log)
+    sim.run(140)
+    tries = sorted(at for at, task, _, _ in sim.start_log[before:] if task.startswith("job-7/"))
+    assert "by=job-7" not in caplog.text
+    assert all(later - at > constants.RETRY_FIRST_S
+               for at, later in zip(tries, tries[1:], strict=False))
+
+
+def test_a_machine_is_given_back_as_sick_only_if_that_still_stands_after_a_while():
+    for elsewhere in (True, False):
+        sim = busy(run_s=500.0)
+        name = up(sim)[0]
+        for number in range(10, 13):
+            sim.broken.add(f"job-{number}")
+            sim.submit(f"job-{number}", spec("array", 1, estimate_s=900.0, gpus=0.0, cpus=0.1))
+        sim.run(3)
+        for core in sim.cores.values():
+            core.world.machines[name].errors = [f"job-{number}" for number in range(10, 13)]
+        for task in [key for key in sim.workers[name].tasks]:
+            sim.workers[name].tasks[task][:2] = ["exited", "stopped"]
+        sim.run(constants.SICK_HOLD_S - 2)
+        assert not sim.workers[name].dead
+        for core in sim.cores.values():
+            for number in range(10, 13) if elsewhere else ():
+                core.world.failures.note(f"job-{number}", "m-other")
+        sim.run(6)
+        assert sim.workers[name].dead is not elsewhere
+
+
 def test_without_that_comparison_jobs_with_mistakes_brand_machines(monkeypatch, caplog):
     monkeypatch.setattr(Failures, "blames", lambda self, job_id, machine: True)
     with pytest.raises(AssertionError):
@@ -427,9 +507,10 @@
     demand = core.fleet.demand
     bad = ("big", "a", True)
     core.fleet.lists.never_up = [(sim.now, bad)] * constants.BOOT_TROUBLE
-    sim.submit("job-1", spec("array", 8, "blue", spot=True))
+    sim.submit("job-1", spec("array", 9, "blue", spot=True, cpus=8.0, gpus=0.0))
     sim.run(8)
     assert bad in demand.troubled
-    assert sim.workers and not any(w.zone == "a" and w.spot for w in sim.workers.values())
+    assert len(sim.workers) >= 9
+    assert not any(w.zone == "a" and w.spot for w in sim.workers.values())
     sim.run(constants.BOOT_TROUBLE_S)
     assert bad not in demand.troubled
