--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -152,7 +152,7 @@
         if job.spec is None or job.final:
             return 0
         left, size = job.spec.tasks, self.per_chunk
-        for chunk in self.chunks(job):  # hundreds, of a huge array: most of them over, or not begun
+        for chunk in self.chunks(job):  # hundreds, of a huge array: most are over or not begun
             left -= chunk.done.bit_count()
             if chunk.bound:
                 left -= sum(1 for i in chunk.bound if not chunk.done >> (i % size) & 1)
