--- a/oakmux/core/keeper/kept.py
+++ b/oakmux/core/keeper/kept.py
@@ -18,7 +18,7 @@
     """What a keeper remembers of a machine that reports to it."""
 
     __slots__ = ("queue", "offers", "starting", "answered", "refused", "ordering", "direct_after",
-                 "orphans", "stops", "known", "delayed", "firm", "promised")
+                 "orphans", "stops", "known", "delayed", "firm")
 
     def __init__(self) -> None:
         self.queue: dict[str, Reservation] = {}
@@ -32,11 +32,8 @@
         self.stops: dict[Task, float] = {}
         self.known: set[tuple[str, int, int]] = set()
         self.delayed: dict[Task, float] = {}
-        # Jobs that got room here by their age, and for how many tasks: so many of theirs are not
-        # stopped for other work.
-        self.firm: dict[str, int] = {}
-        # Jobs for a task of which work was stopped here, and until when the room is kept for it.
-        self.promised: dict[str, float] = {}
+        # Jobs that got room here by their age: what they run is not stopped for other work.
+        self.firm: set[str] = set()
 
 
 class Ward:
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -1,7 +1,6 @@
 """The queues at machines: reservations, offers of room, and work that gives way to other work."""
 
-from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection
 
 from oakmux import constants
 from oakmux.core import teams
@@ -50,9 +49,6 @@
             return
         chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept),
                          kept.firm)
-        if chosen is not None:
-            kept.promised[job_id] = (world.now + constants.PREEMPT_S
-                                     + save_s(world, chosen[1]))
         for task in chosen[1] if chosen is not None else ():
             kept.stops[task] = world.now
             event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
@@ -77,18 +73,6 @@
                 specs.append(job.spec)
         return specs
 
-    def _promised(self, kept: Kept) -> dict[str, JobSpec]:
-        """Return the jobs that work is ending for here, with what each needs."""
-        found: dict[str, JobSpec] = {}
-        for job_id, until in list(kept.promised.items()):
-            job = self.world.replica.jobs.get(job_id)
-            if (until <= self.world.now or job_id not in kept.queue or job is None
-                    or job.final or job.spec is None):
-                del kept.promised[job_id]
-            else:
-                found[job_id] = job.spec
-        return found
-
     def records_changed(self, name: str) -> None:
         """Bindings on a machine changed: those that answer an offer end its hold."""
         self.ward.poke.add(name)
@@ -103,9 +87,7 @@
                     del kept.offers[offer_id]
                     break
         kept.known = known
-        there = Counter([row[0] for row in known] + [row[0] for row in kept.offers.values()])
-        kept.firm = {job_id: min(count, there[job_id]) for job_id, count in kept.firm.items()
-                     if there[job_id]}
+        kept.firm &= {row[0] for row in known} | {row[0] for row in kept.offers.values()}
 
     def offer(self, name: str) -> None:
         """Offer free room to the owners of queued reservations, best rank first."""
@@ -120,9 +102,6 @@
         if full(world, free):
             return
         used = teams.usage(world)
-        # One victim ends at once, the next saves for seconds: what came free first was given to
-        # others meanwhile, and the job for which both were stopped never had the room.
-        promised = self._promised(kept)
         ranked = []
         for reservation in list(kept.queue.values()):
             job = world.replica.jobs.get(reservation.job_id)
@@ -130,34 +109,28 @@
                     or world.now - reservation.since > constants.RETRY_MOST_S):
                 del kept.queue[reservation.job_id]
                 continue
-            if (not has_room(free, job.spec) and job.id not in promised
-                    or world.openings.bars(name, job, job.spec)):
+            if not has_room(free, job.spec) or world.openings.bars(name, job, job.spec):
                 continue
             # The age of the job, not of the reservation: of two gangs that wait for the same
             # machines, one must come first at all of them.
             ranked.append((rank(world, job, job.spec, used), job.since, job.id, reservation, job))
         ranked.sort(key=lambda row: row[:3])
         kind = world.types[machine.type]
-        owned = (row[-1] for row in ranked if row[-1].team in world.replica.roles)
-        oldest = self.floor.oldest(kind, without(free, promised.values()), owned)
+        oldest = self.floor.oldest(kind, free, (row[-1] for row in ranked
+                                                if row[-1].team in world.replica.roles))
         if oldest is not None and oldest.spec is not None:
             # Work that came by its age is not stopped again for what stands above it.
-            kept.firm[oldest.id] = kept.firm.get(oldest.id, 0) + 1
+            kept.firm.add(oldest.id)
             free = self._hand(kept, machine, oldest, oldest.spec, free)
             self.floor.gave(oldest.spec, kind, True)
-        awaited: list[JobSpec] = []
         for *_, reservation, job in ranked:
             spec = job.spec
             assert spec is not None
             if job.team not in world.replica.roles:
                 continue
-            while reservation.count > 0 and has_room(without(free, awaited), spec):
+            while reservation.count > 0 and has_room(free, spec):
                 free = self._hand(kept, machine, job, spec, free)
                 self.floor.gave(spec, kind, False)
-                promised.pop(job.id, None)
-                kept.promised.pop(job.id, None)
-            if job.id in promised:  # those of less right leave it what there is of its room
-                awaited.append(spec)
 
     def _hand(self, kept: Kept, machine: Machine, job: Job, spec: JobSpec, free: Room) -> Room:
         """Offer room for one task of a job that has a reservation; return what is left."""
@@ -177,13 +150,6 @@
         return less(free, spec)
 
 
-def without(free: Room, specs: Iterable[JobSpec]) -> Room:
-    """Return the room that is left without a task of each job; below zero if they lack some."""
-    for spec in specs:
-        free = less(free, spec)
-    return free
-
-
 def save_s(world: World, tasks: list[Task]) -> float:
     """Return the seconds for which tasks save once they are told to stop. A gang that did not
     wait for that let the room go that it had made, for minutes."""
@@ -194,17 +160,15 @@
 
 def victims(world: World, machine: Machine, job: Job, spec: JobSpec,
             used: dict[str, tuple[float, float]],
-            held: list[JobSpec] | None = None, firm: Mapping[str, int] | None = None
+            held: list[JobSpec] | None = None, firm: Collection[str] = ()
             ) -> tuple[float, list[Task]] | None:
     """Return (lost work, tasks) whose end makes room for one task of a job, or None.
 
     Only work of lower priority may go, and, for a job within its team's guarantee, work that
-    another team runs beyond its own guarantee. What has least to lose goes first, and of each job
-    in `firm` so many tasks stay, those bound first: kept for all of a job's tasks, long work that
-    got in by its age here and there could not be stopped anywhere.
+    another team runs beyond its own guarantee. What has least to lose goes first, and nothing of
+    the jobs in `firm`.
     """
     beyond = teams.beyond(world, job, spec, used)
-    stays = dict(firm or {})
     rows = []
     for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
         other = world.replica.jobs.get(job_id)
@@ -213,10 +177,7 @@
         if (other is None or other.spec is None or state is None or binding.stop
                 or state[0] not in ("fetching", "waiting", "running")
                 or other.spec.kind == "service" or other.id == job.id
-                or other.spec.joint):
-            continue
-        if stays.get(other.id, 0) > 0:
-            stays[other.id] -= 1
+                or other.spec.joint or other.id in firm):
             continue
         if other.priority >= job.priority and other.team not in beyond:
             continue
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -129,7 +129,7 @@
                 self._reserve(job, spec, state, group)
             return True
         groups.sort(key=lambda group: -group[1])
-        if world.now >= state.next_wide:
+        if world.now >= max(state.next_wide, state.preempt_at):
             state.next_wide = world.now + constants.WIDE_S
             for group in groups:
                 _, there, rows, zones = group
@@ -219,9 +219,6 @@
                    most: float) -> bool:
         """Ask for work to stop on as many machines as tasks lack room; return whether it was."""
         now = self.world.now
-        # What was asked for and may still come is counted already: the rest is asked for at once,
-        # or a gang waits for room that others had before it, and lets go of all.
-        state.preempt_at = 0.0
         names = make_room(self.world, self.index, job, spec, state, among, wanted, most)
         if names:
             wait_s = state.preempt_at - now
