Read again: one entry for each elder to be, one check of what may be used, one wait for a revision

A job that is sampled leaves its line and comes back every 0.4 s, and each time an entry was put among the elders to be, which stays for up to 96 s: tens of thousands in a full fleet. Two checks of whether a machine may be used said the same in other words; waiting for a revision stood twice in the desk; whether a gang must have machines opened was computed before the cheap question whether it is old enough, at each look of each gang.

Change: each job stands there once; usable and counts share one check; Desk._once_reached; Word.alone beside what else it knows; first_word is told the term; needless maxima and a copy of what hears() says removed; constants stand with their comments again.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -262,9 +262,9 @@
 # Seconds for which an opening stands unless its owner says it again, and seconds by which other
 # room has to be ready sooner before a plan changes.
 OPENING_S = 5.0
+OPENING_MARGIN_S = 10.0
 # Seconds between two looks for the machines of one opening: each goes through a thousand of them.
 OPENING_EVERY_S = 2.0
-OPENING_MARGIN_S = 10.0
 # Seconds before an opening is ready within which nothing more is started there for others.
 OPENING_SOON_S = 6.0
 # What is to end before an opening is ready may take so many times its estimate.
@@ -275,11 +275,11 @@
 # Tasks that a gang must have for an opening, seconds that it must have waited, and machines that
 # it names beside those it needs, for those that die meanwhile (share).
 OPENING_TASKS = 4
+OPENING_AFTER_S = 5.0
+OPENING_SPARE = 0.1
 # Machines that a gang must need to have an opening where these are off, once it must begin; or the
 # share of all that stands below, if that is less.
 OPENING_MACHINES = 8.0
-OPENING_AFTER_S = 5.0
-OPENING_SPARE = 0.1
 # Openings known at a time (count), machines that one is chosen from (count), and the share of the
 # machines that all of them may name: the rest is for smaller and younger work.
 OPENINGS_MOST = 64
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -212,12 +212,8 @@
                      for at in self.keeper.word.peer_fresh.values())
         # Without the state service alone, all may be: an outage. Without any peer as well, users
         # are served by whoever has them, if anybody: we can't tell, and could only refuse them.
-        members = world.settings.members
-        alone = bool(members) and all(
-            world.now - self.keeper.word.peer_heard.get(m.label, -1e9) >= constants.ALONE_S
-            for m in members)
         ready = (world.replica.loaded and not world.replica.foreign and bool(world.types)
-                 and (fresh or not (served or alone)))
+                 and (fresh or not (served or self.keeper.word.alone())))
         world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
 
     def _status(self, rid: Any) -> None:
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -276,15 +276,11 @@
     def _revision(self, batch: list, status: int, result: Any) -> None:
         """Answer requests once we have all changes up to the revision that was told."""
         self.reading -= 1
-        until = self.world.now + constants.STATE_TIMEOUT_S
         for rid, job_id, then in batch:
             if status not in (200, 409):
                 self.unavailable(rid, "no current records")
-            elif len(self.behind) >= constants.MAX_WAITING:
-                self.unavailable(rid, "busy")
             else:
-                self.behind.append((result[0], until, rid, job_id, then))
-        self._catch_up()
+                self._once_reached(result[0], rid, job_id, then)
 
     def _after_get(self, epoch: int, rid: Any, job_id: str, then: Then) -> Then:
         return lambda _: self._settled(epoch, rid, job_id, then)
@@ -294,8 +290,15 @@
         we have all changes up to that revision: a job may be cancelled with one far before it
         (R orphaned, went_back), a name unknown here may have been accepted elsewhere."""
         job = self.world.replica.jobs.get(job_id)
-        if (job is not None and (job.ready or job.final)) or self.world.replica.epoch >= epoch:
+        if job is not None and (job.ready or job.final):
             then(job)
+        else:
+            self._once_reached(epoch, rid, job_id, then)
+
+    def _once_reached(self, epoch: int, rid: Any, job_id: str, then: Then) -> None:
+        """Go on with a read once the watch has brought all changes up to a revision."""
+        if self.world.replica.epoch >= epoch:
+            then(self.world.replica.jobs.get(job_id))
         elif len(self.behind) >= constants.MAX_WAITING:
             self.unavailable(rid, "busy")
         else:
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -10,16 +10,7 @@
 from oakmux.core.fleet.lists import Listed, Lists
 from oakmux.core.index import Class, class_of, may_fit
 from oakmux.core.keeper.queue import rank
-from oakmux.core.keeper.room import (
-    Room,
-    full,
-    has_room,
-    less,
-    room,
-    soon_usable,
-    times,
-    usable,
-)
+from oakmux.core.keeper.room import Room, counts, full, has_room, less, room, times
 from oakmux.core.keeper.word import Word
 from oakmux.core.owner.places import zone_allowed
 from oakmux.core.spread.lines import Lines, Shape
@@ -140,8 +131,7 @@
         slots = []
         silent = world.facts.workers.lease_s
         for machine in world.machines.values():
-            if (usable(world, machine) or soon_usable(world, machine)) \
-                    and world.now - machine.heard < silent:
+            if counts(world, machine) and world.now - machine.heard < silent:
                 slots.append(Slot(machine.name, machine.type, machine.zone, machine.spot,
                                   room(world, machine), False))
         late: Counter[Key] = Counter()
--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -165,7 +165,7 @@
         all_of, deaf = Counter[str](), Counter[str]()
         for machine in self.world.machines.values():
             all_of[machine.zone] += 1
-            deaf[machine.zone] += machine.deaf_since is not None
+            deaf[machine.zone] += not hears(machine)
         for zone, count in deaf.items():
             if count > 1 and count > all_of[zone] * constants.DEAF_SHARE:
                 self.deaf_until[zone] = now + self.world.facts.workers.lease_s
--- a/oakmux/core/keeper/hearing.py
+++ b/oakmux/core/keeper/hearing.py
@@ -11,10 +11,10 @@
 from oakmux.wire import Report
 
 
-def first_word(world: World, machine: Machine, ours: bool) -> None:
+def first_word(world: World, machine: Machine, ours: bool, term: int) -> None:
     """Judge a machine that nobody here knew. A report to us proves nothing, whatever it says; a
     peer that has settled it under its own term has heard it before."""
-    if ours or machine.token != machine.keeper_term:
+    if ours or machine.token != term:
         machine.unheard = constants.UNHEARD_MOST
         machine.deaf_since = world.now
 
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -102,8 +102,7 @@
     before: dict[Task, tuple[str, str, bool]] = {}
     if machine is None:
         machine = world.machines[report.machine] = Machine(report, world.now)
-        machine.keeper_term = keeper_term
-        first_word(world, machine, keeper == world.label)
+        first_word(world, machine, keeper == world.label, keeper_term)
         changed = True
     else:
         before = machine.tasks if machine.session == report.session else {}
--- a/oakmux/core/keeper/room.py
+++ b/oakmux/core/keeper/room.py
@@ -3,7 +3,7 @@
 import math
 
 from oakmux import constants
-from oakmux.core.keeper.hearing import deaf_s, hears
+from oakmux.core.keeper.hearing import hears
 from oakmux.core.world import Machine, World
 from oakmux.wire import JobSpec
 
@@ -91,12 +91,23 @@
 
 
 def usable(world: World, machine: Machine) -> bool:
-    """Whether new tasks may be put on a machine: not on one that fell silent, where they would be
-    stuck until it is proven gone."""
+    """Whether new tasks may be put on a machine: not on one that fell silent or does not hear us,
+    where they would be stuck until it is proven gone."""
+    return hears(machine) and _open(world, machine)
+
+
+def counts(world: World, machine: Machine) -> bool:
+    """Whether a machine counts as room, there or soon: also one that is new and has yet to show
+    that it hears us, which takes a report or two. Else as much would be rented anew."""
+    new = world.now - machine.first_heard < silent_s(world)
+    return (new or hears(machine)) and _open(world, machine)
+
+
+def _open(world: World, machine: Machine) -> bool:
+    """Whether nothing but not hearing us could keep new tasks off a machine."""
     return (world.now - machine.heard < silent_s(world)
             and machine.name not in world.draining and machine.notice_at is None
-            and machine.name not in world.replica.gone
-            and hears(machine) and not sick(world, machine))
+            and machine.name not in world.replica.gone and not sick(world, machine))
 
 
 def sick(world: World, machine: Machine) -> bool:
@@ -104,11 +115,3 @@
     return len(machine.errors) >= constants.SICK_ERRORS and sum(
         world.failures.blames(job_id, machine.name)
         for job_id in machine.errors) >= constants.SICK_ERRORS
-
-
-def soon_usable(world: World, machine: Machine) -> bool:
-    """Whether a machine is new and has yet to show that it hears us, which takes a report or two:
-    until then it counts as room that comes, or as much would be rented anew."""
-    return (not hears(machine) and world.now - machine.first_heard < silent_s(world)
-            and deaf_s(world, machine) < silent_s(world) and not sick(world, machine)
-            and machine.name not in world.draining and machine.notice_at is None)
--- a/oakmux/core/keeper/word.py
+++ b/oakmux/core/keeper/word.py
@@ -37,6 +37,13 @@
         """Whether our own records are current."""
         return self.world.now - self.world.state_heard < constants.STATE_STALE_S
 
+    def alone(self) -> bool:
+        """Whether no peer has said a word of late, if there are any."""
+        members = self.world.settings.members
+        return bool(members) and all(
+            self.world.now - self.peer_heard.get(m.label, -1e9) >= constants.ALONE_S
+            for m in members)
+
     def peer_alive(self, label: str, life: int, state_age: float, cancelled: list[str],
                    asked: float) -> None:
         """Take a peer's answer to a question asked at `asked`: it lives, and what was cancelled.
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -153,15 +153,17 @@
         """Whether a gang is to have machines opened for it though openings are off: a large one
         that must begin at last. Smaller ones find room without, and many openings at a time cost
         other work more than they gain."""
+        if not elder(self.world, job):
+            return False
         machines = max((spec.tasks * weight(spec, kind) for kind in self.world.types.values()
                         if self.world.fits_type(spec, kind.name)), default=0.0)
         large = min(constants.OPENING_MACHINES, constants.OPENING_SHARE * len(
             self.index.fitting(spec, self.world.facts.zones)))
-        return machines >= large and elder(self.world, job)
+        return machines >= large
 
     def _before(self, job: Job, name: str) -> bool:
         """Whether a gang that must begin at last goes before the one that gathers now."""
-        mine, other = (((-one.priority, not elder(self.world, one), one.since, one.id))
+        mine, other = ((-one.priority, not elder(self.world, one), one.since, one.id)
                        for one in (job, self.world.replica.jobs[name]))
         return mine < other
 
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -103,8 +103,7 @@
         zones = [b.zone for b in self.copies.bindings(job)]
         if spec.kind == "gang" and zones:
             wanted = 0  # a new attempt only when every task of the old one is proven gone
-        suspect = world.failures.suspect(job)
-        if suspect and not spec.joint:
+        if not spec.joint and world.failures.suspect(job):
             # It fails wherever it starts: one task at a time, or a mistake in a large array takes
             # hundreds of places, and as many fetches, at each try.
             wanted = min(wanted, 0 if zones else 1)
@@ -147,7 +146,7 @@
             all_drawn = there < count * constants.DRAW_RATIO + constants.DRAW_MORE
             waiting.found(shape, wanted, there if all_drawn else None)
         elif self._widely(job, spec, state, zones_left, wanted, count):
-            waiting.later(job.id, max(state.preempt_at, world.now + constants.PREEMPT_S))
+            waiting.later(job.id, state.preempt_at)
             waiting.found(shape, 0, None)
         else:
             self._none_found(job, state, shape, zones_left)
@@ -215,7 +214,7 @@
         # A fetch blocks its place as well: stopping young work where the image is costs less.
         if holders and not there and make_room(world, self.index, job, spec, state, holders,
                                                wanted, worth_s(world, spec, rows[0].machine)):
-            state.next_sample = max(state.preempt_at, world.now + constants.PREEMPT_S)
+            state.next_sample = state.preempt_at
         elif (len(holders) >= wanted > sum(times(row.free, spec) for row in there)
                 and self._patient(spec, state, rows[0].machine)):
             state.next_sample = world.now + constants.WAIT_RESAMPLE_S
--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -77,8 +77,10 @@
         self.ages: dict[Shape, SortedList] = {}
         self.where: dict[str, tuple[Shape, Place, float]] = {}
         self.sizes: dict[str, tuple[float, float, float]] = {}
-        # When each job that stands in a line becomes an elder, the first of them first.
+        # When each job that stood in a line becomes an elder, the first of them first; each is
+        # there once, however often it leaves its line and comes back.
         self.elders: list[tuple[float, str]] = []
+        self.growing: set[str] = set()
 
     def resize(self) -> bool:
         """Line all jobs up anew if the machine types changed, and with them the shapes; return
@@ -110,8 +112,10 @@
             line.add(place)
             self.ages[shape].add((job.since, job.id))
             self.where[job.id] = (shape, place, job.since)
-            if place[0]:
-                heapq.heappush(self.elders, (job.since + 1000 * elder_s(job), job.id))
+            at = job.since + 1000 * elder_s(job)
+            if at >= self.world.clock_ms and job.id not in self.growing:
+                self.growing.add(job.id)
+                heapq.heappush(self.elders, (at, job.id))
         return shape
 
     def grow_old(self) -> None:
@@ -119,6 +123,7 @@
         was found when they were younger."""
         while self.elders and self.elders[0][0] < self.world.clock_ms:
             _, job_id = heapq.heappop(self.elders)
+            self.growing.discard(job_id)
             job = self.world.replica.jobs[job_id]
             if job_id in self.where and job.spec is not None and elder(self.world, job):
                 self.put(job, job.spec)
@@ -161,3 +166,4 @@
         self.ages.clear()
         self.where.clear()
         self.elders.clear()
+        self.growing.clear()
