Cancellations are passed on without a gap, and end every task of the machine

Cause: three ways in which a controller that the state service refuses kept a cancelled task alive through an outage, each brought about on the fakes with three and seven controllers. - Whoever confirmed a cancellation noted it for its peers only if it knew of a binding of the job; one that was behind with the bindings told nobody. - Stops went to tasks of our own records. A task bound after we had been refused, on a worker that came to us in the outage, was not among them; nor did a worker that had seen a newer term than ours get any stop, while its lease was renewed. - A start held on its way acts as long as no newer term reaches the worker, and none can be had in an outage: renewed by a controller with a lower term, the session lasted for minutes.

Mend: a peer is asked for all cancellations after the revision up to which we know them, and its answer says up to which that is all; only such answers let leases be renewed. The list follows from the records, so a peer that restarted has no gap either, and the guess about its life (mesh_broken) goes. Stops go to all that a machine reports, under the worker's own token where ours is lower. Where a start of a cancelled job may still be on its way, the lease is not renewed.

Ruled out: letting leases end whenever a peer is quiet; it keeps the rule and loses the work of every outage.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -141,6 +141,11 @@
 ORPHAN_S = 6.0
 # Seconds kept between the last lease and the end of a cancellation.
 CANCEL_MARGIN_S = 4.0
+# Cancellations by revision that are kept to tell peers (count), at least: a controller that lacks
+# more than these, 14 bytes each, hears so and gives its workers up; and how many of the last are
+# told to one that does not say what it has, of an earlier version.
+CANCELS_KEPT = 2000
+CANCELS_UNASKED = 100
 # Smallest room that counts, against rounding (share of a unit).
 EPSILON = 1e-6
 # Transactions of an owner that may be on their way at a time (count).
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -162,7 +162,7 @@
         for job_id in jobs:
             job = replica.jobs.get(job_id)
             if job is not None and job.state == "cancelled" and job_id in replica.active:
-                self.keeper.word.note_cancelled(job_id)
+                self.keeper.word.poke_job(job_id)
             self.owner.binder.changed(job_id)
             self.fleet.changed(job_id)
         for name in machines:
@@ -193,7 +193,6 @@
         replica.epoch = max(replica.epoch, epoch)
         self._recorded_types()
         self.world.state_heard = max(self.world.state_heard, asked)
-        self.keeper.word.mesh_broken = False
 
     def _recorded_types(self) -> None:
         """Until the cloud answers, the catalogue in the records has to do."""
@@ -226,16 +225,15 @@
 
     # --- peers ---
 
-    def _peer(self, rid: Any, label: str, messages: list) -> None:
+    def _peer(self, rid: Any, label: str, messages: list, since: int = -1) -> None:
         for message in messages:
             self._message(label, message)
         world = self.world
-        keep = world.facts.workers.cancel_s
-        recent = [j for j, at in self.keeper.word.cancelled.items() if world.now - at <= keep]
+        cancelled, until = self.keeper.word.answer(since)
         world.emit("answer", rid, 200, ("peer", world.label,
                                         world.life if world.replica.loaded else 0,
                                         min(world.now - world.state_heard, 1e6),
-                                        recent[-constants.MAX_WAITING:]))
+                                        cancelled, until))
 
     def _peer_new(self, label: str) -> None:
         """A peer started anew: tell it all that we hear."""
@@ -283,10 +281,7 @@
         if world.now < self.next_alive:
             return
         self.next_alive = world.now + constants.ALIVE_S
-        keep = world.facts.workers.cancel_s
-        for job_id in [j for j, at in self.keeper.word.cancelled.items()
-                       if world.now - at > 2 * keep and j not in world.replica.active]:
-            del self.keeper.word.cancelled[job_id]
+        self.keeper.word.forget()
         for name in [n for n, at in world.draining.items()
                      if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S]:
             world.undrain(name)
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -6,6 +6,7 @@
 version/<controller> (what a controller can read), format (what all write).
 """
 
+import bisect
 import logging
 import math
 from typing import Any, NamedTuple, Protocol
@@ -233,6 +234,10 @@
         # Unfinished jobs that need a cancelled one, directly or through others. They can never
         # have started, so that they are cancelled follows from final records alone.
         self.doomed: dict[str, None] = {}
+        # Cancelled jobs by the revision that made them so, in its order; older than the floor they
+        # were dropped.
+        self.cancels: list[tuple[int, str]] = []
+        self.cancels_floor = 0
         # Jobs whose last need was met, until the controller has taken note.
         self.freed: list[str] = []
         self.versions: dict[str, int] = {}
@@ -364,6 +369,8 @@
                 self.touch(binding.machine)
         else:
             job.state, job.stamp, job.spec = state, stamp, spec or job.spec
+        if job.state == "cancelled":
+            self._note_cancel(stamp, job_id)
         if job.final:
             self._ended(job)
         elif new and spec is not None:
@@ -373,6 +380,26 @@
         if job.final:
             self.changed_machines.update(b.machine for b in job.bindings())
 
+    def _note_cancel(self, stamp: int, job_id: str) -> None:
+        if stamp <= self.cancels_floor:
+            return
+        bisect.insort(self.cancels, (stamp, job_id))
+        if len(self.cancels) > 2 * constants.CANCELS_KEPT:
+            old, self.cancels = (self.cancels[:constants.CANCELS_KEPT],
+                                 self.cancels[constants.CANCELS_KEPT:])
+            self.cancels_floor = old[-1][0]
+
+    def cancelled_since(self, epoch: int) -> list[str] | None:
+        """Return all jobs cancelled after a revision, as far as we know; None if it is too old.
+
+        Our own cancellations are among them from the moment that their write is answered, those
+        of all others up to our own revision.
+        """
+        if epoch < self.cancels_floor:
+            return None
+        first = bisect.bisect_right(self.cancels, epoch, key=lambda row: row[0])
+        return [job_id for _, job_id in self.cancels[first:]]
+
     # --- jobs that wait on others ---
 
     def _needs(self, job: Job, spec: JobSpec) -> None:
--- a/oakmux/core/keeper/orders.py
+++ b/oakmux/core/keeper/orders.py
@@ -59,6 +59,7 @@
             elif task not in kept.refused and self.word.state_fresh():
                 orders.append(wire.order("start", *task))
                 starts.append(task)
+        orders += self._strays(kept, machine, names)
         kept.refused &= names
         kept.delayed = {task: since for task, since in kept.delayed.items() if task in names}
         for task in [task for task in kept.stops if task not in machine.tasks]:
@@ -67,6 +68,48 @@
             self._unbound(kept, machine, orders, names)
         return orders, starts
 
+    def _strays(self, kept: Kept, machine: Machine, names: set[Task]) -> list[dict]:
+        """Stop tasks of cancelled jobs whose binding our records lack: they were bound after the
+        state service had refused us, and the worker came to us meanwhile (R ran_cancelled)."""
+        orders: list[dict] = []
+        for task, state in machine.tasks.items():
+            job_id = task[0].partition("/")[0]
+            if task not in names and state[0] != "exited" and self.word.is_cancelled(job_id):
+                self._stop(kept, machine, orders, task, state[0], None, True)
+        return orders
+
+    def last_word(self, kept: Kept, machine: Machine) -> list[dict]:
+        """Return the stops of cancelled work, for a worker that has seen a term above ours.
+
+        Until we have a newer one they go out under the worker's own: whoever may command it
+        besides, work that a user was told is cancelled has to end, and its stop undoes nothing.
+        With the state service out no newer term comes, and its lease is renewed meanwhile.
+        """
+        orders: list[dict] = []
+        for task, state in machine.tasks.items():
+            if state[0] != "exited" and self.word.is_cancelled(task[0].partition("/")[0]):
+                self._stop(kept, machine, orders, task, state[0], None, True)
+        return orders
+
+    def may_act_late(self, kept: Kept, machine: Machine) -> bool:
+        """Whether a start of a cancelled job may still be on its way when it must be gone.
+
+        Its answer was lost, or another controller gave it. A newer term would rule it out, and
+        none can be had without the state service: then the worker's session has to end in time.
+        """
+        world = self.world
+        if self.word.state_fresh():
+            return False
+        for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
+            task = (f"{job_id}/{index}", binding.attempt)
+            sent = binding.term != world.term or task in kept.starting
+            if (sent and binding.session == machine.session and machine.token <= binding.term
+                    and task not in machine.tasks and self.word.is_cancelled(job_id)
+                    and world.now - self.word.cancelled.get(job_id, -1e9)
+                    >= self.word.patience_s()):
+                return True
+        return False
+
     def _too_soon(self, kept: Kept, machine: Machine, job: Job, binding: Binding,
                   task: Task) -> bool:
         """Whether a gang's task that has its image should be started later, since others fetch it.
@@ -105,8 +148,8 @@
         return machine.notice_at - self.world.now <= spec.save_s + 2 * times_.report_s
 
     def _stop(self, kept: Kept, machine: Machine, orders: list[dict], task: Task, state: str,
-              job: Job, ended: bool) -> None:
-        grace = 0.0 if ended or job.spec is None else job.spec.save_s
+              job: Job | None, ended: bool) -> None:
+        grace = 0.0 if ended or job is None or job.spec is None else job.spec.save_s
         if state == "saving" and not ended:
             return
         orders.append(wire.order("stop", task[0], task[1], grace))
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -51,11 +51,15 @@
                 if world.now - fresh < constants.STATE_STALE_S / 2:
                     world.emit("answer", rid, 421, ("report_to", label))
                     return
+        if self.orders.may_act_late(kept, machine):
+            world.emit("answer", rid, 503, ("error", "a cancelled start is on its way"))
+            return
         if report.token > world.term or not world.term:
             self.membership.need_term_above(report.token)
             if report.token:
                 # The worker's own token keeps its lease; nothing starts under it.
-                world.emit("answer", rid, 200, ("orders", report.token, []))
+                world.emit("answer", rid, 200, ("orders", report.token,
+                                                self.orders.last_word(kept, machine)))
             else:
                 world.emit("answer", rid, 503, ("error", "no term yet"))
             return
--- a/oakmux/core/keeper/word.py
+++ b/oakmux/core/keeper/word.py
@@ -1,4 +1,8 @@
-"""How current we are: news of the state service, word of the peers, cancellations known."""
+"""How current we are: news of the state service, word of the peers, cancellations known.
+
+The invariant (R ran_cancelled): whoever answers a worker 200 knows of *every* cancellation that
+any user was told of up to `cancels_known_until`, and applies it to every task on that worker.
+"""
 
 from oakmux import constants
 from oakmux.core.keeper.kept import Ward
@@ -14,24 +18,38 @@
         self.peer_fresh: dict[str, float] = {}
         self.peer_life: dict[str, int] = {}
         self.peer_heard: dict[str, float] = {}
-        self.mesh_broken = False
+        # Cancellations that peers told and our records lack, each with a time before which no user
+        # can have been told of it.
         self.cancelled: dict[str, float] = {}
+        # Up to which revision, and up to which time, peers' words without a gap have brought all
+        # cancellations; and when each peer last told all that it had confirmed.
+        self.reached = 0
+        self.reached_at = -1e9
+        self.told: dict[str, float] = {}
+
+    @property
+    def epoch(self) -> int:
+        """The revision up to which we know of every cancellation: peers are asked from there."""
+        return max(self.reached, self.world.replica.epoch)
 
     def cancels_known_until(self) -> float:
         """Return the time up to which we know of every cancellation that was answered."""
         world = self.world
-        known = max([world.state_heard, *self.peer_fresh.values()])
+        known = max(world.state_heard, self.reached_at)
         members = world.settings.members
-        if not self.mesh_broken and all(m.label in self.peer_heard for m in members):
-            known = max(known, min((self.peer_heard[m.label] for m in members),
-                                   default=world.now))
+        if all(m.label in self.told for m in members):
+            # Whatever any of them told a user until then, it has told us.
+            known = max(known, min((self.told[m.label] for m in members), default=world.now))
         return known
 
+    def patience_s(self) -> float:
+        """Return the seconds for which leases renewed after a cancellation still end in time."""
+        times_ = self.world.facts.workers
+        return max(times_.cancel_s - times_.lease_s - constants.CANCEL_MARGIN_S, 0.0)
+
     def may_keep(self) -> bool:
         """Whether leases that we renew still end before a cancellation we can't know of."""
-        times_ = self.world.facts.workers
-        patience = times_.cancel_s - times_.lease_s - constants.CANCEL_MARGIN_S
-        return self.world.now - self.cancels_known_until() < max(patience, 0.0)
+        return self.world.now - self.cancels_known_until() < self.patience_s()
 
     def state_fresh(self) -> bool:
         """Whether our own records are current."""
@@ -44,31 +62,56 @@
             self.world.now - self.peer_heard.get(m.label, -1e9) >= constants.ALONE_S
             for m in members)
 
+    def is_cancelled(self, job_id: str) -> bool:
+        """Whether a job is cancelled, by our records or by a peer's word."""
+        job = self.world.replica.jobs.get(job_id)
+        return job_id in self.cancelled or (job is not None and job.state == "cancelled")
+
+    def answer(self, since: int) -> tuple[list[str], int]:
+        """Return what a peer must know that knows all cancellations up to a revision: those after
+        it, and the revision up to which that is all of them; -1 if we can't say."""
+        if since < 0:  # of a version that does not say what it has
+            return [job for _, job in self.world.replica.cancels[-constants.CANCELS_UNASKED:]], -1
+        found = self.world.replica.cancelled_since(since)
+        return ([], -1) if found is None else (found, self.world.replica.epoch)
+
     def peer_alive(self, label: str, life: int, state_age: float, cancelled: list[str],
-                   asked: float) -> None:
+                   asked: float, until: int = -1) -> None:
         """Take a peer's answer to a question asked at `asked`: it lives, and what was cancelled.
 
         The time of the question counts, so that an answer that was held up is not taken for new.
+        The list begins where our knowledge ended when we asked, so with `until` there is no gap:
+        not by a peer that just started either, since all that its predecessor confirmed stands in
+        the records that it has loaded.
         """
-        now = self.world.now
-        if self.peer_life.get(label, life) != life and not self.state_fresh():
-            # A peer that restarted may have answered a cancellation and died before telling us.
-            self.mesh_broken = True
         self.peer_life[label] = life
         if life:
             self.peer_heard[label] = asked
             self.peer_fresh[label] = max(self.peer_fresh.get(label, -1e9), asked - state_age)
+        not_before = self.cancels_known_until()
+        complete = bool(life) and until >= 0
         for job_id in cancelled:
-            if job_id not in self.cancelled:
-                self.cancelled[job_id] = now
-                self._poke_job(job_id)
+            job = self.world.replica.jobs.get(job_id)
+            if job_id in self.cancelled or (job is not None and job.final):
+                continue
+            if len(self.cancelled) >= constants.CANCELS_KEPT:
+                complete = False  # leases that we can't answer for end by themselves
+                break
+            self.cancelled[job_id] = not_before
+            self.poke_job(job_id)
+        if complete:
+            self.reached = max(self.reached, until)
+            self.reached_at = max(self.reached_at, asked - state_age)
+            self.told[label] = max(self.told.get(label, -1e9), asked)
 
-    def note_cancelled(self, job_id: str) -> None:
-        """Remember a cancellation, to stop its tasks and to tell peers."""
-        self.cancelled.setdefault(job_id, self.world.now)
-        self._poke_job(job_id)
+    def forget(self) -> None:
+        """Drop what our own records say by now."""
+        jobs = self.world.replica.jobs
+        for job_id in [j for j in self.cancelled if j in jobs and jobs[j].final]:
+            del self.cancelled[job_id]
 
-    def _poke_job(self, job_id: str) -> None:
+    def poke_job(self, job_id: str) -> None:
+        """Stop a job's tasks wherever our records say that they may be."""
         job = self.world.replica.jobs.get(job_id)
         if job is not None:
             self.ward.poke.update(b.machine for b in job.bindings())
--- a/oakmux/net/peers.py
+++ b/oakmux/net/peers.py
@@ -21,21 +21,25 @@
 
 
 class Answer(msgspec.Struct, array_like=True):
-    """A peer's answer: how current its records are and what was cancelled of late."""
+    """A peer's answer: how current its records are and what was cancelled since the revision that
+    was named, all of it up to `until`; earlier versions don't say that."""
 
     tag: str
     label: str
     life: int
     state_age: float
     cancelled: list[str]
+    until: int = -1
 
 
 class Batch(msgspec.Struct, array_like=True):
-    """Messages of a peer."""
+    """Messages of a peer, and the revision up to which it knows of all cancellations; earlier
+    versions don't say that."""
 
     tag: str
     label: str
     messages: list[list[Any]]
+    since: int = -1
 
 
 def parse_batch(body: bytes) -> Batch:
@@ -49,11 +53,14 @@
 class Peer:
     """The way to one peer; what is lost of the machines' news is sent anew."""
 
-    def __init__(self, label: str, peer: str, addr: str, put: Callable[[tuple], None]) -> None:
+    def __init__(self, label: str, peer: str, addr: str, put: Callable[[tuple], None],
+                 since: Callable[[], int]) -> None:
         self.label = label
         self.peer = peer
         self.addr = addr
         self.put = put
+        # Returns the revision up to which we know of all cancellations.
+        self.since = since
         self.client = Client(constants.PEER_CONNECTIONS)
         self.outbox: list[tuple] = []
         self.woken = asyncio.Event()
@@ -107,7 +114,7 @@
 
     async def _send(self, batch: list[tuple]) -> None:
         asked = asyncio.get_running_loop().time()
-        body = wire.encode(["batch", self.label, batch])
+        body = wire.encode(["batch", self.label, batch, self.since()])
         status, answer = await self.client.request(
             self.addr, "POST", PATH, body, constants.PEER_TIMEOUT_S, constants.PEER_BODY)
         if status != 200:
@@ -119,4 +126,5 @@
         if word.life != self.life:
             self.life = word.life
             self.put(("peer_new", self.peer))
-        self.put(("peer_alive", self.peer, word.life, word.state_age, word.cancelled, asked))
+        self.put(("peer_alive", self.peer, word.life, word.state_age, word.cancelled, asked,
+                  word.until))
--- a/oakmux/net/users.py
+++ b/oakmux/net/users.py
@@ -112,4 +112,4 @@
         except wire.Malformed as error:
             self.refuse(request, 400, str(error))
             return
-        self._queue(request, "peer", request, batch.label, batch.messages)
+        self._queue(request, "peer", request, batch.label, batch.messages, batch.since)
--- a/oakmux/service.py
+++ b/oakmux/service.py
@@ -62,8 +62,9 @@
         self.state = State(conf, self.put)
         self.cloud = Cloud(conf, self.put)
         self.workers = Workers(self.put)
-        self.peers = {m.label: Peer(conf.label, m.label, m.peer_addr, self.put)
-                      for m in conf.members}
+        word = self.core.keeper.word
+        self.peers = {m.label: Peer(conf.label, m.label, m.peer_addr, self.put,
+                                    lambda: word.epoch) for m in conf.members}
 
     def offer(self, command: tuple) -> bool:
         """Queue a command from outside unless too many wait."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -300,6 +300,9 @@
         self.answered: dict[str, float] = {}
         self.frozen: dict[str, list[tuple]] = {}
         self.loss = self.twice = self.slow = 0.0
+        self.late_writes = 0.0  # share of transactions carried out 2 to 12 s later, unanswered
+        self.state_slow = 0.0  # seconds by which answers of the state service come late, at most
+        self.stuck: set[str] = set()  # controllers whose watch brings nothing for now
         self.specs: dict[str, JobSpec] = {}
         self.told: dict[str, str] = {}
         self.cancelled_at: dict[str, float] = {}
@@ -422,7 +425,8 @@
         if self.lives[label] != life:
             return
         state, asked = self.state, self.now
-        if not (state.down or label in state.refused or self.cut(label, "state")):
+        if not (state.down or label in state.refused or self.cut(label, "state")
+                or label in self.stuck):
             state.expire()
             if since is None:
                 rows = [(k, v[0], v[1]) for k, v in state.rows.items()]
@@ -434,7 +438,8 @@
                 events = state.log[start:]
                 self.command(label, ("watch", events, state.epoch, asked))
             since = state.epoch
-        self.after(0.02, lambda: self.follow(label, life, since))
+        late = self.rng.uniform(0.0, self.state_slow) if self.state_slow else 0.0
+        self.after(0.02 + late, lambda: self.follow(label, life, since))
 
     def command(self, label: str, command: tuple) -> None:
         self.step(label, [command])
@@ -473,17 +478,42 @@
         elif kind == "cloud":
             self.ask(label, "cloud", lambda: self.cloud(*effect[2:]), done, (0, None), 5.0)
         else:
-            self.ask(label, "state", lambda: self.state.serve(label, kind, *effect[2:]), done,
-                     (0, None), constants.STATE_TIMEOUT_S)
+            self.to_state(label, effect, done)
+
+    def to_state(self, label: str, effect: tuple, done: Callable[[tuple], None]) -> None:
+        """Carry an operation to the state service: at once, slowly, or late and unanswered."""
+        def serve() -> tuple[int, Any]:
+            return self.state.serve(label, effect[0], *effect[2:])
+
+        if effect[0] == "txn" and self.late_writes and self.rng.random() < self.late_writes:
+            self.after(self.rng.uniform(2.0, 12.0), serve)
+            self.after(constants.STATE_TIMEOUT_S, lambda: done((0, None)))
+        elif self.state_slow:
+            def late() -> None:
+                answer = serve()
+                self.after(self.rng.uniform(0.0, self.state_slow), lambda: reply(answer))
+
+            open_ = [True]
+
+            def reply(answer: tuple) -> None:
+                if open_:
+                    open_.clear()
+                    done(answer)
+
+            self.after(constants.STATE_TIMEOUT_S, lambda: reply((0, None)))
+            self.after(self.rng.uniform(0.0, self.state_slow), late)
+        else:
+            self.ask(label, "state", serve, done, (0, None), constants.STATE_TIMEOUT_S)
 
     def send(self, label: str, life: int, peer: str, message: tuple) -> None:
-        asked = self.now
+        asked, mine = self.now, self.cores[label]
+        since = mine.keeper.word.epoch if mine is not None else -1
 
         def serve() -> Any:
             if self.cores.get(peer) is None:
                 return None
             box: list[tuple] = []
-            self.command(peer, ("peer", lambda *a: box.append(a), label, [list(message)]))
+            self.command(peer, ("peer", lambda *a: box.append(a), label, [list(message)], since))
             return box[0][1] if box else None
 
         def done(word: Any) -> None:
@@ -497,7 +527,7 @@
             core = self.cores[label]
             assert core is not None
             new = core.keeper.word.peer_life.get(peer) != word[2]
-            self.command(label, ("peer_alive", peer, word[2], word[3], word[4], asked))
+            self.command(label, ("peer_alive", peer, word[2], word[3], word[4], asked, word[5]))
             if new:
                 self.command(label, ("peer_new", peer))
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -413,7 +413,7 @@
 
     async def story() -> None:
         loop = asyncio.get_running_loop()
-        peer = Peer("h0", "h1", "10.0.0.2:81", lambda command: None)
+        peer = Peer("h0", "h1", "10.0.0.2:81", lambda command: None, lambda: 7)
 
         async def request(addr, method, path, body, timeout, most):
             sent.append((loop.time() - start, [m[0] for m in wire.decode(body)[2]]))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from oakmux import wire
 from oakmux.core.controller import Controller
 from oakmux.core.jobs import (
     FORMAT_KEY,
@@ -21,6 +22,7 @@
     value_bytes,
     version_key,
 )
+from oakmux.net.peers import parse_batch
 from oakmux.settings import ComingLimits
 from tests.fakes import TYPE, Sim, settings_for, spec
 
@@ -29,6 +31,16 @@
 ALL = ("h0", "h1", "h2")
 
 
+class OldAnswer(msgspec.Struct, array_like=True):
+    """A peer's answer as earlier versions read it."""
+
+    tag: str
+    label: str
+    life: int
+    state_age: float
+    cancelled: list[str]
+
+
 def first_replica() -> Replica:
     """Return a replica of what the first version wrote."""
     replica = Replica()
@@ -76,7 +88,13 @@
     core.step(0.0, [("catalogue", [TYPE]), ("snapshot", [
         (key, *row) for key, row in FIRST["rows"].items()], 30, 0.0)])
     for sender, message in FIRST["messages"].values():
-        core.step(1.0, [("peer", None, sender, [message])])
+        batch = parse_batch(wire.encode(["batch", sender, [message]]))
+        effects = core.step(1.0, [("peer", None, batch.label, batch.messages, batch.since)])
+        answers = [wire.encode(wire.answer_body(e[3])) for e in effects if e[0] == "answer"]
+        old = msgspec.convert(wire.decode(answers[0]), OldAnswer)
+        assert (old.label, batch.since) == ("h1", -1)
+        assert old.cancelled == [j.id for j in core.world.replica.jobs.values()
+                                 if j.state == "cancelled"]
     assert "message_failed" not in caplog.text and "m1" in core.world.machines
     sim, forms = Sim(1), {}
     send = sim.send
