Each meeting of two troubles as a story; the random story draws the gap, late writes, slow answers

Stories, with three and seven controllers where it matters: ends far apart across two changes with any message lost; hand over and back, all end, one returns; a leader with only workers and users; the state service slow, refusing, out; commands held; long tasks out of reach while their leader ends; every old report once more; every kind of transaction guarded or shown to be harmless.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -66,6 +66,7 @@
         self.leases: dict[int, list[float]] = {}
         self.next_lease = 0
         self.down = False
+        self.down_until = 0.0
         self.refused: set[str] = set()
         self.value_kb, self.txn_ops = 8.0, 12
         self.too_large = 0
@@ -128,8 +129,11 @@
 
     def outage(self, seconds: float) -> None:
         self.down = True
+        self.down_until = max(self.down_until, self.sim.now + seconds)
 
         def back() -> None:
+            if self.sim.now < self.down_until:
+                return  # another one has begun meanwhile
             self.down = False
             for lease in self.leases.values():
                 lease[0] = self.sim.now + lease[1]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,20 +1,20 @@
 """Two troubles at once: each meeting that the operators named, brought about."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from oakmux import constants
 from oakmux.core.jobs import Replica, job_key, job_value
-from tests.fakes import CANCEL_S, Sim, spec
-from tests.test_oncall import busy, up
+from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, FakeWorker, Sim, spec
+from tests.test_oncall import Blink, busy, deliver, up
 
 
 def leader(sim: Sim) -> str:
     """Return the controller that most machines report to."""
-    return max(sim.labels, key=lambda label: sum(
-        1 for m in sim.cores[label].world.machines.values()
-        if m.keeper == label and not sim.workers[m.name].dead))
+    return max((label for label, core in sim.cores.items() if core is not None),
+               key=lambda label: len(kept_by(sim, label)))
 
 
 def kept_by(sim: Sim, label: str) -> list[str]:
@@ -64,6 +64,13 @@
     worker.report()
 
 
+def cut_off(sim: Sim, names: list[str], seconds: float) -> None:
+    """Nothing passes between machines and controllers; what is sent is held."""
+    pairs = {frozenset((label, name)) for label in sim.labels for name in names}
+    sim.cuts |= pairs
+    sim.after(seconds, lambda: sim.cuts.difference_update(pairs))
+
+
 def well(sim: Sim, seconds: float = 150.0) -> None:
     """All troubles are over: every job is answered, and ends."""
     sim.cuts.clear()
@@ -281,3 +288,362 @@
     assert word.cancels_known_until() == known
     word.peer_alive("h1", 7, 0.0, many[:2], known + 50.0, 40)
     assert word.cancels_known_until() == known + 50.0
+
+
+# --- jobs of a few tasks that end far apart, across changes of owner and keeper ---
+
+
+class Losing(Sim):
+    """Loses the n-th message between hosts once armed."""
+
+    def __init__(self, seed: int, at: int, count: int = 3) -> None:
+        self.at, self.passed, self.armed = at, 0, False
+        super().__init__(seed, count)
+
+    def pass_on(self, a: str, b: str, run: Callable[[], None]) -> None:
+        self.passed += self.armed
+        if not self.armed or self.passed != self.at:
+            super().pass_on(a, b, run)
+
+    def run_s(self, task: str) -> float:
+        return 3.0 + 9.0 * int(task.partition("/")[2])
+
+
+def holder(sim: Sim, role: str) -> str:
+    """Return the controller that holds a role."""
+    return next((label for label, core in sim.cores.items()
+                 if core is not None and role in core.world.my_roles), sim.labels[0])
+
+
+@pytest.mark.parametrize("at", range(1, 200, 18))
+def test_tasks_that_end_far_apart_across_two_changes_run_once_whatever_is_lost(at):
+    sim = Losing(8, at)
+    sim.run(12)
+    sim.submit("job-1", spec("array", 3))
+    sim.submit("job-2", spec("array", 2, "blue"))
+    sim.run(4)
+    sim.armed = True
+    sim.crash(holder(sim, "red"), 0.3)
+    sim.run(8)
+    sim.crash(leader(sim), 0.1)
+    sim.crash(holder(sim, "blue"), 0.1)
+    sim.run(16)
+    well(sim, 20)
+    begun: dict[str, str] = {}
+    for _, task, _, name in sim.start_log:  # anew only where a lease ended: no end was missed
+        assert task not in begun or sim.workers[begun[task]].session > 1, task
+        begun[task] = name
+    assert len(begun) == 5
+
+
+# --- hand over and back, all end, one returns ---
+
+
+class OneReturns(Blink):
+    """At the n-th operation all end, and all but one stay away for a while."""
+
+    def crash(self, label: str, back: float | None = 3.0) -> None:
+        super().crash(label, (back or 0.0) + (0.0 if label == "h0" else 6.0))
+
+
+@pytest.mark.parametrize("at", range(1, 31, 3))
+def test_roles_and_work_survive_a_hand_over_and_back_in_which_all_end(at):
+    for back in (0.05, 0.3, 1.0):
+        sim = OneReturns(at, 3, back, bool(at % 2))
+        sim.run(10)
+        sim.submit("job-1", spec("array", 4, estimate_s=25.0))
+        sim.submit("job-2", spec("gang", 3, "blue", estimate_s=25.0))
+        sim.run(5)
+        sim.state.refused = {"h0"}
+        sim.run(5)
+        sim.state.refused = set()
+        sim.armed = True
+        sim.run(20)
+        assert sim.calls >= at
+        held = sorted(r for core in sim.cores.values() for r in core.world.my_roles)
+        assert held == ["#fleet", "blue", "red"], (at, back)
+        assert sim.unfinished(60) == set()
+
+
+# --- a leader with only its workers and users ---
+
+
+@pytest.mark.parametrize("seconds", [
+    LEASE_S, CANCEL_S - LEASE_S - constants.CANCEL_MARGIN_S, CANCEL_S, 2.5 * CANCEL_S])
+def test_a_leader_with_only_workers_and_users_acts_on_nothing_that_another_undid(seconds):
+    sim = busy(run_s=200.0)
+    gather(sim, "h0")
+    sim.isolate("h0", seconds)
+    sim.one_way |= {(name, label) for name in up(sim) for label in sim.labels[1:]}
+    starts = len(sim.start_log)
+    sim.run(0.3)
+    cancel_by(sim, "h1", "job-0")
+    sim.specs["job-7"] = sim.specs["job-8"] = spec("array", 2)
+    late = [tell(sim, "h0", "submit", "job-7", spec("array", 2), ""),
+            tell(sim, "h0", "query", "job-0"), tell(sim, "h0", "cancel", "job-1")]
+    sim.asked_cancel.add("job-1")
+    sim.submit("job-8", spec("array", 2))
+    sim.run(seconds - 0.4)
+    assert not {name for *_, name in sim.start_log[starts:]} & set(kept_by(sim, "h0"))
+    assert all(status == 503 for answers in late for status, _ in answers)
+    sim.run(CANCEL_S)
+    sim.submit("job-7", spec("array", 2))
+    well(sim, 220)
+
+
+# --- the state service: slow, then refusing one, then all ---
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_users_are_told_nothing_old_while_the_state_service_is_slow_refuses_and_is_out(count):
+    sim = busy(count, run_s=20.0)
+    sim.state_slow = 0.6 * constants.STATE_TIMEOUT_S
+    for step in range(24):
+        if step == 6:
+            sim.state_slow = 2 * constants.STATE_TIMEOUT_S
+        elif step == 10:
+            sim.state.refused = {leader(sim)}
+        elif step == 13:
+            sim.state.outage(1.3 * CANCEL_S)
+            sim.state_slow = 0.0
+        sim.submit(f"job-1{step}", spec("array", 2, "red", estimate_s=8.0))
+        if step % 3 == 0:
+            sim.cancel(f"job-1{step}")
+        for number in range(step + 1):
+            sim.query(f"job-1{number}")
+        sim.run(2)
+    assert "cancelled" in sim.told.values()
+    well(sim)
+
+
+# --- commands, or their answers, held up ---
+
+
+@pytest.mark.parametrize("verb", ["launch", "halt"])
+@pytest.mark.parametrize("seconds", [3.0, LEASE_S - 1, 3 * LEASE_S])
+def test_a_command_that_comes_late_across_a_change_of_keeper_does_no_harm(verb, seconds):
+    for moved in (False, True):
+        sim = Holding(6, verb, seconds)
+        sim.capacity = 3
+        sim.run(8)
+        sim.submit("job-0", spec("service", 2, "blue"))
+        sim.run(8)
+        sim.armed = True
+        sim.submit("job-1", spec("array", 3, estimate_s=6.0))
+        sim.run(2)
+        sim.cancel("job-0")
+        sim.run(0.5)
+        sim.submit("job-2", spec("gang", 2, "blue", estimate_s=4.0))
+        sim.run(1)
+        assert sim.held
+        if moved:
+            sim.crash(leader(sim), 0.2)
+        sim.run(seconds + 2)
+        sim.armed = False
+        well(sim, 60)
+
+
+def test_a_launch_is_never_sent_again_once_its_task_was_forgotten(monkeypatch):
+    """A repeated launch after `forget` runs the task anew. Of one keeper and term each attempt is
+    sent while its binding stands and nothing of it is unresolved; forgotten once it is gone."""
+    sim = Sim(1)
+    sim.run(12)
+    sent: dict[tuple, set[str]] = {}
+    twice: list[tuple] = []
+    obey = FakeWorker.obey
+
+    def noted(self: FakeWorker, token: int, orders: list) -> None:
+        for order in orders:
+            task = (self.name, order["piece"], order["try"])
+            if order["verb"] == "launch" and "forget" in sent.get(task, ()):
+                twice.append(task)
+            sent.setdefault(task, set()).add(order["verb"])
+        obey(self, token, orders)
+
+    monkeypatch.setattr(FakeWorker, "obey", noted)
+    sim.slow = sim.twice = 0.05
+    for step in range(12):
+        sim.submit(f"job-2{step}", spec("array", 3, "red" if step % 2 else "blue", estimate_s=2.0))
+        if step % 3 == 2:
+            sim.crash(sim.rng.choice(sim.labels), 0.2)
+        sim.run(3)
+    sim.slow = sim.twice = 0.0
+    well(sim, 60)
+    assert sum("forget" in verbs for verbs in sent.values()) >= 20 and not twice
+
+
+# --- a leader ends while machines with long tasks can't be reached, or don't hear the next ---
+
+
+@pytest.mark.parametrize("how", ["cut", "deaf"])
+@pytest.mark.parametrize("count", [3, 7])
+def test_long_tasks_out_of_reach_while_their_leader_ends_are_found_again(how, count):
+    sim = busy(count, run_s=300.0)
+    sim.cloud_down = True  # nor can the machines be returned
+    gather(sim, sim.labels[0])
+    names = up(sim)
+    where = sorted((task, worker.name) for worker, task, _ in sim.live())
+    starts = len(sim.start_log)
+
+    def away(seconds: float) -> None:
+        if how == "deaf":
+            sim.deafen(names, seconds)
+        else:
+            cut_off(sim, names, seconds)
+
+    away(LEASE_S - 4 * REPORT_S)
+    sim.crash(sim.labels[0], 20.0)
+    sim.run(LEASE_S - 4 * REPORT_S + 0.1)
+    for name in names:  # back before their leases end, with whom they reach first
+        reset(sim, name, sim.labels[1])
+    sim.run(8)
+    assert sorted((task, worker.name) for worker, task, _ in sim.live()) == where
+    assert len(sim.start_log) == starts
+    away(3 * LEASE_S)
+    sim.crash(leader(sim), 0.2)
+    sim.run(LEASE_S - 1)
+    assert len(sim.start_log) == starts  # nothing elsewhere before it is proven gone
+    sim.run(4 * LEASE_S)
+    sim.cloud_down = False
+    sim.run(20)
+    assert sorted(task for _, task, _ in sim.live()) == [task for task, _ in where]
+    well(sim, 350)
+
+
+# --- old reports after newer ones ---
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_every_old_report_come_again_changes_nothing_whoever_gets_it(count):
+    sim = busy(count, run_s=9.0)
+    old: list[Any] = []
+
+    def note() -> None:
+        for name in up(sim):
+            worker = sim.workers[name]
+            seq, tasks = worker.seq, {k: list(v) for k, v in worker.tasks.items()}
+            old.append(worker.snapshot())
+            worker.seq, worker.tasks = seq, tasks
+
+    for step in range(8):
+        note()
+        if step == 3:  # the sessions end
+            sim.deafen(up(sim)[:2], 1.5 * LEASE_S)
+        sim.submit(f"job-1{step}", spec("array", 3, "red" if step % 2 else "blue"))
+        sim.run(3)
+    sim.submit("job-9", spec("service", 3, "blue"))
+    sim.run(25)
+    sim.crash(sim.labels[-1], 0.1)
+    sim.run(0.3)  # just started: it has not heard the machines
+    for report in reversed(old):
+        for label in sim.labels:
+            deliver(sim, label, report)
+        sim.run(0.02)
+    before = sim.start_log[:]
+    sim.run(20)
+    assert [row for row in sim.start_log[len(before):] if row[1].startswith("job-9")] == []
+    well(sim, 60)
+
+
+# --- transactions that come late ---
+
+UNGUARDED = {"n", "gone", "types", "version"}  # facts that stay true, and a node's own key
+
+
+class Twins(Sim):
+    """Keeps every transaction that changes something."""
+
+    def __init__(self, seed: int, count: int = 3) -> None:
+        self.sent: list[tuple[str, list, list, int]] = []
+        super().__init__(seed, count)
+
+    def to_state(self, label: str, effect: tuple, done: Callable[[tuple], None]) -> None:
+        if effect[0] == "txn" and effect[3]:
+            self.sent.append((label, *effect[2:]))
+        super().to_state(label, effect, done)
+
+
+def kinds(writes: list) -> set[str]:
+    """Return the kinds of records that a transaction changes."""
+    return {write[0].split("/")[1] for write in writes}
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_each_kind_of_transaction_is_guarded_or_harmless_when_it_comes_again(count):
+    sim = Twins(5, count)
+    sim.late_writes = 0.1
+    sim.run(12)
+    for step in range(8):
+        sim.submit(f"job-{step}", spec(("array", "gang", "service")[step % 3], 3,
+                                       "red" if step % 2 else "blue", estimate_s=3.0,
+                                       waits_on=("job-0",) if step == 6 else ()))
+        if step in (0, 4):
+            sim.cancel(f"job-{step}")
+        if step in (3, 5):
+            sim.crash(sim.labels[step - 3], 0.5)
+        if step == 6:
+            sim.state.refused = {sim.labels[1]}
+            sim.after(6.0, lambda: setattr(sim.state, "refused", set()))
+        sim.run(5)
+    sim.kill(sim.live()[0][0].name)  # so that a machine is recorded as gone
+    sim.run(40)
+    seen = set().union(*(kinds(writes) for _, _, writes, _ in sim.sent))
+    assert seen >= {"j", "t", "own", "n", "term", "version", "format", "gone", "types"}
+    for _, guards, writes, _ in sim.sent:
+        keys = {write[0] for write in writes if write[0].split("/")[1] not in UNGUARDED}
+        assert keys <= {key for key, _ in guards}, keys
+    for core in sim.cores.values():  # nobody writes for a while, but what was sent comes again
+        core.step = lambda now, commands: []  # type: ignore[method-assign]
+    rows = {k: v[:2] for k, v in sim.state.rows.items()}
+    for label, *txn in [*sim.sent, *reversed(sim.sent)]:
+        if kinds(txn[1]) & UNGUARDED:
+            assert len(kinds(txn[1]) - UNGUARDED) == 0
+            continue
+        sim.state.serve(label, "txn", *txn)
+    assert {k: v[:2] for k, v in sim.state.rows.items()} == rows
+
+
+@pytest.mark.parametrize("kind", sorted(UNGUARDED))
+def test_an_unguarded_record_written_or_deleted_late_comes_right(kind):
+    sim = Twins(5)
+    sim.run(12)
+    sim.submit("job-1", spec("service", 4))
+    sim.run(10)
+    sim.kill(sim.live()[0][0].name)
+    sim.run(70 + constants.GONE_KEEP_S)
+    sim.submit("job-2", spec("array", 4, "blue", estimate_s=60.0))
+    sim.run(10)
+    before = len(sim.start_log)
+    again = [row for row in sim.sent if kind in kinds(row[2])]
+    assert again
+    for label, *txn in again:
+        sim.state.serve(label, "txn", *txn)
+        sim.run(0.2)
+    sim.run(20 + constants.GONE_KEEP_S)
+    assert len(sim.start_log) == before  # no role, machine or task was lost by it
+    gone = [key for key in sim.state.rows if key.startswith("ox/gone/")]
+    assert not gone and sorted(sim.cores["h0"].world.replica.nodes) == sim.labels
+    well(sim, 80)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_late_writes_whose_writers_end_and_late_copies_of_machines_that_do_not_hear(seed):
+    sim = Sim(seed, 7 if seed == 3 else 3)
+    sim.run(10)
+    sim.late_writes, sim.copies = 0.25, 0.3
+    for step in range(14):
+        sim.submit(f"job-{step}", spec(("array", "gang", "array")[step % 3], 2 + step % 2,
+                                       "red" if step % 2 else "blue", estimate_s=4.0 + step))
+        if step % 4 == 1:
+            sim.after(3.0, lambda n=step: sim.cancel(f"job-{n}"))  # type: ignore[misc]
+        if step % 3 == 0:
+            sim.crash(sim.rng.choice(sim.labels), sim.rng.uniform(0.05, 1.0))
+        if step % 5 == 2:
+            sim.deafen(sim.rng.sample(up(sim), min(2, len(up(sim)))), 2 * LEASE_S)
+        if step == 9:  # a zone cut off while all controllers are started anew
+            zone = [name for name in up(sim) if sim.workers[name].zone == "a"]
+            cut_off(sim, zone, 1.3 * LEASE_S)
+            for label in sim.labels:
+                sim.crash(label, sim.rng.uniform(0.05, 1.0))
+        sim.run(4)
+    well(sim, 200)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -233,7 +233,7 @@
             sim.after(dice.uniform(0, 20), lambda n=number: sim.cancel(f"job-{n}"))
         trouble = dice.choice(["none", "crash", "all", "state", "refused", "cut", "machine",
                                "peers", "die", "cloud", "deaf", "copies", "alone", "blink",
-                               "broken", "boots", "freeze"])
+                               "broken", "boots", "freeze", "late", "slow", "gap"])
         if trouble == "crash":
             sim.crash(dice.choice(sim.labels), dice.uniform(1, 6))
         elif trouble == "all" and dice.random() < 0.5:
@@ -279,13 +279,25 @@
             label = dice.choice(sim.labels)
             if label not in sim.frozen and sim.cores[label] is not None:
                 sim.freeze(label, dice.uniform(1, 15))
+        elif trouble == "late":
+            sim.late_writes = dice.choice([0.0, 0.1, 0.4])
+        elif trouble == "slow":
+            sim.state_slow = dice.uniform(0.2, 3.0)
+            sim.after(dice.uniform(2, 12), lambda: setattr(sim, "state_slow", 0.0))
+        elif trouble == "gap":  # one refused, cancelled by another, then out for all
+            sim.state.refused = {dice.choice(sim.labels)}
+            for _ in range(3):
+                sim.cancel(f"job-{dice.randrange(number + 1)}")
+            sim.after(dice.uniform(0.2, 3), lambda: sim.state.outage(
+                dice.uniform(0.5, 2) * CANCEL_S))
+            sim.after(4.0, lambda: setattr(sim.state, "refused", set()))
         elif trouble == "cloud":
             sim.cloud_down = True
             sim.after(dice.uniform(2, 20), lambda: setattr(sim, "cloud_down", False))
         for _ in range(3):
             sim.query(f"job-{dice.randrange(number + 1)}")
             sim.run(5 / 3)
-    sim.loss = sim.twice = sim.slow = sim.copies = 0.0
+    sim.loss = sim.twice = sim.slow = sim.copies = sim.late_writes = sim.state_slow = 0.0
     sim.cuts.clear()
     sim.one_way.clear()
     sim.boot_s = lambda: 2.0
