Machines that fell idle in an outage, or wait for a gang, are not returned as idle

Ruled out: lost work (no lease ended), the terms (no order was refused). Mend: idle time counts from the state service's return; a machine named by a standing opening is not idle. Each guard taken out fails its story.

--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -183,7 +183,7 @@
     def _snapshot(self, rows: list, epoch: int, asked: float) -> None:
         self.world.replica.load(rows, epoch)
         self._recorded_types()
-        self.world.state_heard = max(self.world.state_heard, asked)
+        self.world.state_said(asked)
         event("loaded", jobs=len(self.world.replica.jobs), epoch=epoch)
 
     def _watch(self, events: list, epoch: int, asked: float) -> None:
@@ -192,7 +192,7 @@
             replica.apply(key, value, stamp)
         replica.epoch = max(replica.epoch, epoch)
         self._recorded_types()
-        self.world.state_heard = max(self.world.state_heard, asked)
+        self.world.state_said(asked)
 
     def _recorded_types(self) -> None:
         """Until the cloud answers, the catalogue in the records has to do."""
--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -48,8 +48,9 @@
                         and name not in self.sick_since):
                     self._return([name], "idle")
             elif (machine.idle_since is not None and hears(machine) and self._empty(name)
-                    and name not in needed
-                    and world.now - machine.idle_since > constants.IDLE_KEEP_S
+                    and name not in needed and not world.openings.names(name)
+                    # What ended in an outage left its machine idle for want of nothing but word.
+                    and world.now - max(machine.idle_since, world.back_at) > constants.IDLE_KEEP_S
                     and world.now - machine.first_heard > constants.IDLE_KEEP_S):
                 world.drain(name)
         names = [name for name in world.draining if name in world.machines]
--- a/oakmux/core/spread/openings.py
+++ b/oakmux/core/spread/openings.py
@@ -63,6 +63,11 @@
             (self.world.fetch_s(spec, name) for name in self.world.types), default=0.0)
         return spec.kind == "service" or ends > left
 
+    def names(self, machine: str) -> bool:
+        """Whether a machine waits for a gang: it is empty for that, not for want of work."""
+        row = self.by_job.get(self.by_machine.get(machine, ""))
+        return row is not None and row.until > self.world.now
+
     def held(self, besides: str) -> set[str]:
         """Return the machines that openings of other jobs name."""
         return {machine for machine, job_id in self.by_machine.items() if job_id != besides}
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -103,6 +103,8 @@
         self.departed: dict[str, None] = {}
         # When this process last went on after it had stood still: what it had heard before is old.
         self.resumed_at = -1e9
+        # When the state service was last back after we had lost it: nothing could start meanwhile.
+        self.back_at = -1e9
         self.draining: dict[str, float] = {}
         # Machines that were found unusable, to be looked at again when they are heard.
         self.silent: set[str] = set()
@@ -140,6 +142,12 @@
         """The time of day in milliseconds, by which jobs' ages are recorded."""
         return self.wall + int(self.now * 1000)
 
+    def state_said(self, asked: float) -> None:
+        """The state service answered a question about all records, asked at a time."""
+        if self.now - self.state_heard >= constants.STATE_STALE_S:
+            self.back_at = self.now
+        self.state_heard = max(self.state_heard, asked)
+
     def drain(self, name: str) -> None:
         """Put nothing new on a machine; said anew, the time of it counts from now."""
         if name not in self.draining:  # a notice is repeated once a second
--- a/tests/test_opening.py
+++ b/tests/test_opening.py
@@ -195,3 +195,33 @@
     sim.submit("job-200", spec("gang", 6, "blue", priority=2))
     sim.run(80)  # some thirty are older
     assert [at for at, task, _, _ in sim.start_log if task.startswith("job-200/")]
+
+
+def test_machines_that_wait_for_a_gang_are_not_returned_as_idle():
+    # Some of 32 that a gang waited for were given back while the rest became free.
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, "blue", estimate_s=3.0))
+    sim.run(14)
+    first, *others = sorted(name for name, worker in sim.workers.items() if not worker.dead)
+    assert others
+    for _ in range(40):
+        for label in sim.labels:
+            sim.command(label, ("peer", lambda *a: None, "h9", [
+                ["opening", "job-9", 2, 0.0, [first], 30.0]]))
+        sim.run(2)
+    assert not sim.workers[first].dead and all(sim.workers[name].dead for name in others)
+    sim.run(30)
+    assert sim.workers[first].dead  # nobody says so any more
+
+
+def test_machines_that_fell_idle_while_the_state_service_was_out_are_there_when_it_is_back():
+    # Nothing could be started meanwhile, and users come back with their jobs a moment later.
+    sim = quiet()
+    sim.submit("job-1", spec("array", 8, "blue", estimate_s=3.0))
+    sim.run(8)
+    names = [name for name, worker in sim.workers.items() if not worker.dead]
+    sim.state.outage(2 * constants.IDLE_KEEP_S)
+    sim.run(2 * constants.IDLE_KEEP_S + 8)
+    assert not any(sim.workers[name].dead for name in names)
+    sim.run(constants.IDLE_KEEP_S + 10)
+    assert all(sim.workers[name].dead for name in names)
