--- a/oakmux/core/keeper/orders.py
+++ b/oakmux/core/keeper/orders.py
@@ -59,7 +59,7 @@
             elif task not in kept.refused and self.word.state_fresh():
                 orders.append(wire.order("start", *task))
                 starts.append(task)
-        orders += self._strays(kept, machine, names)
+        orders += self.stop_cancelled(kept, machine, names)
         kept.refused &= names
         kept.delayed = {task: since for task, since in kept.delayed.items() if task in names}
         for task in [task for task in kept.stops if task not in machine.tasks]:
@@ -68,26 +68,18 @@
             self._unbound(kept, machine, orders, names)
         return orders, starts
 
-    def _strays(self, kept: Kept, machine: Machine, names: set[Task]) -> list[dict]:
-        """Stop tasks of cancelled jobs whose binding our records lack: they were bound after the
-        state service had refused us, and the worker came to us meanwhile (R ran_cancelled)."""
-        orders: list[dict] = []
-        for task, state in machine.tasks.items():
-            job_id = task[0].partition("/")[0]
-            if task not in names and state[0] != "exited" and self.word.is_cancelled(job_id):
-                self._stop(kept, machine, orders, task, state[0], None, True)
-        return orders
-
-    def last_word(self, kept: Kept, machine: Machine) -> list[dict]:
-        """Return the stops of cancelled work, for a worker that has seen a term above ours.
+    def stop_cancelled(self, kept: Kept, machine: Machine, besides: set[Task]) -> list[dict]:
+        """Return stops of all tasks of cancelled jobs on a machine (R ran_cancelled), but some.
 
-        Until we have a newer one they go out under the worker's own: whoever may command it
-        besides, work that a user was told is cancelled has to end, and its stop undoes nothing.
-        With the state service out no newer term comes, and its lease is renewed meanwhile.
+        Our records may lack them: they were bound after the state service had refused us, and the
+        worker came to us meanwhile. To a worker that has seen a term above ours they go under its
+        own: with the state service out no newer one comes, and its lease is renewed all the while;
+        whoever may command it besides, a stop of what a user was told is cancelled undoes nothing.
         """
         orders: list[dict] = []
         for task, state in machine.tasks.items():
-            if state[0] != "exited" and self.word.is_cancelled(task[0].partition("/")[0]):
+            job_id = task[0].partition("/")[0]
+            if task not in besides and state[0] != "exited" and self.word.is_cancelled(job_id):
                 self._stop(kept, machine, orders, task, state[0], None, True)
         return orders
 
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -58,8 +58,8 @@
             self.membership.need_term_above(report.token)
             if report.token:
                 # The worker's own token keeps its lease; nothing starts under it.
-                world.emit("answer", rid, 200, ("orders", report.token,
-                                                self.orders.last_word(kept, machine)))
+                stops = self.orders.stop_cancelled(kept, machine, set())
+                world.emit("answer", rid, 200, ("orders", report.token, stops))
             else:
                 world.emit("answer", rid, 503, ("error", "no term yet"))
             return
