--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -558,7 +558,10 @@
     sim.run(0.3)  # just started: it has not heard the machines
     for report in reversed(old):
         for label in sim.labels:
+            machine = sim.cores[label].world.machines.get(report.machine)
+            known = machine and machine.version
             deliver(sim, label, report)
+            assert machine is None or machine.version >= known
         sim.run(0.02)
     before = sim.start_log[:]
     sim.run(20)
@@ -612,7 +615,10 @@
     assert seen >= {"j", "t", "own", "n", "term", "version", "format", "gone", "types"}
     for _, guards, writes, _ in sim.sent:
         keys = {write[0] for write in writes if write[0].split("/")[1] not in UNGUARDED}
-        assert keys <= {key for key, _ in guards}, keys
+        guarded = {key for key, _ in guards}
+        assert keys <= guarded, keys
+        # Who was replaced must not bind a task beside what its successor has bound (R quota).
+        assert "t" not in kinds(writes) or any(key.startswith("ox/own/") for key in guarded)
     for core in sim.cores.values():  # nobody writes for a while, but what was sent comes again
         core.step = lambda now, commands: []  # type: ignore[method-assign]
     rows = {k: v[:2] for k, v in sim.state.rows.items()}
