Read again: a peer's life is kept by its way alone; a slow state service is a slow way in the fakes

Word.peer_life had lost its only reader with the guess about restarted peers; the way to a peer (net/peers.py) keeps the life that it compares.

--- a/oakmux/core/keeper/word.py
+++ b/oakmux/core/keeper/word.py
@@ -16,7 +16,6 @@
         self.world = world
         self.ward = ward
         self.peer_fresh: dict[str, float] = {}
-        self.peer_life: dict[str, int] = {}
         self.peer_heard: dict[str, float] = {}
         # Cancellations that peers told and our records lack, each with a time before which no user
         # can have been told of it.
@@ -84,7 +83,6 @@
         not by a peer that just started either, since all that its predecessor confirmed stands in
         the records that it has loaded.
         """
-        self.peer_life[label] = life
         if life:
             self.peer_heard[label] = asked
             self.peer_fresh[label] = max(self.peer_fresh.get(label, -1e9), asked - state_age)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -306,6 +306,8 @@
         self.loss = self.twice = self.slow = 0.0
         self.late_writes = 0.0  # share of transactions carried out 2 to 12 s later, unanswered
         self.state_slow = 0.0  # seconds by which answers of the state service come late, at most
+        # By who asked, its life and the peer: the life that the peer last answered with.
+        self.peer_lives: dict[tuple[str, int, str], int] = {}
         self.stuck: set[str] = set()  # controllers whose watch brings nothing for now
         self.specs: dict[str, JobSpec] = {}
         self.told: dict[str, str] = {}
@@ -342,6 +344,8 @@
         """Carry a message: now, much later (held by a cut or a slow way), twice or never."""
         if self.cut(a, b):
             self.after(self.rng.uniform(1.0, 40.0), run)
+        elif self.state_slow and "state" in (a, b):
+            self.after(self.rng.uniform(0.0, self.state_slow), run)
         elif self.rng.random() < self.slow:
             self.after(self.rng.uniform(1.0, 30.0), run)
         elif self.rng.random() >= self.loss:
@@ -485,27 +489,13 @@
             self.to_state(label, effect, done)
 
     def to_state(self, label: str, effect: tuple, done: Callable[[tuple], None]) -> None:
-        """Carry an operation to the state service: at once, slowly, or late and unanswered."""
+        """Carry an operation to the state service; some are carried out late and unanswered."""
         def serve() -> tuple[int, Any]:
             return self.state.serve(label, effect[0], *effect[2:])
 
         if effect[0] == "txn" and self.late_writes and self.rng.random() < self.late_writes:
             self.after(self.rng.uniform(2.0, 12.0), serve)
             self.after(constants.STATE_TIMEOUT_S, lambda: done((0, None)))
-        elif self.state_slow:
-            def late() -> None:
-                answer = serve()
-                self.after(self.rng.uniform(0.0, self.state_slow), lambda: reply(answer))
-
-            open_ = [True]
-
-            def reply(answer: tuple) -> None:
-                if open_:
-                    open_.clear()
-                    done(answer)
-
-            self.after(constants.STATE_TIMEOUT_S, lambda: reply((0, None)))
-            self.after(self.rng.uniform(0.0, self.state_slow), late)
         else:
             self.ask(label, "state", serve, done, (0, None), constants.STATE_TIMEOUT_S)
 
@@ -528,9 +518,8 @@
                     self.after(0.5, lambda: self.lives[label] == life and self.command(
                         label, ("resend", peer, [message[2]])))
                 return
-            core = self.cores[label]
-            assert core is not None
-            new = core.keeper.word.peer_life.get(peer) != word[2]
+            new = self.peer_lives.get((label, life, peer)) != word[2]
+            self.peer_lives[(label, life, peer)] = word[2]
             self.command(label, ("peer_alive", peer, word[2], word[3], word[4], asked, word[5]))
             if new:
                 self.command(label, ("peer_new", peer))
