--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -93,3 +93,18 @@
         entry = recorded(row.entry)
         assert (entry["site"], regress.run_kind(entry)) == (site, kind)
         assert entry["score"] == pytest.approx(row.figure, abs=0.001)
+
+
+def test_runs_use_the_newest_bench_and_a_full_one_hunts_where_two_troubles_meet(tmp_path):
+    bench = tmp_path / "more" / "hunt" / "bin" / "fleetbench"
+    bench.parent.mkdir(parents=True)
+    bench.write_text(f'#!/bin/sh\necho "$@" >> {tmp_path}/calls\n')
+    bench.chmod(0o755)
+    for command, hunted in (["quick"], 0), (["full", "--days", "2"], 6):
+        (tmp_path / "calls").unlink(missing_ok=True)
+        result = CliRunner().invoke(regress.main, ["--kit", str(tmp_path), *command, "--why", "x"])
+        assert result.exit_code == 1  # nothing was entered into the journal
+        score, *hunts = (tmp_path / "calls").read_text().splitlines()
+        assert score.startswith("score ") and score.count("-ops.toml") == 2
+        assert len(hunts) == hunted and all(row.startswith("hunt ") for row in hunts)
+        assert sum("-hunt.toml --days 2" in row for row in hunts) == (2 if hunted else 0)
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -21,10 +21,12 @@
 # A fall of a site's figure up to this is noise (the bench's own word: two runs differ by it).
 NOISE = 0.03
 # Names of site files below the kit, by the runs that play them.
-BENCH = "more/fleet/bin/fleetbench"
+BENCH = "more/hunt/bin/fleetbench"
 OPS = ("more/umoja-giving-arusha-ops", "more/semarang-yearbook-utility-ops")
 USUAL = (*OPS, "change/umoja-giving-arusha-next", "change/semarang-yearbook-utility-next")
 FLEET = ("more/fleet/umoja-giving-arusha-fleet", "more/fleet/semarang-yearbook-utility-fleet")
+# The sites whose recorded days hold two troubles at once, to hunt on.
+HUNT = ("more/hunt/umoja-giving-arusha-hunt", "more/hunt/semarang-yearbook-utility-hunt")
 GROWN = ("next/umoja-giving-arusha-grown", "next/semarang-yearbook-utility-grown")
 HUNT_DAYS = 4
 
@@ -245,10 +247,11 @@
 @click.option("--days", default=HUNT_DAYS, show_default=True, help="Days of each hunt.")
 @click.pass_obj
 def full(obj: tuple, why: str, days: int) -> None:
-    """Play all sites in full, then hunt on the fleet and ops sites, as at every third landing."""
+    """Play all sites in full, then hunt where two troubles meet, on fleet and ops, as at every
+    third landing."""
     kit = _kit(obj)
     hunts = [["hunt", site, "--days", str(days), "--why", why]
-             for site in sites(kit, FLEET + OPS)]
+             for site in sites(kit, HUNT + FLEET + OPS)]
     _run(obj, [["score", *sites(kit, FLEET + USUAL + GROWN), "--why", why], *hunts])
 
 
