--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -56,6 +56,9 @@
 FLEET_PASS_S = 1.0
 # Seconds between words to the peers that we live.
 ALIVE_S = 1.0
+# Seconds within which peers are told once more of every machine that we hear: a fifth of the 90 s
+# for which no job may wait while there is room; two messages a second to a peer with 40 machines.
+VIEW_AGAIN_S = 20.0
 # Seconds to wait for a peer.
 PEER_TIMEOUT_S = 2.0
 # Seconds to wait for a connection and for a worker's answer to direct orders.
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -1,6 +1,8 @@
 """The one owner of all state: commands in, effects out."""
 
+import bisect
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Protocol
@@ -42,6 +44,7 @@
         self.fleet = Fleet(self.world, self.keeper.word)
         self.desk = Desk(self.world)
         self.next_alive = 0.0
+        self.told_again = ""  # the machine of which peers were told last in `_tell_again`
         self.next_tick = 0.0
         self.format = self.world.replica.format
         self.handlers: dict[str, Callable[..., None]] = {
@@ -288,8 +291,21 @@
         heard = [m.name for m in world.machines.values()
                  if m.keeper == world.label and world.now - m.heard < 2 * constants.ALIVE_S
                  + world.facts.workers.report_s]
-        for member in world.settings.members:
-            world.emit("send", member.label, ("heard", heard))
+        labels = [member.label for member in world.settings.members]
+        for label in labels:
+            world.emit("send", label, ("heard", heard))
+        self._tell_again(sorted(heard), labels)
+
+    def _tell_again(self, mine: list[str], labels: list[str]) -> None:
+        """Tell peers some of what we hear once more, all of it in turn, also where nothing
+        changed: a peer that saw a machine come and go, of which we never heard, would take it for
+        one that does not hear us, and leave its room unused for ever."""
+        count = math.ceil(len(mine) * constants.ALIVE_S / constants.VIEW_AGAIN_S)
+        first = bisect.bisect_right(mine, self.told_again)
+        chosen = mine[first:first + count]
+        for name in chosen:
+            self._tell(name, labels)
+        self.told_again = chosen[-1] if len(chosen) == count and chosen else ""
 
     def _short(self, wanted: float) -> None:
         """We lack changes at the state service: ask all peers for a part."""
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -101,7 +101,7 @@
     """A job as the records have it."""
 
     __slots__ = ("id", "team", "state", "stamp", "spec", "chunks", "order", "tasks", "service",
-                 "unmet", "since", "priority", "due")
+                 "unmet", "since", "priority", "due", "takes")
 
     def __init__(self, job_id: str, team: str, state: str, stamp: int, spec: JobSpec | None,
                  order: int, tasks: int) -> None:
@@ -109,11 +109,13 @@
         self.team = team
         self.state = state
         self.stamp = stamp
-        self.spec = spec
+        self.spec: JobSpec | None = None
         self.chunks: dict[int, Chunk] = {}
         self.order = order
         self.tasks = tasks
         self.service = spec is not None and spec.kind == "service"
+        self.takes = (0.0, 0.0, 0.0)
+        self.describe(spec)
         # The jobs that it needs and that are not done; it may not start before there are none.
         self.unmet: set[str] = set()
         # Since when it could start (ms): its age among others.
@@ -123,6 +125,13 @@
         self.priority = 0 if spec is None else spec.priority
         self.due = math.inf
 
+    def describe(self, spec: JobSpec | None) -> None:
+        """Take the description. What a task takes (CPUs, GPUs, GB) outlives it: a job that is
+        over may still have bindings, also such as we hear of later, and they count (R quota)."""
+        self.spec = spec
+        if spec is not None:
+            self.takes = (spec.cpus, spec.gpus, spec.memory_gb)
+
     @property
     def ready(self) -> bool:
         """Whether all jobs that it needs are done (R too_early). A job that is done stays so:
@@ -263,8 +272,9 @@
         self.changed_machines: set[str] = set()
         # What is bound of each team's tasks, kept up to date with every change of a chunk.
         self.used: dict[str, tuple[float, float]] = {}
-        # The same by the priority of the jobs: {team: {priority: (cpus, gpus)}}.
-        self.used_at: dict[str, dict[int, tuple[float, float]]] = {}
+        # Of that, what ends by itself (all but services), by the priority of the jobs:
+        # {team: {priority: (cpus, gpus)}}.
+        self.used_ending: dict[str, dict[int, tuple[float, float]]] = {}
         # Free room of machines, by name; taken out when their tasks or bindings change.
         self.rooms: dict[str, tuple[float, float, float]] = {}
         # Machines whose place among all others may have changed since the index was refreshed.
@@ -368,7 +378,8 @@
             for binding in job.bindings():
                 self.touch(binding.machine)
         else:
-            job.state, job.stamp, job.spec = state, stamp, spec or job.spec
+            job.state, job.stamp = state, stamp
+            job.describe(spec or job.spec)
         if job.state == "cancelled":
             self._note_cancel(stamp, job_id)
         if job.final:
@@ -509,12 +520,14 @@
 
     def _count(self, job: Job, bound: int) -> None:
         """Add so many bound tasks to what the job's team uses."""
-        if bound and job.spec is not None:
+        if bound:
+            more_cpus, more_gpus = bound * job.takes[0], bound * job.takes[1]
             cpus, gpus = self.used.get(job.team, (0.0, 0.0))
-            self.used[job.team] = (cpus + bound * job.spec.cpus, gpus + bound * job.spec.gpus)
-            at = self.used_at.setdefault(job.team, {})
-            cpus, gpus = at.get(job.priority, (0.0, 0.0))
-            at[job.priority] = (cpus + bound * job.spec.cpus, gpus + bound * job.spec.gpus)
+            self.used[job.team] = (cpus + more_cpus, gpus + more_gpus)
+            if not job.service:
+                at = self.used_ending.setdefault(job.team, {})
+                cpus, gpus = at.get(job.priority, (0.0, 0.0))
+                at[job.priority] = (cpus + more_cpus, gpus + more_gpus)
 
     def _unbind(self, job_id: str, index: int, binding: Binding) -> None:
         bound = self.by_machine.get(binding.machine)
--- a/oakmux/core/keeper/hearing.py
+++ b/oakmux/core/keeper/hearing.py
@@ -27,6 +27,8 @@
     goes on to the next controller, or its lease ends while it reports. A lease that ends in
     silence says nothing: machines hang, and zones are cut.
     """
+    if (report.session, report.seq) == machine.version:
+        return False  # said again by its controller: nothing new of the machine
     if report.session == machine.session and keeper == machine.keeper:
         if machine.unheard and term and report.token == term:
             machine.unheard, machine.deaf_since = 0, None
--- a/oakmux/core/keeper/room.py
+++ b/oakmux/core/keeper/room.py
@@ -38,10 +38,10 @@
             live.add(task)
     for task in live:
         job = jobs.get(task.partition("/")[0])
-        if job is not None and job.spec is not None:
-            cpus -= job.spec.cpus
-            gpus -= job.spec.gpus
-            memory -= job.spec.memory_gb
+        if job is not None:
+            cpus -= job.takes[0]
+            gpus -= job.takes[1]
+            memory -= job.takes[2]
     return cpus, gpus, memory
 
 
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -180,11 +180,11 @@
         cpus, gpus = teams.usage(self.world).get(team, (0.0, 0.0))
         for job_id, mine in self.work.items():
             job = self.world.replica.jobs[job_id]
-            if job.team == team and job.spec is not None:
+            if job.team == team:
                 more = sum(len(chunk.bound) for chunk in mine.values()) - sum(
                     len(job.chunks[n].bound) for n in mine if n in job.chunks)
-                cpus += more * job.spec.cpus
-                gpus += more * job.spec.gpus
+                cpus += more * job.takes[0]
+                gpus += more * job.takes[1]
         return cpus, gpus
 
     def beyond_limit(self, job: Job, spec: JobSpec, tasks: int = 1) -> bool:
@@ -209,7 +209,8 @@
 
         Else a gang never gets in beside an array of its own team, whose next task takes each
         place that one leaves; nor one that has waited beside smaller, younger gangs. Nothing is
-        kept where that work could not make up for it.
+        kept where that work could not make up for it: what services use they keep, and a gang that
+        needed it kept the rest of the limit from all others for ever, itself without use for it.
         """
         now = self.world.now
         least = spec.tasks if spec.kind == "gang" else 1
@@ -217,13 +218,14 @@
         first = elder(self.world, job)
         old = first or (spec.kind == "gang" and (
             self.world.clock_ms - job.since > 1000 * constants.OPENING_AFTER_S))
-        for priority, lower in self.world.replica.used_at.get(job.team, {}).items():
+        for priority, lower in self.world.replica.used_ending.get(job.team, {}).items():
             if priority < job.priority or (priority == job.priority and old):
                 cpus -= lower[0]
                 gpus -= lower[1]
         if (first or (cpus, gpus) != use) and not teams.beyond_limit(
                 self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
-            tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB))
+            tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB, teams.tasks_left(
+                self.world, job.team, spec, {job.team: (cpus, gpus)})))
             self.limit_claims[job.id] = LimitClaim(
                 now + constants.LIMIT_CLAIM_S, job.team, job.priority,
                 job.since if old else math.inf, tasks * spec.cpus, tasks * spec.gpus)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -33,14 +33,20 @@
 ZONES = ["a", "b", "c"]
 TYPE = MachineType("big", 8.0, 4.0, 64.0, 100.0, 1.0, 10.0, 3.0, 3.0, ZONES)
 LEASE_S, REPORT_S, CANCEL_S, GANG_WAIT_S = 6.0, 1.0, 20.0, 8.0
+ANSWER_S = 4.0  # a worker drops answers that come later
+TEAMS = (Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=10))
+# States in which a task is on its machine (PROTOCOL, "How aims are counted"): from when it has its
+# image until it exits.
+PLACED = ("waiting", "running", "saving")
 
 
-def settings_for(label: str, count: int = 3, coming: ComingLimits | None = None) -> Settings:
+def settings_for(label: str, count: int = 3, coming: ComingLimits | None = None,
+                 teams: tuple[Team, ...] = TEAMS) -> Settings:
     """Return the settings of one controller of a small deployment."""
     members = [Member(f"h{i}", f"10.0.0.{i + 1}:81") for i in range(count) if f"h{i}" != label]
     return Settings(
         label, "10.0.0.1:80", "10.0.0.1:81", External("10.2.0.2:1", "10.2.0.1:2"),
-        Facts(ZONES, [Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=10)],
+        Facts(ZONES, list(teams),
               Workers(REPORT_S, LEASE_S, GANG_WAIT_S, 3.0, CANCEL_S),
               StateLimits(1000, 1000, 8, 12, coming or ComingLimits()), CloudLimits(5, 2), count),
         members=members)
@@ -157,6 +163,8 @@
         self.waiting = 0
         self.told_token = -1e9
         self.up = False
+        self.hung_since = self.hung_until = -1.0
+        self.held: list[Callable[[], None]] = []  # what reached it while it hung
 
     def start(self) -> None:
         if not self.dead:
@@ -179,7 +187,46 @@
         self.taken_at = self.sim.now + seconds
         self.sim.after(seconds, lambda: self.sim.kill(self.name))
 
+    @property
+    def hung(self) -> bool:
+        """Whether the machine hangs: it does nothing, but may go on within its lease."""
+        return self.sim.now < self.hung_until
+
+    def hang(self, seconds: float) -> None:
+        """Stand still; what comes meanwhile is kept, and the tasks go on where they were."""
+        if self.dead or self.hung:
+            return
+        self.advance()
+        self.hung_since, self.hung_until = self.sim.now, self.sim.now + seconds
+        self.sim.after(seconds, self.go_on)
+
+    def go_on(self) -> None:
+        """The machine goes on: its lease is looked at first, then what it was sent."""
+        if self.dead:
+            return
+        for row in self.tasks.values():
+            row[2] += self.sim.now - self.hung_since
+        self.advance()
+        self.sim.check_cancelled()
+        held, self.held = self.held, []
+        for run in held:
+            run()
+
+    def awake(self, run: Callable[[], None]) -> None:
+        """Do something now, or when the machine goes on."""
+        if self.hung:
+            self.held.append(run)
+        else:
+            run()
+
+    @property
+    def lease_over(self) -> bool:
+        """Whether its tasks are as good as gone: they are killed before anything else happens."""
+        return self.sim.now - self.lease_from > LEASE_S
+
     def advance(self) -> None:
+        if self.hung:
+            return
         now = self.sim.now
         if now - self.lease_from > LEASE_S:
             self.tasks.clear()
@@ -190,6 +237,7 @@
             if row[0] == "fetching" and row[2] <= now:
                 self.images.add(job.image)
                 row[0], row[2] = "waiting", now + GANG_WAIT_S
+                self.sim.check_place(self, key[0])
             if row[0] == "waiting":
                 self.sim.meet(key, row, job)
             if row[0] == "saving" and row[2] <= now:
@@ -201,13 +249,16 @@
         """Send a report and go on; the answer counts within 4 s."""
         if self.dead:
             return
+        if self.hung:
+            self.held.append(self.report)
+            return
         sim, label = self.sim, self.sim.labels[self.node]
         report, sent = self.snapshot(), sim.now
         self.waiting += 1
         turn = self.waiting
 
         def answered(status: int, answer: tuple) -> None:
-            if self.dead or turn != self.waiting:
+            if self.dead or turn != self.waiting or sim.now - sent > ANSWER_S:
                 return
             self.waiting += 1
             self.advance()
@@ -232,15 +283,20 @@
                 self.node = (self.node + 1) % len(sim.labels)
                 sim.after(1.0, self.report)
 
+        if self.name in sim.muted:  # no connection to any controller
+            sim.after(0.01, lambda: self.awake(lost))
+            return
+        if sim.kept_back and sim.rng.random() < sim.kept_back and len(sim.for_next) < 40:
+            sim.for_next.append(report)
         if sim.copies and sim.rng.random() < sim.copies:
             # To whom it may be, its answer goes nowhere; the machine may be gone by then.
             other = sim.rng.choice(sim.labels)
             sim.after(sim.rng.uniform(0.5, 4 * LEASE_S), lambda: sim.command(
                 other, ("report", lambda *a: None, report)))
-        sim.after(4.0, lost)
+        sim.after(ANSWER_S, lambda: self.awake(lost))
         sim.pass_on(self.name, label, lambda: sim.command(
-            label, ("report", lambda *a: sim.pass_on(label, self.name, lambda: answered(*a)),
-                    report)))
+            label, ("report", lambda *a: sim.pass_on(
+                label, self.name, lambda: self.awake(lambda: answered(*a))), report)))
 
     def orders(self, token: int, session: int, orders: list) -> tuple[str, Report]:
         self.advance()
@@ -276,8 +332,9 @@
 
     def __init__(self, seed: int = 1, count: int = 3, coming: ComingLimits | None = None,
                  old: tuple[str, ...] = (), parts: tuple = (),
-                 spread: Spread | None = None) -> None:
+                 spread: Spread | None = None, teams: tuple[Team, ...] = TEAMS) -> None:
         self.parts = parts
+        self.teams = {team.name: team for team in teams}
         self.spread = spread or Spread()
         self.rng = random.Random(seed)
         self.coming = coming
@@ -298,6 +355,10 @@
         self.cuts: set[frozenset[str]] = set()
         self.one_way: set[tuple[str, str]] = set()  # from, to: held up
         self.copies = 0.0  # share of reports of which a copy comes much later
+        self.kept_back = 0.0  # share of reports of which a copy comes to whoever next wins a role
+        self.for_next: list[Report] = []
+        self.muted: set[str] = set()  # machines that reach no controller, but hear direct orders
+        self.close = 0.0  # share of news to users after which all controllers are asked at once
         self.broken: set[str] = set()  # jobs that fail on every machine
         self.boot_s: Callable[[], float | None] = lambda: self.rng.uniform(1.0, 4.0)
         self.submitted: dict[str, float] = {}
@@ -305,6 +366,7 @@
         self.frozen: dict[str, list[tuple]] = {}
         self.loss = self.twice = self.slow = 0.0
         self.late_writes = 0.0  # share of transactions carried out 2 to 12 s later, unanswered
+        self.lost_answers = 0.0  # share of transactions carried out at once, unanswered
         self.state_slow = 0.0  # seconds by which answers of the state service come late, at most
         # By who asked, its life and the peer: the life that the peer last answered with.
         self.peer_lives: dict[tuple[str, int, str], int] = {}
@@ -318,6 +380,10 @@
         self.fetches = False  # whether images take their time, 1 GB a second
         self.recount = False
         self.start_log: list[tuple[float, str, int, str]] = []
+        # When a start was last given, by task and attempt; and starts that came after their job's
+        # cancellation was confirmed, with the seconds from then to the giving and to the start.
+        self.given: dict[tuple[str, int], float] = {}
+        self.late_starts: list[tuple[str, float, float]] = []
         self.boot_all()
         self.list_machines()
 
@@ -354,8 +420,10 @@
                 self.after(self.rng.uniform(0.01, 5.0), run)
 
     def ask(self, a: str, b: str, serve: Callable[[], Any], done: Callable[[Any], None],
-            lost: Any, timeout: float) -> None:
-        """A request that is served once, perhaps late, and its answer or a time-out."""
+            lost: Any, timeout: float,
+            when: Callable[[Callable[[], None]], None] = lambda run: run()) -> None:
+        """A request that is served once, perhaps late, and its answer or a time-out; `when` lets
+        the server serve later."""
         state = {"open": True, "served": False}
 
         def answer(value: Any) -> None:
@@ -366,12 +434,20 @@
         def at_server() -> None:
             if not state["served"]:
                 state["served"] = True
-                value = serve()
-                self.pass_on(b, a, lambda: answer(value))
+                when(reply)
+
+        def reply() -> None:
+            value = serve()
+            self.pass_on(b, a, lambda: answer(value))
 
         self.after(timeout, lambda: answer(lost))
         self.pass_on(a, b, at_server)
 
+    def mute(self, names: list[str], seconds: float) -> None:
+        """Machines reach no controller, while direct orders reach them."""
+        self.muted.update(names)
+        self.after(seconds, lambda: self.muted.difference_update(names))
+
     def deafen(self, names: list[str], seconds: float) -> None:
         """What machines say arrives; answers and orders do not reach them."""
         pairs = {(label, name) for label in self.labels for name in names}
@@ -405,7 +481,7 @@
 
     def settings(self, label: str) -> Settings:
         """Return a controller's settings."""
-        conf = settings_for(label, len(self.labels), self.coming)
+        conf = settings_for(label, len(self.labels), self.coming, tuple(self.teams.values()))
         return msgspec.structs.replace(conf, spread=self.spread)
 
     def crash(self, label: str, back: float | None = 3.0) -> None:
@@ -466,6 +542,9 @@
 
     def carry_out(self, label: str, life: int, effect: tuple) -> None:
         kind = effect[0]
+        if kind == "orders" or (kind == "answer" and effect[2] == 200
+                                and effect[3][0] == "orders"):
+            self.check_given(label, effect[5] if kind == "orders" else effect[3][2])
         if kind == "answer":
             effect[1](*effect[2:])
             return
@@ -482,7 +561,8 @@
             worker = self.workers.get(addr)
             if worker is not None:
                 self.ask(label, addr, lambda: worker.orders(token, session, orders)
-                         if not worker.dead else ("lost", None), done, ("lost", None), 2.0)
+                         if not worker.dead else ("lost", None), done, ("lost", None), 2.0,
+                         worker.awake)
         elif kind == "cloud":
             self.ask(label, "cloud", lambda: self.cloud(*effect[2:]), done, (0, None), 5.0)
         else:
@@ -496,6 +576,9 @@
         if effect[0] == "txn" and self.late_writes and self.rng.random() < self.late_writes:
             self.after(self.rng.uniform(2.0, 12.0), serve)
             self.after(constants.STATE_TIMEOUT_S, lambda: done((0, None)))
+        elif effect[0] == "txn" and self.lost_answers and self.rng.random() < self.lost_answers:
+            self.after(self.delay(), serve)
+            self.after(constants.STATE_TIMEOUT_S, lambda: done((0, None)))
         else:
             self.ask(label, "state", serve, done, (0, None), constants.STATE_TIMEOUT_S)
 
@@ -527,7 +610,12 @@
         self.ask(label, peer, serve, done, None, 2.0)
 
     def written(self, key: str, value: Any) -> None:
-        """The state service wrote a key."""
+        """The state service wrote a key: of a role, its holder gets the reports kept for it."""
+        if key.startswith("ox/own/"):
+            reports, self.for_next = self.for_next, []
+            for report in reports:
+                self.after(self.rng.uniform(0.0, 1.0), lambda report=report: self.command(
+                    value[0], ("report", lambda *a: None, report)))
 
     # --- cloud ---
 
@@ -536,6 +624,7 @@
                 for w in self.workers.values() if not w.dead]
         self.history.append((self.now, rows))
         self.history = self.history[-40:]
+        self.check_cancelled()
         self.after(0.5, self.list_machines)
 
     def cloud(self, kind: str, *args: Any) -> tuple[int, Any]:
@@ -575,7 +664,8 @@
 
     def meet(self, key: tuple[str, int], row: list, job: JobSpec) -> None:
         """Start a task that has its image; those of a gang together, or none after a while."""
-        rows = [r for w in self.workers.values() if not w.dead for (task, attempt), r in
+        rows = [r for w in self.workers.values() if not w.dead and not w.hung
+                for (task, attempt), r in
                 w.tasks.items() if task.partition("/")[0] == key[0].partition("/")[0]
                 and attempt == key[1] and r[0] in ("waiting", "running")]
         if job.kind != "gang" or len(rows) == job.tasks:
@@ -590,7 +680,7 @@
         job = self.specs[job_id]
         rows = [row]
         if job.kind == "gang":
-            rows = [r for w in self.workers.values() if not w.dead
+            rows = [r for w in self.workers.values() if not w.dead and not w.hung
                     for (task, attempt), r in w.tasks.items()
                     if task.startswith(job_id + "/") and attempt == key[1] and r[0] == "running"]
         whole = len(rows) == (job.tasks if job.kind == "gang" else 1)
@@ -614,6 +704,79 @@
     def query(self, job_id: str) -> None:
         self._user(job_id, lambda rid: ("query", rid, job_id), lambda s, a: True)
 
+    def tell(self, label: str, *command: Any) -> list[tuple[int, tuple]]:
+        """Ask one controller once as a user, with all checks; return its answers as they come."""
+        answers: list[tuple[int, tuple]] = []
+        before, sent = self.told.get(command[1]), self.now
+
+        def answered(status: int, answer: tuple) -> None:
+            answers.append((status, answer))
+            self.heard(command[1], status, answer, before, sent)
+
+        self.command(label, (command[0], answered, *command[1:]))
+        return answers
+
+    def look_closely(self, job_id: str) -> None:
+        """Right after a user was told something new, ask all controllers again and again within
+        20 ms, and submit anew; some cancel at once."""
+        for label in self.labels * 2:
+            self.after(self.rng.uniform(0.001, 0.02),
+                       lambda label=label: self.tell(label, "query", job_id))
+        for label in self.labels:
+            self.after(self.rng.uniform(0.001, 0.02), lambda label=label: self.tell(
+                label, "submit", job_id, self.specs[job_id], ""))
+        if self.told[job_id] == "accepted" and self.rng.random() < 0.25:
+            self.after(self.rng.uniform(0.001, 0.02), lambda: self.cancel(job_id))
+
+    def idle_room(self, seconds: float = 90.0) -> set[str]:
+        """Return the jobs that wait all the while though a machine has room for them and their
+        team is under its limit; asked once all troubles are over."""
+        found = set(self.specs)
+        end = self.now + seconds
+        while self.now < end and found:
+            found = {job_id for job_id in found if self.could_start(job_id)}
+            self.run(2.5)
+        return found
+
+    def could_start(self, job_id: str) -> bool:
+        """Whether an accepted job lacks tasks for which there is room within all rules. A gang
+        and a service's or array's next task are judged alike: by all that must start at once."""
+        job = self.specs[job_id]
+        if (self.told.get(job_id) != "accepted" or job_id in self.broken
+                or any(self.told.get(name) != "done" for name in self.needs(job_id))):
+            return False
+        there = [(w, key[0], row) for w in self.workers.values() if w.up and not w.dead
+                 for key, row in w.tasks.items() if row[0] != "exited"]
+        mine = {task for _, task, _ in there if task.startswith(job_id + "/")}
+        left = [i for i in range(job.tasks)
+                if (task := f"{job_id}/{i}") not in mine and task not in self.completed]
+        if not left or (job.kind == "gang" and mine):
+            return False
+        count = job.tasks if job.kind == "gang" else 1
+        specs = [self.specs[task.partition("/")[0]] for _, task, _ in there]
+        team, cpus, gpus = self.teams[job.team], count * job.cpus, count * job.gpus
+        cpus += sum(s.cpus for s in specs if s.team == job.team)
+        gpus += sum(s.gpus for s in specs if s.team == job.team)
+        if (team.cpus_max and cpus > team.cpus_max) or (team.gpus_max and gpus > team.gpus_max):
+            return False
+        zones = [w.zone for w, task, _ in there if task.startswith(job_id + "/")]
+        room: dict[str, int] = {}
+        for worker in self.workers.values():
+            on = [self.specs[t.partition("/")[0]] for w, t, _ in there if w is worker]
+            if (worker.up and not worker.dead and not worker.hung
+                    and job.zone in (None, worker.zone) and (job.spot or not worker.spot)
+                    and (not job.one_zone or set(zones) <= {worker.zone})):
+                free = (TYPE.cpus - sum(s.cpus for s in on), TYPE.gpus - sum(s.gpus for s in on),
+                        TYPE.memory_gb - sum(s.memory_gb for s in on))
+                fit = min(int(have / need) for have, need in
+                          zip(free, (job.cpus, job.gpus, job.memory_gb), strict=True) if need)
+                room[worker.zone] = room.get(worker.zone, 0) + fit
+        if job.spread:
+            most = (job.tasks + 1) // 2
+            room = {zone: min(fit, most - zones.count(zone)) for zone, fit in room.items()}
+        return max([max(room.values(), default=0)] if job.one_zone else [sum(room.values())]) \
+            >= count
+
     def silent(self, seconds: float = 90.0) -> set[str]:
         """Ask for every job ever accepted, and return those about which no question was answered
         for 75 s."""
@@ -727,20 +890,49 @@
             assert self.asked_cancel & {job_id, *self.needs(job_id)}, \
                 f"went_back: {job_id} was never cancelled"
             self.cancelled_at.setdefault(job_id, self.now)
-            if self.told.get(job_id) != "cancelled":
-                self.after(CANCEL_S, lambda: self.check_cancelled(job_id))
         if self.told.get(job_id) not in ("done", "cancelled"):
-            self.told[job_id] = state if state in ("done", "cancelled") else "accepted"
-
-    def check_cancelled(self, job_id: str) -> None:
+            news = state if state in ("done", "cancelled") else "accepted"
+            if news != self.told.get(job_id):
+                self.told[job_id] = news
+                if self.close and self.rng.random() < self.close:
+                    self.look_closely(job_id)
+
+    def check_cancelled(self) -> None:
+        """Look for tasks that are on a machine more than cancel_s after the word; looked at twice
+        a second, and when a machine that hung goes on. One that hangs beyond its lease can't go on
+        with them."""
+        if not self.cancelled_at:
+            return
         for worker in self.workers.values():
-            if worker.dead:
+            if worker.dead or (worker.hung and worker.lease_over):
                 continue
             worker.advance()
             for (task, _), row in worker.tasks.items():
-                assert row[0] != "running" or task.partition("/")[0] != job_id, \
+                at = self.cancelled_at.get(task.partition("/")[0])
+                assert row[0] not in PLACED or at is None or self.now - at <= CANCEL_S, \
                     f"ran_cancelled: {task}"
 
+    def check_given(self, label: str, orders: list[dict]) -> None:
+        """No controller gives a start of a job that it knows to be cancelled."""
+        core = self.cores[label]
+        for order in orders:
+            if order["verb"] == "launch":
+                job_id = order["piece"].partition("/")[0]
+                self.given[(order["piece"], order["try"])] = self.now
+                assert core is None or not core.keeper.word.is_cancelled(job_id), \
+                    f"start given though cancelled: {order['piece']}"
+
+    def placed(self) -> list[tuple[FakeWorker, str, int]]:
+        """Return the tasks that are on a machine by the rules' words: also while they wait for
+        their gang, save, hang or can't be reached."""
+        found = []
+        for worker in self.workers.values():
+            if not worker.dead:
+                worker.advance()
+                found += [(worker, task, attempt) for (task, attempt), row in worker.tasks.items()
+                          if row[0] in PLACED]
+        return found
+
     def live(self) -> list[tuple[FakeWorker, str, int]]:
         found = []
         for worker in self.workers.values():
@@ -751,30 +943,38 @@
         return found
 
     def started(self, worker: FakeWorker, key: tuple[str, int]) -> None:
-        """Check the rules at the moment a task starts."""
+        """Check the rules at the moment a start is carried out."""
         task, attempt = key
         job_id = task.partition("/")[0]
-        job = self.specs[job_id]
-        live = self.live()
-        assert task not in [t for _, t, _ in live], f"ran_twice: {task}"
-        for name in job.waits_on:
+        for name in self.specs[job_id].waits_on:
             missing = {f"{name}/{i}" for i in range(self.specs[name].tasks)} - self.completed
             assert not missing, f"too_early: {task} before {sorted(missing)[0]}"
-        used = job.gpus + sum(self.specs[t.partition("/")[0]].gpus for _, t, _ in live
-                              if self.specs[t.partition("/")[0]].team == job.team)
-        limit = {"red": 8, "blue": 10}[job.team]
-        assert used <= limit, f"quota: {job.team} {used}"
-        zones = [w.zone for w, t, _ in live if t.partition("/")[0] == job_id]
-        assert job.zone in (None, worker.zone), f"wrong_place: {task}"
-        assert job.spot or not worker.spot, f"wrong_place: {task}"
-        assert not job.one_zone or set(zones) <= {worker.zone}, f"wrong_place: {task}"
-        assert not job.spread or zones.count(worker.zone) < (job.tasks + 1) // 2, \
-            f"wrong_place: {task}"
+        self.check_place(worker, task)
         at = self.cancelled_at.get(job_id)
         assert at is None or self.now - at <= CANCEL_S, f"ran_cancelled: {task}"
+        if at is not None and at < self.now:
+            self.late_starts.append((task, self.given.get(key, at) - at, self.now - at))
         self.starts += 1
         self.start_log.append((self.now, task, attempt, worker.name))
 
+    def check_place(self, worker: FakeWorker, task: str) -> None:
+        """Check the rules on where a task may be: when it is started and when it has its image."""
+        job_id = task.partition("/")[0]
+        job = self.specs[job_id]
+        others = [row for row in self.placed() if row[:2] != (worker, task)]
+        assert task not in [t for _, t, _ in others], f"ran_twice: {task}"
+        mates = [self.specs[t.partition("/")[0]] for _, t, _ in others]
+        mates = [mate for mate in mates if mate.team == job.team]
+        limit = self.teams[job.team]
+        for used, most in ((job.cpus + sum(s.cpus for s in mates), limit.cpus_max),
+                           (job.gpus + sum(s.gpus for s in mates), limit.gpus_max)):
+            assert not most or used <= most + 1e-6, f"quota: {job.team} {used}"
+        zones = [w.zone for w, t, _ in others if t.partition("/")[0] == job_id]
+        assert job.zone in (None, worker.zone), f"wrong_place: {task}"
+        assert job.spot or not worker.spot, f"wrong_place: {task}"
+        assert not job.one_zone or set(zones) <= {worker.zone}, f"wrong_place: {task}"
+        assert not job.spread or zones.count(worker.zone) < (job.tasks + 1) // 2, \
+            f"wrong_place: {task}"
 
 
 def make_old(core: Controller) -> None:
@@ -795,22 +995,21 @@
     """Compare what a controller keeps up to date with a full count."""
     world, replica = core.world, core.world.replica
     for name, free in replica.rooms.items():
-        machine = world.machines[name]
-        known = all(replica.jobs[task.partition("/")[0]].spec is not None
-                    for task, _ in machine.tasks if task.partition("/")[0] in replica.jobs)
-        assert not known or free == pytest.approx(count_room(world, machine)), name
+        assert free == pytest.approx(count_room(world, world.machines[name])), name
     check_index(core)
     used: dict[str, float] = {}
     mine: dict[str, float] = {}
+    ending: dict[str, float] = {}
     for job in replica.jobs.values():
-        if job.spec is not None:
-            used[job.team] = used.get(job.team, 0.0) + job.spec.gpus * len(job.bindings())
-            mine[job.team] = mine.get(job.team, 0.0) + job.spec.gpus * len(
-                core.owner.copies.bindings(job))
+        bound = job.takes[1] * len(job.bindings())
+        used[job.team] = used.get(job.team, 0.0) + bound
+        ending[job.team] = ending.get(job.team, 0.0) + (0.0 if job.service else bound)
+        mine[job.team] = mine.get(job.team, 0.0) + job.takes[1] * len(
+            core.owner.copies.bindings(job))
     for team in world.teams:
         assert replica.used.get(team, (0, 0))[1] == pytest.approx(used.get(team, 0)), team
-        assert sum(at[1] for at in replica.used_at.get(team, {}).values()) == pytest.approx(
-            used.get(team, 0)), team
+        assert sum(at[1] for at in replica.used_ending.get(team, {}).values()) == pytest.approx(
+            ending.get(team, 0)), team
         if team in world.my_roles:
             assert core.owner.copies.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
 
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -66,7 +66,7 @@
 def test_a_job_starts_at_once_after_jobs_that_were_over():
     sim = quiet()
     chain(sim, (1, dict(tasks=2)))
-    sim.run(25)
+    sim.run(12)  # well before its machine has been idle for so long that it is given back
     assert ask_all(sim, 1) == ["done"]
     chain(sim, (2, dict(waits_on=("job-1",))))
     sim.run(8)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -27,23 +27,10 @@
     return [worker.name for worker, task, _ in sim.live() if task.startswith(job_id + "/")]
 
 
-def tell(sim: Sim, label: str, *command: Any) -> list[tuple[int, tuple]]:
-    """Ask one controller as a user, with all checks; return its answers as they come."""
-    answers: list[tuple[int, tuple]] = []
-    before, sent = sim.told.get(command[1]), sim.now
-
-    def answered(status: int, answer: tuple) -> None:
-        answers.append((status, answer))
-        sim.heard(command[1], status, answer, before, sent)
-
-    sim.command(label, (command[0], answered, *command[1:]))
-    return answers
-
-
 def cancel_by(sim: Sim, label: str, job_id: str) -> None:
     """Cancel a job through one controller, which confirms it."""
     sim.asked_cancel.add(job_id)
-    answers = tell(sim, label, "cancel", job_id)
+    answers = sim.tell(label, "cancel", job_id)
     sim.run(0.06)
     assert [status for status, _ in answers] == [200]
 
@@ -400,8 +387,8 @@
     sim.run(0.3)
     cancel_by(sim, "h1", "job-0")
     sim.specs["job-7"] = sim.specs["job-8"] = spec("array", 2)
-    late = [tell(sim, "h0", "submit", "job-7", spec("array", 2), ""),
-            tell(sim, "h0", "query", "job-0"), tell(sim, "h0", "cancel", "job-1")]
+    late = [sim.tell("h0", "submit", "job-7", spec("array", 2), ""),
+            sim.tell("h0", "query", "job-0"), sim.tell("h0", "cancel", "job-1")]
     sim.asked_cancel.add("job-1")
     sim.submit("job-8", spec("array", 2))
     sim.run(seconds - 0.4)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -8,7 +8,12 @@
 from oakmux.core.jobs import Binding, Job
 from oakmux.core.keeper import proof
 from oakmux.core.owner.places import fetch_s, preference
-from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Sim, spec
+from oakmux.settings import Team
+from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, TEAMS, Sim, spec
+
+# Limits of CPUs that bind before those of GPUs for one team, and the other way for the other.
+TIGHT = (Team("red", cpus_max=6, gpus=4, gpus_max=8),
+         Team("blue", cpus_max=20, gpus=2, gpus_max=6))
 
 
 def quiet(seconds: float = 12.0, seed: int = 1) -> Sim:
@@ -217,7 +222,7 @@
 
 def troubled(seed: int, seconds: float = 150.0, recount: bool = False, count: int = 3) -> Sim:
     """Play a random story: jobs come, everything fails, then all is well again."""
-    sim = Sim(seed, count)
+    sim = Sim(seed, count, teams=TIGHT if seed % 2 else TEAMS)
     sim.recount = recount
     sim.loss, sim.twice, sim.slow = 0.01, 0.01, 0.005
     dice = random.Random(seed)
@@ -233,7 +238,8 @@
             sim.after(dice.uniform(0, 20), lambda n=number: sim.cancel(f"job-{n}"))
         trouble = dice.choice(["none", "crash", "all", "state", "refused", "cut", "machine",
                                "peers", "die", "cloud", "deaf", "copies", "alone", "blink",
-                               "broken", "boots", "freeze", "late", "slow", "gap"])
+                               "broken", "boots", "freeze", "late", "slow", "gap", "hang",
+                               "mute", "answers", "next", "close", "now"])
         if trouble == "crash":
             sim.crash(dice.choice(sim.labels), dice.uniform(1, 6))
         elif trouble == "all" and dice.random() < 0.5:
@@ -284,6 +290,25 @@
         elif trouble == "slow":
             sim.state_slow = dice.uniform(0.2, 3.0)
             sim.after(dice.uniform(2, 12), lambda: setattr(sim, "state_slow", 0.0))
+        elif trouble in ("hang", "mute") and sim.workers:
+            names = sorted(sim.workers)
+            names = dice.sample(names, min(3, len(names)))
+            if trouble == "mute":
+                sim.mute(names, dice.uniform(2, 30))
+            for name in names if trouble == "hang" else ():
+                sim.workers[name].hang(dice.uniform(0.5, 2.5 * LEASE_S))
+        elif trouble == "answers":
+            sim.lost_answers = dice.choice([0.0, 0.1, 0.4])
+        elif trouble == "next":
+            sim.kept_back = dice.choice([0.0, 0.1, 0.4])
+        elif trouble == "close":
+            sim.close = dice.choice([0.0, 0.3, 1.0])
+        elif trouble == "now":  # what runs is called off, and its machines hang
+            for worker, task, _ in dice.sample(sim.live(), min(3, len(sim.live()))):
+                sim.cancel(task.partition("/")[0])
+                sim.after(dice.uniform(0, 0.3), lambda w=worker: w.hang(dice.uniform(1, 15)))
+            if dice.random() < 0.5:
+                sim.crash(dice.choice(sim.labels), dice.uniform(0.05, 4))
         elif trouble == "gap":  # one refused, cancelled by another, then out for all
             sim.state.refused = {dice.choice(sim.labels)}
             for _ in range(3):
@@ -298,6 +323,8 @@
             sim.query(f"job-{dice.randrange(number + 1)}")
             sim.run(5 / 3)
     sim.loss = sim.twice = sim.slow = sim.copies = sim.late_writes = sim.state_slow = 0.0
+    sim.lost_answers = sim.kept_back = 0.0
+    sim.muted.clear()
     sim.cuts.clear()
     sim.one_way.clear()
     sim.boot_s = lambda: 2.0
@@ -309,6 +336,7 @@
 def test_rules_hold_in_a_random_story(seed):
     sim = troubled(seed)
     assert sim.silent() == set()
+    assert sim.idle_room() == set()
     assert sim.unfinished(150) == set()
     assert sim.starts > 20
 
@@ -317,6 +345,7 @@
 def test_rules_hold_in_a_random_story_of_seven(seed):
     sim = troubled(seed, 100.0, count=7)
     assert sim.silent() == set()
+    assert sim.idle_room() == set()
     assert sim.unfinished(150) == set()
 
 
