--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -16,6 +16,8 @@
 from oakmux.cli import main
 from tests.loopback import DATA
 
+# They share one service, in their order.
+pytestmark = pytest.mark.xdist_group("clients")
 CERT = str(DATA / "loopback-only.pem")
 EVENT = """BEGIN:VCALENDAR
 VERSION:2.0
--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -1,7 +1,9 @@
 """Meetings of the operators' second letter, and what the stricter checks of the fakes found."""
 
 import random
+from collections.abc import Callable
 
+import msgspec
 import pytest
 
 from oakmux import constants
@@ -10,19 +12,21 @@
 from oakmux.core.world import Machine, World
 from oakmux.settings import Team
 from oakmux.wire import Report
-from tests.fakes import CANCEL_S, LEASE_S, Sim, settings_for, spec
+from tests.fakes import CANCEL_S, LEASE_S, PLACED, TYPE, Sim, settings_for, spec
 from tests.test_meetings import (
     Holding,
+    Twins,
     cancel_by,
     cut_off,
     gather,
     holder,
+    kinds,
     leader,
     reset,
     running,
     well,
 )
-from tests.test_oncall import moved, up
+from tests.test_oncall import deliver, moved, up
 
 # Both teams' arrays of eight tasks fill their limits.
 FULL = (Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=8))
@@ -215,3 +219,346 @@
     sim.run(2 * CANCEL_S + 5)  # the fakes check that no start comes later than that
     assert all(sim.now - at > 2 * CANCEL_S for at in sim.held)
     well(sim)
+
+
+# --- users ask at all nodes, again and again, right after they were told something ---
+
+
+@pytest.mark.parametrize("how", ["watch behind", "peers cut", "roles change", "refused", "lost"])
+@pytest.mark.parametrize("count", [3, 7])
+def test_no_node_answers_anything_older_right_after_a_user_was_told(count, how):
+    # Must not happen: went_back, forgotten, a cancellation undone by a repeated submission.
+    sim = Sim(count, count)
+    sim.run(12)
+    sim.close = 1.0
+    for step in range(16):
+        label = sim.labels[step % count]
+        if how == "watch behind":  # an instant, or for longer than a user waits
+            sim.stuck = {label, sim.labels[(step + 1) % count]}
+            sim.after(0.3 if step % 2 else 1.5, sim.stuck.clear)
+        elif how == "peers cut":
+            pair = {frozenset((label, sim.labels[(step + 1) % count]))}
+            sim.cuts |= pair
+            sim.after(1.5, lambda pair=pair: sim.cuts.difference_update(pair))
+        elif how == "roles change" and step % 2:
+            sim.crash(label, sim.rng.uniform(0.05, 1.0))
+        elif how == "refused" and step % 3 == 0:
+            sim.state.refused = {label}
+            sim.after(3.0, sim.state.refused.clear)
+        elif how == "lost":
+            sim.lost_answers = 0.4
+        sim.submit(f"job-{step}", spec(("array", "gang")[step % 2], 1 + step % 3,
+                                       "red" if step % 2 else "blue", estimate_s=1.5))
+        if step % 4 == 2:
+            sim.after(sim.rng.uniform(0.0, 3.0), lambda n=step: sim.cancel(f"job-{n}"))
+        for number in range(step):
+            sim.query(f"job-{number}")
+        sim.run(2)
+    sim.close = sim.lost_answers = 0.0
+    assert {"done", "cancelled"} <= set(sim.told.values())
+    well(sim, 60)
+
+
+@pytest.mark.parametrize("late", [-0.03, -0.01, 0.0, 0.005, 0.01, 0.02, 0.04, 0.1, 0.5, 1.5])
+def test_whatever_meets_the_end_of_a_jobs_last_task_its_state_is_final_once(late):
+    """A cancellation, a question or a repeated submission at each moment about the end. Must not
+    happen: done and then cancelled or the other way round, done too early."""
+    for kind in ("array", "gang"):
+        for what in ("cancel", "query", "submit"):
+            sim = Sim(5)
+            sim.run(12)
+            sim.submit("job-1", spec(kind, 2, estimate_s=3.0))
+            while "job-1/1" not in sim.completed and not sim.live():
+                sim.run(0.01)
+            end = max(row[2] for w in sim.workers.values() for row in w.tasks.values())
+            sim.run(max(0.0, end - sim.now + late))
+            if what == "cancel":
+                sim.asked_cancel.add("job-1")
+            more = (sim.specs["job-1"], "") if what == "submit" else ()
+            for label in sim.labels:
+                sim.tell(label, what, "job-1", *more)
+                sim.run(0.004)
+            for _ in range(30):  # the fakes compare each answer with what was told before
+                for label in sim.labels:
+                    sim.tell(label, "query", "job-1")
+                sim.run(0.1)
+            assert sim.told["job-1"] in (("done", "cancelled") if what == "cancel" else ("done",))
+            well(sim, 20)
+
+
+# --- a transaction is carried out at once, and only its answer is lost ---
+
+
+class Unanswered(Twins):
+    """Loses the answer of the n-th transaction that changes something of a kind."""
+
+    def __init__(self, kind: str, at: int, count: int) -> None:
+        self.kind, self.left, self.armed = kind, at, False
+        super().__init__(5, count)
+
+    def to_state(self, label: str, effect: tuple, done: Callable[[tuple], None]) -> None:
+        if self.armed and effect[0] == "txn" and self.kind in kinds(effect[3]):
+            self.left -= 1
+            if self.left == 0:
+                self.after(self.delay(), lambda: self.state.serve(label, "txn", *effect[2:]))
+                self.after(constants.STATE_TIMEOUT_S, lambda: done((0, None)))
+                return
+        super().to_state(label, effect, done)
+
+
+@pytest.mark.parametrize("kind", ["j", "t", "own", "term", "n"])
+@pytest.mark.parametrize("count", [3, 7])
+def test_a_writer_that_had_no_answer_neither_undoes_nor_repeats_what_others_read(kind, count):
+    # Must not happen: a task bound or a job accepted twice, a cancellation or an end taken back.
+    for at in {"j": (1, 2, 4, 7), "t": (1, 2, 3)}.get(kind, (1,)):
+        sim = Unanswered(kind, at, count)
+        sim.run(12)
+        sim.close = 1.0
+        sim.armed = True
+        sim.crash(holder(sim, "red"), 0.4)
+        for step in range(5):
+            sim.submit(f"job-{step}", spec(("array", "gang")[step % 2], 2,
+                                           "red" if step % 2 else "blue", estimate_s=2.0))
+            if step in (1, 3):
+                sim.after(1.2, lambda n=step, sim=sim: sim.cancel(f"job-{n}"))
+            sim.run(2)
+        sim.run(6)
+        assert sim.left <= 0
+        sim.close = 0.0
+        attempts = [(task, attempt) for _, task, attempt, _ in sim.start_log]
+        assert len(attempts) == len(set(attempts))
+        well(sim, 40)
+
+
+# --- cancellations in the seconds in which work changes hands ---
+
+
+@pytest.mark.parametrize("how", ["yield", "expiry", "restart", "keeper", "all"])
+@pytest.mark.parametrize("count", [3, 7])
+def test_a_cancellation_while_work_changes_hands_ends_all_of_it(how, count):
+    """At every fifth of a second about the change. Must not happen: ran_cancelled, a task that
+    starts though its giver could know, a limit given out twice, a job that comes back."""
+    sim = at_limits(count)
+    for step in range(12):
+        sim.submit(f"job-{step + 10}", spec("array", 2, "red" if step % 2 else "blue",
+                                            priority=2, estimate_s=30.0))
+    sim.run(4)
+    owner = holder(sim, "red")
+    if how == "yield":
+        core = sim.cores[owner]
+        core.membership._yield({"red": owner, "blue": owner, "#fleet": owner},
+                               sorted(sim.labels))
+        sim.step(owner, [])
+    elif how == "expiry":
+        sim.state.refused = {owner}
+        sim.after(8.0, sim.state.refused.clear)
+    elif how == "keeper":
+        for name in up(sim):
+            reset(sim, name, next(label for label in sim.labels if label != leader(sim)))
+    else:
+        for label in sim.labels if how == "all" else [owner]:
+            sim.crash(label, 0.3)
+    for step in range(12):
+        sim.cancel(f"job-{step + 10}")
+        if step == 6:
+            sim.cancel("job-2")
+        sim.run(0.2 if step < 10 else 2.0)
+    sim.run(CANCEL_S)
+    assert not [task for _, task, _ in sim.placed() if int(task[4:].partition("/")[0]) >= 10]
+    well(sim, 350)
+
+
+# --- machines up within two seconds, writes late, the leader ends ---
+
+
+@pytest.mark.parametrize("at", range(1, 22, 4))
+def test_machines_up_at_once_are_used_once_while_writes_lag_and_the_leader_ends(at):
+    # Must not happen: a task bound by two lives, a machine that is known under no name and used.
+    for back in (0.1, 4.0):
+        sim = Sim(at, 7 if at % 3 == 0 else 3)
+        sim.boot_s = lambda sim=sim: sim.rng.uniform(0.05, 1.5)
+        sim.run(6)
+        sim.late_writes, sim.lost_answers = 0.3, 0.2
+        for number in range(6):
+            sim.submit(f"job-{number}", spec(("array", "gang", "service")[number % 3], 3,
+                                             "red" if number % 2 else "blue", estimate_s=6.0))
+        sim.run(at * 0.1)
+        sim.crash(holder(sim, "#fleet"), back)
+        sim.run(1.0)
+        sim.crash(leader(sim), back)
+        sim.run(20)
+        well(sim, 120)
+
+
+# --- an old report reaches every controller just as a new leader begins ---
+
+
+@pytest.mark.parametrize("when", [0.05, 0.3, 0.7, 1.2, 2.0, 4.0])
+@pytest.mark.parametrize("count", [3, 7])
+def test_old_reports_that_come_as_a_leader_begins_change_nothing(when, count):
+    """Of earlier sessions, tokens and attempts, before and after its first own report. Must not
+    happen: a task taken for gone or for done, a machine back that is gone."""
+    sim = Sim(5, count)
+    sim.run(12)
+    for number in range(4):
+        sim.submit(f"job-{number}", spec("array", 3, "red" if number < 2 else "blue",
+                                         estimate_s=300.0))
+    old = []
+    for step in range(5):
+        sim.run(3)
+        for name in up(sim):
+            worker = sim.workers[name]
+            seq, tasks = worker.seq, {key: list(row) for key, row in worker.tasks.items()}
+            old.append(worker.snapshot())
+            worker.seq, worker.tasks = seq, tasks
+        if step == 1:
+            sim.deafen(up(sim)[:1], 1.2 * LEASE_S)
+        if step == 3:
+            sim.kill(up(sim)[0])
+    sim.run(50)
+    where = sorted((task, worker.name) for worker, task, _ in sim.live())
+    starts = len(sim.start_log)
+    ended = {leader(sim), holder(sim, "red"), holder(sim, "#fleet")}
+    for label in ended:
+        sim.crash(label, 0.2)
+    sim.run(0.2 + when)
+    for report in [*old, *reversed(old)]:
+        for label in sim.labels:
+            if sim.cores[label] is not None:
+                deliver(sim, label, report)
+    sim.run(8)
+    left = sorted((task, worker.name) for worker, task, _ in sim.live())
+    assert left == where and len(sim.start_log) == starts
+    well(sim, 350)
+
+
+# --- cancelled work on machines that hang and go on, or are mute ---
+
+
+@pytest.mark.parametrize("seconds", [2.0, 0.9 * LEASE_S, 1.5 * LEASE_S, 1.2 * CANCEL_S])
+@pytest.mark.parametrize("how", ["hang", "mute"])
+def test_cancelled_work_out_of_reach_ends_in_time_whoever_falls(how, seconds):
+    # Must not happen: cancelled work that goes on after its machine hung, a session that is kept
+    # alive by direct orders, a task found gone that is not.
+    for falls in (False, True):
+        sim = at_limits(3)
+        names = up(sim)[:2]
+        sim.cloud_down = True
+        sim.cancel("job-2")
+        sim.cancel("job-1")
+        sim.run(0.02)
+        trouble(sim, how, names, seconds)
+        if falls:
+            sim.crash(leader(sim), 0.3)
+        sim.submit("job-9", spec("array", 4, "red", priority=2, estimate_s=5.0))
+        sim.run(seconds + 1)
+        sim.cloud_down = False
+        sim.run(CANCEL_S)
+        assert not running(sim, "job-2") and not running(sim, "job-1")
+        well(sim, 350)
+
+
+# --- one-task jobs, four a second, a quarter cancelled ---
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_swarms_of_one_task_jobs_leave_leases_starts_and_answers_to_all(count):
+    # Must not happen: a lease, a start or a confirmation that starves behind the others' changes.
+    sim = Sim(3, count)
+    sim.run(12)
+    sim.submit("job-0", spec("service", 2, "blue"))
+    sim.run(8)
+    for number in range(1, 241):
+        sim.submit(f"job-{number}", spec("array", 1, ("red", "blue")[number % 2], cpus=0.5,
+                                         gpus=0.25, estimate_s=3.0))
+        if number % 4 == 0:
+            sim.after(sim.rng.uniform(0.0, 5.0), lambda n=number: sim.cancel(f"job-{n}"))
+        if number == 120:
+            sim.crash(leader(sim), 2.0)
+        if number == 160:
+            sim.late_writes = 0.1
+        sim.run(0.25)
+    assert len(running(sim, "job-0")) == 2
+    waits = [at - sim.submitted[f"job-{n}"] for n in range(1, 241)
+             if (at := sim.begun_at(f"job-{n}")) is not None]
+    assert len(waits) >= 180 and sorted(waits)[len(waits) // 2] < 6.0 and max(waits) < 30.0
+    sim.late_writes = 0.0
+    well(sim, 60)
+
+
+# --- what is accepted ---
+
+NEVER = [
+    spec(team="nobody"), spec(zone="z"), spec(types=["none"]), spec(cpus=9.0), spec(gpus=5.0),
+    spec(memory_gb=65.0), spec("gang", 9), spec("service", 9),
+    spec("gang", 2, spread=True, one_zone=True), spec("service", 2, spread=True, zone="a"),
+]
+
+
+@pytest.mark.parametrize("job", NEVER, ids=range(len(NEVER)))
+def test_what_can_never_run_is_not_accepted_by_any_node(job):
+    sim = Sim(1)
+    sim.run(8)
+    for label in sim.labels:
+        answers = sim.tell(label, "submit", "job-1", job, "")
+        sim.run(0.5)
+        assert [status for status, _ in answers] == [422]
+    sim.specs["job-1"] = spec()
+    sim.submit("job-1", spec())
+    sim.run(1)
+    for label in sim.labels:  # known by now: its state, whatever the body says
+        answers = [*sim.tell(label, "submit", "job-1", job, ""),
+                   *sim.tell(label, "submit", "job-1", None, "pieces: missing")]
+        sim.run(0.5)
+        assert sim.told["job-1"] == "accepted"
+    sim.run(30)
+    sim.asked_cancel.add("job-1")
+    for label in sim.labels:  # a cancellation of what is done changes nothing
+        answers = sim.tell(label, "cancel", "job-1")
+        sim.run(0.5)
+        assert [(status, answer[2]) for status, answer in answers] == [(200, "done")]
+
+
+def test_a_job_whose_zone_has_no_machine_type_for_it_is_not_accepted(monkeypatch):
+    kind = msgspec.structs.replace(TYPE, zones=["a", "b"])
+    monkeypatch.setattr("tests.fakes.TYPE", kind)
+    sim = Sim(1)
+    sim.run(8)
+    for zone, status in (("c", 422), ("b", 201)):
+        sim.specs["job-1"] = spec(zone=zone)
+        answers = sim.tell("h0", "submit", "job-1", spec(zone=zone), "")
+        sim.run(0.5)
+        assert [row[0] for row in answers] == [status]
+
+
+# --- the checks can fail ---
+
+
+def test_each_check_of_the_judge_can_fail():
+    sim = at_limits(3)
+    worker, task, attempt = sim.live()[0]
+    other = next(sim.workers[name] for name in up(sim) if name != worker.name)
+    order = {"verb": "launch", "piece": task, "try": attempt + 1}
+    for state in PLACED:  # on its machine, whatever it does there
+        worker.tasks[(task, attempt)][0] = state
+        with pytest.raises(AssertionError, match="ran_twice"):
+            other.obey(other.token, [order])
+    worker.tasks[(task, attempt)][0] = "running"
+    for kind, more in (("quota", {"gpus": 1.0, "team": "red"}), ("quota", {"cpus": 1.0}),
+                       ("wrong_place", {"zone": "z", "gpus": 0.0, "cpus": 0.0})):
+        sim.specs["job-9"] = spec(**more)
+        sim.teams["red"] = Team("red", cpus_max=8, gpus_max=8)
+        with pytest.raises(AssertionError, match=kind):
+            other.obey(other.token, [{"verb": "launch", "piece": "job-9/0", "try": 1}])
+    job_id = task.partition("/")[0]
+    worker.hang(0.5 * LEASE_S)
+    sim.cancelled_at[job_id] = sim.now - CANCEL_S - 1
+    with pytest.raises(AssertionError, match="ran_cancelled"):
+        sim.check_cancelled()
+    sim.told["job-9"] = "accepted"
+    sim.specs["job-9"] = spec(team="blue", gpus=0.0, cpus=0.1, memory_gb=0.1)
+    assert sim.could_start("job-9")
+    for core in sim.cores.values():
+        core.keeper.word.cancelled["job-9"] = 0.0
+    with pytest.raises(AssertionError, match="start given"):
+        sim.check_given("h0", [{"verb": "launch", "piece": "job-9/0", "try": 1}])
