--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -7,7 +7,16 @@
 import pytest
 
 from oakmux import constants
-from oakmux.core.jobs import Chunk, chunk_from, chunk_key, role_key
+from oakmux.core.jobs import (
+    Binding,
+    Chunk,
+    Replica,
+    chunk_from,
+    chunk_key,
+    job_key,
+    job_value,
+    role_key,
+)
 from oakmux.core.keeper import hearing
 from oakmux.core.world import Machine, World
 from oakmux.settings import Team
@@ -28,8 +37,8 @@
 )
 from tests.test_oncall import deliver, moved, up
 
-# Both teams' arrays of eight tasks fill their limits.
-FULL = (Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=8))
+# A service and an array of four tasks each fill two teams' limits; the third has none.
+FULL = (Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=8), Team("green"))
 
 
 def at_limits(count: int, seed: int = 1, run_s: float = 300.0) -> Sim:
@@ -44,6 +53,15 @@
     return sim
 
 
+def with_room(sim: Sim) -> list[str]:
+    """Let machines stand idle beside those that run what fills the limits; return the latter."""
+    names = sorted({worker.name for worker, _, _ in sim.live()})
+    sim.submit("job-8", spec("array", 16, "green", gpus=2.0, estimate_s=5.0))
+    sim.run(25)
+    assert len(up(sim)) >= len(names) + 4 and len(sim.live()) == 16
+    return names
+
+
 def trouble(sim: Sim, how: str, names: list[str], seconds: float) -> None:
     """Put machines out of reach in one of the ways that there are."""
     if how == "hang":
@@ -67,9 +85,8 @@
     # go of what a task takes, and counted what was still on machines out of reach as nothing.
     for count, seconds in ((3, 0.6 * LEASE_S), (7, 2.5 * LEASE_S)):
         sim = at_limits(count)
-        trouble(sim, how, up(sim), seconds)
+        trouble(sim, how, with_room(sim), seconds)
         sim.cloud_down = True  # nor can the machines be returned
-        sim.capacity = 24
         for job_id in ("job-0", "job-3"):
             sim.cancel(job_id)
         sim.run(0.3)
@@ -77,15 +94,28 @@
                   "all": set(sim.labels)}[who]
         for label in labels:
             sim.crash(label, 0.2)
-        sim.cloud_down = False
         for number, team in enumerate(("red", "blue")):
             sim.submit(f"job-{number + 10}", spec("array", 8, team, priority=2, estimate_s=5.0))
         sim.run(seconds + 1)  # the fakes look at the limit whenever something starts
+        sim.cloud_down = False
         sim.run(40)
         assert {t.partition("/")[0] for _, t, _, _ in sim.start_log} >= {"job-10", "job-11"}
         well(sim, 350)
 
 
+@pytest.mark.parametrize("order", [1, -1])
+def test_what_is_bound_of_a_job_that_is_over_counts_whichever_record_came_first(order):
+    replica = Replica()
+    bound = Chunk(0, 1, 0, {0: Binding(1, "m", 1, 1, "a"), 1: Binding(1, "m", 1, 1, "a")})
+    rows = [(job_key("job-1"), job_value("cancelled", "red", spec(cpus=2.0), 0, 2), 5),
+            (chunk_key("job-1", 0), bound.to_value(2), 4)]
+    replica.load(rows[::order], 5)
+    assert replica.used == {"red": (4.0, 2.0)}
+    assert replica.used_ending["red"][1] == (4.0, 2.0)
+    replica.apply(chunk_key("job-1", 0), None, 6)
+    assert replica.used["red"] == (0.0, 0.0)
+
+
 # --- machines that a peer misjudges ---
 
 
