--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -179,6 +179,13 @@
                       self.token, self.notice_s(),
                       {k: (v[0], v[1], False) for k, v in self.tasks.items()})
 
+    def peek(self) -> Report:
+        """Return the report that it would send now, and leave it as it is."""
+        seq, tasks = self.seq, {key: list(row) for key, row in self.tasks.items()}
+        report = self.snapshot()
+        self.seq, self.tasks = seq, tasks
+        return report
+
     def notice_s(self) -> float | None:
         return None if self.taken_at is None else max(0.0, self.taken_at - self.sim.now)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -535,15 +535,8 @@
     sim = busy(count, run_s=9.0)
     old: list[Any] = []
 
-    def note() -> None:
-        for name in up(sim):
-            worker = sim.workers[name]
-            seq, tasks = worker.seq, {k: list(v) for k, v in worker.tasks.items()}
-            old.append(worker.snapshot())
-            worker.seq, worker.tasks = seq, tasks
-
     for step in range(8):
-        note()
+        old += [sim.workers[name].peek() for name in up(sim)]
         if step == 3:  # the sessions end
             sim.deafen(up(sim)[:2], 1.5 * LEASE_S)
         sim.submit(f"job-1{step}", spec("array", 3, "red" if step % 2 else "blue"))
--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -436,11 +436,7 @@
     old = []
     for step in range(5):
         sim.run(3)
-        for name in up(sim):
-            worker = sim.workers[name]
-            seq, tasks = worker.seq, {key: list(row) for key, row in worker.tasks.items()}
-            old.append(worker.snapshot())
-            worker.seq, worker.tasks = seq, tasks
+        old += [sim.workers[name].peek() for name in up(sim)]
         if step == 1:
             sim.deafen(up(sim)[:1], 1.2 * LEASE_S)
         if step == 3:
