--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -781,8 +781,7 @@
         if job.spread:
             most = (job.tasks + 1) // 2
             room = {zone: min(fit, most - zones.count(zone)) for zone, fit in room.items()}
-        return max([max(room.values(), default=0)] if job.one_zone else [sum(room.values())]) \
-            >= count
+        return (max(room.values(), default=0) if job.one_zone else sum(room.values())) >= count
 
     def silent(self, seconds: float = 90.0) -> set[str]:
         """Ask for every job ever accepted, and return those about which no question was answered
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -203,17 +203,24 @@
     well(sim, 350)
 
 
-@pytest.mark.parametrize("there", [True, False])
-def test_a_start_that_is_held_up_does_not_act_once_its_job_was_cancelled(there):
-    """The worker goes to a controller with a lower term, which can't raise it in the outage; so
-    nothing but the end of the worker's session rules out the start that is on its way."""
+def with_newest_term(label: str) -> "Holding":
+    """Return a deployment that can hold up starts, all of whose machines report to a controller
+    whose term is above all others'."""
     sim = Holding(6, "launch", 2 * CANCEL_S)
     sim.capacity = 2
     sim.run(8)
-    sim.crash("h1", 0.2)  # has the highest term from here on
+    sim.crash(label, 0.2)
     sim.submit("job-0", spec("service", 2, "blue"))
     sim.run(8)
-    gather(sim, "h1")
+    gather(sim, label)
+    return sim
+
+
+@pytest.mark.parametrize("there", [True, False])
+def test_a_start_that_is_held_up_does_not_act_once_its_job_was_cancelled(there):
+    """The worker goes to a controller with a lower term, which can't raise it in the outage; so
+    nothing but the end of the worker's session rules out the start that is on its way."""
+    sim = with_newest_term("h1")
     sim.armed = True
     sim.submit("job-1", spec("array", 2, estimate_s=1.0, gpus=1.0))
     sim.run(0.6)
--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -23,7 +23,6 @@
 from oakmux.wire import Report
 from tests.fakes import CANCEL_S, LEASE_S, PLACED, TYPE, Sim, settings_for, spec
 from tests.test_meetings import (
-    Holding,
     Twins,
     cancel_by,
     cut_off,
@@ -34,6 +33,7 @@
     reset,
     running,
     well,
+    with_newest_term,
 )
 from tests.test_oncall import deliver, moved, up
 
@@ -222,13 +222,7 @@
 def test_a_start_that_nobody_we_hear_knows_of_does_not_act_after_its_jobs_cancellation(there):
     # It was bound after the state service had refused us, given by a controller with a newer term
     # and held up on its way; its worker comes to us in an outage. No newer term is to be had.
-    sim = Holding(6, "launch", 2 * CANCEL_S)
-    sim.capacity = 2
-    sim.run(8)
-    sim.crash("h1", 0.2)  # has the highest term from here on
-    sim.submit("job-0", spec("service", 2, "blue"))
-    sim.run(8)
-    gather(sim, "h1")
+    sim = with_newest_term("h1")
     sim.state.refused = {"h2"}
     sim.armed = True
     sim.submit("job-1", spec("array", 2, estimate_s=1.0, gpus=1.0))
