--- a/oakmux/cli.py
+++ b/oakmux/cli.py
@@ -16,9 +16,21 @@
 DEFAULT_INI = "~/.config/oakmux/oakmux.ini"
 EXIT_FAILED, EXIT_BAD, EXIT_UNREACHABLE = 1, 2, 3
 DEFAULTS: dict[str, Any] = {
-    "class": "default", "kind": "array", "priority": "normal", "tasks": 1, "cpus": 1.0,
-    "gpus": 0.0, "memory_gb": 1.0, "image": "default", "image_gb": 0.0, "one_zone": False,
-    "spread": False, "spot": False, "estimate_s": 0.0, "checkpoint_s": 0.0, "save_s": 0.0,
+    "class": "default",
+    "kind": "array",
+    "priority": "normal",
+    "tasks": 1,
+    "cpus": 1.0,
+    "gpus": 0.0,
+    "memory_gb": 1.0,
+    "image": "default",
+    "image_gb": 0.0,
+    "one_zone": False,
+    "spread": False,
+    "spot": False,
+    "estimate_s": 0.0,
+    "checkpoint_s": 0.0,
+    "save_s": 0.0,
 }
 
 
@@ -133,8 +145,13 @@
 
 @click.group(cls=Commands)
 @click.version_option(__version__)
-@click.option("--server", "servers", multiple=True, metavar="HOST:PORT",
-              help="A controller's public address; may be given several times.")
+@click.option(
+    "--server",
+    "servers",
+    multiple=True,
+    metavar="HOST:PORT",
+    help="A controller's public address; may be given several times.",
+)
 @click.option("--ini", metavar="FILE", help=f"Operator's settings (default {DEFAULT_INI}).")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON instead of text.")
 @click.pass_context
@@ -150,10 +167,18 @@
 
 @main.command()
 @click.argument("config", type=click.Path())
-@click.option("--schedules", type=click.Path(), metavar="FILE",
-              help="Keep cron tables and calendars, by these settings (INI).")
-@click.option("--spread", type=click.Path(), metavar="FILE",
-              help="How load is spread, by these settings (INI).")
+@click.option(
+    "--schedules",
+    type=click.Path(),
+    metavar="FILE",
+    help="Keep cron tables and calendars, by these settings (INI).",
+)
+@click.option(
+    "--spread",
+    type=click.Path(),
+    metavar="FILE",
+    help="How load is spread, by these settings (INI).",
+)
 def serve(config: str, schedules: str | None, spread: str | None) -> None:
     """Run a controller with the platform's settings file CONFIG until killed."""
     from oakmux import service  # the service is not needed by the other commands
@@ -170,9 +195,11 @@
         conf = settings.load(config)
     except settings.SettingsError as error:
         fail(str(error), EXIT_BAD)
-    context.show({"ok": True, "label": conf.label, "controllers": conf.size},
-                 f"{config}: good (controller {conf.label}, {conf.size} in all, "
-                 f"{len(conf.facts.teams)} teams)")
+    context.show(
+        {"ok": True, "label": conf.label, "controllers": conf.size},
+        f"{config}: good (controller {conf.label}, {conf.size} in all, "
+        f"{len(conf.facts.teams)} teams)",
+    )
 
 
 def read_job(path: str) -> dict:
@@ -224,15 +251,31 @@
 @click.option("--checkpoint-s", type=float, help="Progress between checkpoints.")
 @click.option("--save-s", type=float, help="Time a stopped task needs to save.")
 @click.option("--deadline-s", type=float, help="When the job should be complete.")
-@click.option("--waits-on", multiple=True, metavar="JOB",
-              help="A job that must be done before this one starts; may be repeated.")
+@click.option(
+    "--waits-on",
+    multiple=True,
+    metavar="JOB",
+    help="A job that must be done before this one starts; may be repeated.",
+)
 @click.pass_obj
-def submit(context: Context, path: str | None, job_id: str | None, lane: str | None,
-           types: tuple[str, ...], waits_on: tuple[str, ...], **flags: Any) -> None:
+def submit(
+    context: Context,
+    path: str | None,
+    job_id: str | None,
+    lane: str | None,
+    types: tuple[str, ...],
+    waits_on: tuple[str, ...],
+    **flags: Any,
+) -> None:
     """Submit a job from a file, from flags, or from a file with flags on top."""
     job = read_job(path) if path else {}
-    given = {"id": job_id, "class": lane, "types": list(types) or None,
-             "waits_on": list(waits_on) or None, **flags}
+    given = {
+        "id": job_id,
+        "class": lane,
+        "types": list(types) or None,
+        "waits_on": list(waits_on) or None,
+        **flags,
+    }
     job.update({name: value for name, value in given.items() if value is not None})
     for name in ("id", "team"):
         if name not in job:
@@ -298,16 +341,25 @@
     for server in context.need_servers():
         try:
             code, answer = ask_one(server, "GET", wire.PATH_HEALTH)
-            found.append({"server": server, "ready": code == 200,
-                          **(answer if isinstance(answer, dict) else {})})
+            found.append(
+                {
+                    "server": server,
+                    "ready": code == 200,
+                    **(answer if isinstance(answer, dict) else {}),
+                }
+            )
         except (OSError, HTTPException, wire.Malformed) as error:
             found.append({"server": server, "ready": False, "error": str(error) or "no answer"})
     text = "\n".join(
         f"{row['server']}: {'ready' if row['ready'] else 'NOT READY'} "
-        + (row["error"] if "error" in row else
-           f"{row.get('label')} term={row.get('term')} machines={row.get('machines')} "
-           f"roles={','.join(row.get('teams', [])) or 'none'}") for row in found)
+        + (
+            row["error"]
+            if "error" in row
+            else f"{row.get('label')} term={row.get('term')} machines={row.get('machines')} "
+            f"roles={','.join(row.get('teams', [])) or 'none'}"
+        )
+        for row in found
+    )
     context.show(found, text)
     if not any(row["ready"] for row in found):
         sys.exit(EXIT_UNREACHABLE)
-
--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -342,8 +342,13 @@
 RRULE_COUNT = 10_000
 # Days within which a recurrence must have an instance, by its frequency: 29 February comes every
 # eight years at most, the rarest of several years' intervals within some forty.
-HORIZON_DAYS = {"HOURLY": 9 * 366, "DAILY": 9 * 366, "WEEKLY": 9 * 366,
-                "MONTHLY": 40 * 365, "YEARLY": 40 * 365}
+HORIZON_DAYS = {
+    "HOURLY": 9 * 366,
+    "DAILY": 9 * 366,
+    "WEEKLY": 9 * 366,
+    "MONTHLY": 40 * 365,
+    "YEARLY": 40 * 365,
+}
 # Decisions that an entry's slot keeps (count), bytes of a row's note, and bytes that a slot may
 # take: with a name of 80 characters, eight rows, and one note or two.
 ROWS_KEPT = 6
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -34,8 +34,13 @@
 class Controller:
     """One controller; `step` is its only entry."""
 
-    def __init__(self, settings: Settings, rng: random.Random, wall: int,
-                 parts: Sequence[Callable[[World], Part]] = ()) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        wall: int,
+        parts: Sequence[Callable[[World], Part]] = (),
+    ) -> None:
         self.world = World(settings, rng, wall)
         self.world.openings = Openings(self.world)
         self.membership = Membership(self.world)
@@ -98,8 +103,14 @@
         due = [self._settle]
         if world.now >= self.next_tick:
             self.next_tick = world.now + constants.TICK_S
-            due += [self.membership.tick, self.owner.sampler.sample, self.fleet.tick,
-                    self._say_alive, *(more.tick for more in self.parts), self._settle]
+            due += [
+                self.membership.tick,
+                self.owner.sampler.sample,
+                self.fleet.tick,
+                self._say_alive,
+                *(more.tick for more in self.parts),
+                self._settle,
+            ]
         for part in [*due, self.owner.copies.flush, self.desk.flush]:
             try:
                 part()
@@ -211,12 +222,17 @@
     def _health(self, rid: Any) -> None:
         world = self.world
         fresh = self.keeper.word.state_fresh()
-        served = any(world.now - at < constants.STATE_STALE_S
-                     for at in self.keeper.word.peer_fresh.values())
+        served = any(
+            world.now - at < constants.STATE_STALE_S for at in self.keeper.word.peer_fresh.values()
+        )
         # Without the state service alone, all may be: an outage. Without any peer as well, users
         # are served by whoever has them, if anybody: we can't tell, and could only refuse them.
-        ready = (world.replica.loaded and not world.replica.foreign and bool(world.types)
-                 and (fresh or not (served or self.keeper.word.alone())))
+        ready = (
+            world.replica.loaded
+            and not world.replica.foreign
+            and bool(world.types)
+            and (fresh or not (served or self.keeper.word.alone()))
+        )
         world.emit("answer", rid, 200 if ready else 503, self._summary(ready))
 
     def _status(self, rid: Any) -> None:
@@ -234,10 +250,19 @@
             self._message(label, message)
         world = self.world
         cancelled, until = self.keeper.word.answer(since)
-        world.emit("answer", rid, 200, ("peer", world.label,
-                                        world.life if world.replica.loaded else 0,
-                                        min(world.now - world.state_heard, 1e6),
-                                        cancelled, until))
+        world.emit(
+            "answer",
+            rid,
+            200,
+            (
+                "peer",
+                world.label,
+                world.life if world.replica.loaded else 0,
+                min(world.now - world.state_heard, 1e6),
+                cancelled,
+                until,
+            ),
+        )
 
     def _peer_new(self, label: str) -> None:
         """A peer started anew: tell it all that we hear."""
@@ -256,15 +281,40 @@
             return
         notice = None if machine.notice_at is None else max(0.0, machine.notice_at - world.now)
         tasks = [[*task, *state] for task, state in self.keeper.reports.shown(machine).items()]
-        message = ("view", machine.keeper_term, machine.name, machine.addr, machine.type,
-                   machine.zone, machine.spot, machine.session, machine.seq, machine.token,
-                   notice, tasks, list(machine.images.items()) if images else [])
+        message = (
+            "view",
+            machine.keeper_term,
+            machine.name,
+            machine.addr,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            machine.session,
+            machine.seq,
+            machine.token,
+            notice,
+            tasks,
+            list(machine.images.items()) if images else [],
+        )
         for label in labels:
             world.emit("send", label, message)
 
-    def _view(self, label: str, term: int, name: str, addr: str, type_name: str, zone: str,
-              spot: bool, session: int, seq: int, token: int, notice: float | None,
-              tasks: list, images: list) -> None:
+    def _view(
+        self,
+        label: str,
+        term: int,
+        name: str,
+        addr: str,
+        type_name: str,
+        zone: str,
+        spot: bool,
+        session: int,
+        seq: int,
+        token: int,
+        notice: float | None,
+        tasks: list,
+        images: list,
+    ) -> None:
         world = self.world
         machine = world.machines.get(name)
         if machine is not None:
@@ -274,8 +324,18 @@
                 return
         elif name in world.replica.gone or name in world.departed:
             return
-        report = Report(name, addr, type_name, zone, spot, session, seq, token, notice,
-                        {(row[0], row[1]): (row[2], row[3], row[4]) for row in tasks})
+        report = Report(
+            name,
+            addr,
+            type_name,
+            zone,
+            spot,
+            session,
+            seq,
+            token,
+            notice,
+            {(row[0], row[1]): (row[2], row[3], row[4]) for row in tasks},
+        )
         take_report(world, report, label, term)
         for image, size_gb in images:
             hold_image(world, world.machines[name], image, size_gb)
@@ -286,12 +346,18 @@
             return
         self.next_alive = world.now + constants.ALIVE_S
         self.keeper.word.forget()
-        for name in [n for n, at in world.draining.items()
-                     if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S]:
+        for name in [
+            n
+            for n, at in world.draining.items()
+            if FLEET not in world.my_roles and world.now - at > constants.DRAIN_NOTICE_S
+        ]:
             world.undrain(name)
-        heard = [m.name for m in world.machines.values()
-                 if m.keeper == world.label and world.now - m.heard < 2 * constants.ALIVE_S
-                 + world.facts.workers.report_s]
+        heard = [
+            m.name
+            for m in world.machines.values()
+            if m.keeper == world.label
+            and world.now - m.heard < 2 * constants.ALIVE_S + world.facts.workers.report_s
+        ]
         labels = [member.label for member in world.settings.members]
         for label in labels:
             world.emit("send", label, ("heard", heard))
@@ -303,7 +369,7 @@
         one that does not hear us, and leave its room unused for ever."""
         count = math.ceil(len(mine) * constants.ALIVE_S / constants.VIEW_AGAIN_S)
         first = bisect.bisect_right(mine, self.told_again)
-        chosen = mine[first:first + count]
+        chosen = mine[first : first + count]
         for name in chosen:
             self._tell(name, labels)
         self.told_again = chosen[-1] if len(chosen) == count and chosen else ""
@@ -312,8 +378,11 @@
         """We lack changes at the state service: ask all peers for a part."""
         members = self.world.settings.members
         for member in members:
-            self.world.emit("send", member.label, (
-                "borrow", self.world.label, constants.BORROW_MORE * wanted / len(members)))
+            self.world.emit(
+                "send",
+                member.label,
+                ("borrow", self.world.label, constants.BORROW_MORE * wanted / len(members)),
+            )
 
     def _heard(self, label: str, heard: list[str]) -> None:
         for name in heard:
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -45,8 +45,12 @@
         elif not self.world.types:
             self.unavailable(rid, "machine types are not known yet")
         else:
-            never = (teams.never_fits(self.world, spec) or self._wrong_needs(job_id, spec)
-                     or self._too_large(spec) or self._reserved(job_id))
+            never = (
+                teams.never_fits(self.world, spec)
+                or self._wrong_needs(job_id, spec)
+                or self._too_large(spec)
+                or self._reserved(job_id)
+            )
             if never is not None:
                 self._read(rid, job_id, lambda now: self._known(rid, now, never, 422))
             elif spec.waits_on and self.world.replica.format < 2:
@@ -101,8 +105,12 @@
         if job is not None:
             self._show(rid, job)
         elif unknown or never:
-            self.world.emit("answer", rid, 422, (
-                "error", never or f"waits_on: {unknown[0]} was never accepted"))
+            self.world.emit(
+                "answer",
+                rid,
+                422,
+                ("error", never or f"waits_on: {unknown[0]} was never accepted"),
+            )
         else:
             self._create(rid, job_id, spec)
 
@@ -118,17 +126,28 @@
     def _create(self, rid: Any, job_id: str, spec: JobSpec) -> None:
         world = self.world
         # A job that needs a cancelled one is accepted, and cancelled with it.
-        doomed = any(world.replica.jobs[name].state == "cancelled" or name in world.replica.doomed
-                     for name in spec.waits_on)
+        doomed = any(
+            world.replica.jobs[name].state == "cancelled" or name in world.replica.doomed
+            for name in spec.waits_on
+        )
         state = "cancelled" if doomed else "queued"
         value = job_value(state, spec.team, spec, self._order(), spec.tasks)
 
         def done(status: int, result: Any) -> None:
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
-                event("accepted", job=job_id, lane=spec.lane, team=spec.team, kind=spec.kind,
-                      tasks=spec.tasks, gpus=spec.gpus, priority=spec.priority, state=state,
-                      **({"waits_on": ",".join(spec.waits_on)} if spec.waits_on else {}))
+                event(
+                    "accepted",
+                    job=job_id,
+                    lane=spec.lane,
+                    team=spec.team,
+                    kind=spec.kind,
+                    tasks=spec.tasks,
+                    gpus=spec.gpus,
+                    priority=spec.priority,
+                    state=state,
+                    **({"waits_on": ",".join(spec.waits_on)} if spec.waits_on else {}),
+                )
                 world.emit("answer", rid, 201, ("job", job_id, state, 0, 0))
             elif status == 409:
                 self._get(rid, job_id, lambda job: self._known(rid, job, "", 503))
@@ -170,8 +189,9 @@
             else:
                 self.unavailable(rid, "not known to be written")
 
-        world.call(done, "txn", [(job_key(job_id), job.stamp)],
-                   [(job_key(job_id), value, None)], 0)
+        world.call(
+            done, "txn", [(job_key(job_id), job.stamp)], [(job_key(job_id), value, None)], 0
+        )
 
     def _doom(self) -> None:
         """We cancelled a job: write at once that those are cancelled that need it."""
@@ -200,8 +220,13 @@
             job = world.replica.jobs[name]
             self.doom_at[name] = world.now + constants.DOOM_S
             guards.append((job_key(name), job.stamp))
-            writes.append((job_key(name), job_value("cancelled", job.team, job.spec, job.order,
-                                                    job.tasks), None))
+            writes.append(
+                (
+                    job_key(name),
+                    job_value("cancelled", job.team, job.spec, job.order, job.tasks),
+                    None,
+                )
+            )
         world.call(lambda s, r: self._doomed(writes, s, r), "txn", guards, writes, 1)
 
     def _doomed(self, writes: list[tuple], status: int, result: Any) -> None:
@@ -225,8 +250,9 @@
                         running += 1
         state = "running" if running else job.state
         waits_on = [sorted(job.unmet)] if job.unmet else []
-        self.world.emit("answer", rid, 200,
-                        ("job", job.id, state, job.done_count(), running, *waits_on))
+        self.world.emit(
+            "answer", rid, 200, ("job", job.id, state, job.done_count(), running, *waits_on)
+        )
 
     def _read(self, rid: Any, job_id: str, then: Then) -> None:
         if len(self.waiting) >= constants.MAX_WAITING:
@@ -249,8 +275,13 @@
             self.reading += 1
             job_id = batch[0][1]
             job = world.replica.jobs.get(job_id)
-            world.call(lambda s, r: self._revision(batch, s, r), "txn",
-                       [(job_key(job_id), job.stamp if job is not None else 0)], [], 0)
+            world.call(
+                lambda s, r: self._revision(batch, s, r),
+                "txn",
+                [(job_key(job_id), job.stamp if job is not None else 0)],
+                [],
+                0,
+            )
         while self.waiting and self.reading < constants.READS_IN_FLIGHT:
             most = self.most_guards
             batch, self.waiting = self.waiting[:most], self.waiting[most:]
@@ -259,8 +290,13 @@
                 job = world.replica.jobs.get(job_id)
                 known[job_id] = job.stamp if job is not None else 0
             self.reading += 1
-            world.call(lambda s, r, batch=batch: self._compared(batch, s, r), "txn",
-                       [(job_key(job_id), stamp) for job_id, stamp in known.items()], [], 0)
+            world.call(
+                lambda s, r, batch=batch: self._compared(batch, s, r),
+                "txn",
+                [(job_key(job_id), stamp) for job_id, stamp in known.items()],
+                [],
+                0,
+            )
 
     def _compared(self, batch: list, status: int, result: Any) -> None:
         self.reading -= 1
@@ -302,8 +338,9 @@
         elif len(self.behind) >= constants.MAX_WAITING:
             self.unavailable(rid, "busy")
         else:
-            self.behind.append((epoch, self.world.now + constants.STATE_TIMEOUT_S, rid, job_id,
-                                then))
+            self.behind.append(
+                (epoch, self.world.now + constants.STATE_TIMEOUT_S, rid, job_id, then)
+            )
 
     def _catch_up(self) -> None:
         """Go on with reads whose revision the watch has reached."""
--- a/oakmux/core/failing.py
+++ b/oakmux/core/failing.py
@@ -21,14 +21,16 @@
         if len(names) < constants.SUSPECT_MACHINES + 1:
             names.add(machine)
         if len(self.where) > constants.MAX_QUEUE:
-            self.where = {job: found for job, found in self.where.items()
-                          if job in self.replica.active}
+            self.where = {
+                job: found for job, found in self.where.items() if job in self.replica.active
+            }
 
     def suspect(self, job: Job) -> bool:
         """Whether a job has failed on several machines and never completed a task: it is tried on,
         but holds and stops nothing that others need."""
-        return (len(self.where.get(job.id, ())) >= constants.SUSPECT_MACHINES
-                and not job.done_count())
+        return (
+            len(self.where.get(job.id, ())) >= constants.SUSPECT_MACHINES and not job.done_count()
+        )
 
     def blames(self, job_id: str, machine: str) -> bool:
         """Whether a job's failure on a machine speaks against the machine: not if the job fails
--- a/oakmux/core/fleet/demand.py
+++ b/oakmux/core/fleet/demand.py
@@ -26,8 +26,9 @@
 
     __slots__ = ("name", "type", "zone", "spot", "free", "used", "coming")
 
-    def __init__(self, name: str, type_name: str, zone: str, spot: bool,
-                 free: Room, coming: bool = True) -> None:
+    def __init__(
+        self, name: str, type_name: str, zone: str, spot: bool, free: Room, coming: bool = True
+    ) -> None:
         self.name = name
         self.type = type_name
         self.zone = zone
@@ -50,8 +51,9 @@
         """Put a slot where its room says; one without room is left out."""
         if not full(self.world, slot.free):
             kind = self.world.types[slot.type]
-            self.classes.setdefault(class_of(kind, slot.zone, slot.spot, slot.free, slot.coming),
-                                    []).append(slot)
+            self.classes.setdefault(
+                class_of(kind, slot.zone, slot.spot, slot.free, slot.coming), []
+            ).append(slot)
 
     def order(self, spec: JobSpec, zones: list[str]) -> list[Class]:
         """Return the classes where a task may find room in these zones, the best first: spot
@@ -59,11 +61,22 @@
         rows = []
         for place in self.classes:
             kind = self.world.types[place.type]
-            if place.zone in zones and (spec.spot or not place.spot) and may_fit(
-                    spec, kind, place) and self.world.fits_type(spec, place.type):
+            if (
+                place.zone in zones
+                and (spec.spot or not place.spot)
+                and may_fit(spec, kind, place)
+                and self.world.fits_type(spec, place.type)
+            ):
                 # Free GPUs, and the CPUs that they need, are left to work that needs them.
-                rows.append((spec.spot and not place.spot if spec.gpus else place.gpus,
-                             place.idle, place.gpus, place.level, place))
+                rows.append(
+                    (
+                        spec.spot and not place.spot if spec.gpus else place.gpus,
+                        place.idle,
+                        place.gpus,
+                        place.level,
+                        place,
+                    )
+                )
         rows.sort()
         return [row[-1] for row in rows]
 
@@ -72,7 +85,8 @@
         kind = self.world.types[place.type]
         part = place.level / constants.ROOM_LEVELS
         return len(self.classes[place]) * times(
-            (part * kind.cpus, float(place.gpus), part * kind.memory_gb), spec)
+            (part * kind.cpus, float(place.gpus), part * kind.memory_gb), spec
+        )
 
     def visit(self, place: Class, fill: Callable[[Slot], bool]) -> bool:
         """Hand out the slots of a class until `fill` says that it has enough; return that. Each
@@ -120,8 +134,13 @@
     def changed(self, job_id: str) -> None:
         """The records of a job changed."""
         job = self.world.replica.jobs.get(job_id)
-        if (job is not None and job.spec is not None and not job.final and job.ready
-                and job.unbound() > 0):
+        if (
+            job is not None
+            and job.spec is not None
+            and not job.final
+            and job.ready
+            and job.unbound() > 0
+        ):
             self.lines.put(job, job.spec)
         else:
             self.lines.drop(job_id)
@@ -132,14 +151,26 @@
         silent = world.facts.workers.lease_s
         for machine in world.machines.values():
             if counts(world, machine) and world.now - machine.heard < silent:
-                slots.append(Slot(machine.name, machine.type, machine.zone, machine.spot,
-                                  room(world, machine), False))
+                slots.append(
+                    Slot(
+                        machine.name,
+                        machine.type,
+                        machine.zone,
+                        machine.spot,
+                        room(world, machine),
+                        False,
+                    )
+                )
         late: Counter[Key] = Counter()
         for name, known in self.lists.listed.items():
             kind = world.types.get(known.type)
-            if (name in world.machines or name in self.lists.returned or kind is None
-                    or known.state == "failed"
-                    or world.now - known.since > constants.BOOT_PATIENCE * kind.boot_s):
+            if (
+                name in world.machines
+                or name in self.lists.returned
+                or kind is None
+                or known.state == "failed"
+                or world.now - known.since > constants.BOOT_PATIENCE * kind.boot_s
+            ):
                 continue
             if world.now - known.since > constants.BOOT_LATE * kind.boot_s:
                 # Neither room nor nothing: all of them counted on, work waits for what never
@@ -147,13 +178,22 @@
                 late[(known.type, known.zone, known.spot)] += 1
                 if late.total() % 2:
                     continue
-            slots.append(Slot(name, known.type, known.zone, known.spot,
-                              (kind.cpus, kind.gpus, kind.memory_gb)))
+            slots.append(
+                Slot(
+                    name,
+                    known.type,
+                    known.zone,
+                    known.spot,
+                    (kind.cpus, kind.gpus, kind.memory_gb),
+                )
+            )
         self._note_trouble(late)
         for type_name, zone, spot, count in self.renting.values():
             kind = world.types[type_name]
-            slots.extend(Slot("", type_name, zone, spot, (kind.cpus, kind.gpus, kind.memory_gb))
-                         for _ in range(count))
+            slots.extend(
+                Slot("", type_name, zone, spot, (kind.cpus, kind.gpus, kind.memory_gb))
+                for _ in range(count)
+            )
         return slots
 
     def _note_trouble(self, late: Counter[Key]) -> None:
@@ -178,8 +218,9 @@
         self.unplaced = False
         self.lines.resize()
         self.lines.grow_old()
-        turns = [turn for shape in self.lines.lines
-                 if (turn := self._turn(shape, 0, used)) is not None]
+        turns = [
+            turn for shape in self.lines.lines if (turn := self._turn(shape, 0, used)) is not None
+        ]
         heapq.heapify(turns)
         while turns and left > 0:
             _, _, job_id, shape, number = turns[0]
@@ -194,8 +235,9 @@
                 zones = [b.zone for b in job.bindings()]
                 placed, new = self._place(spec, zones, wanted, pool, rent)
                 slots += new
-                self.unplaced = (self.unplaced or len(placed) < wanted
-                                 or any(not slot.name for slot in placed))
+                self.unplaced = (
+                    self.unplaced or len(placed) < wanted or any(not slot.name for slot in placed)
+                )
                 for slot in placed:
                     slot.used = True
                 cpus, gpus = used.get(job.team, (0.0, 0.0))
@@ -214,8 +256,9 @@
                 count -= constants.MAX_RENT
         return slots
 
-    def _turn(self, shape: Shape, number: int, used: dict[str, tuple[float, float]]
-              ) -> tuple[tuple, float, str, Shape, int] | None:
+    def _turn(
+        self, shape: Shape, number: int, used: dict[str, tuple[float, float]]
+    ) -> tuple[tuple, float, str, Shape, int] | None:
         """Return the turn of a line's job: (rank, age, name, line, number in it), or None."""
         line = self.lines.lines[shape]
         if number >= len(line):
@@ -225,8 +268,9 @@
         assert job.spec is not None
         return rank(self.world, job, job.spec, used), job.since, job_id, shape, number
 
-    def _place(self, spec: JobSpec, zones: list[str], wanted: int, pool: Pool,
-               rent: dict[Key, int]) -> tuple[list[Slot], list[Slot]]:
+    def _place(
+        self, spec: JobSpec, zones: list[str], wanted: int, pool: Pool, rent: dict[Key, int]
+    ) -> tuple[list[Slot], list[Slot]]:
         """Return a slot for each task that finds one, present ones first, and the new ones."""
         world = self.world
         zones = list(zones)
@@ -237,9 +281,16 @@
             room_in = Counter[str]()
             for place in order:
                 room_in[place.zone] += pool.estimate(spec, place)
-            allowed = [max(allowed, key=lambda zone: (
-                room_in[zone] >= wanted, self._cheapest(spec, zones, [zone]) is not None,
-                room_in[zone]))]
+            allowed = [
+                max(
+                    allowed,
+                    key=lambda zone: (
+                        room_in[zone] >= wanted,
+                        self._cheapest(spec, zones, [zone]) is not None,
+                        room_in[zone],
+                    ),
+                )
+            ]
             order = [place for place in order if place.zone in allowed]
         placed: list[Slot] = []
         new: list[Slot] = []
@@ -259,11 +310,15 @@
             pool.add(slot)
         return placed, new
 
-    def _fill(self, spec: JobSpec, slot: Slot, zones: list[str], placed: list[Slot],
-              wanted: int) -> bool:
+    def _fill(
+        self, spec: JobSpec, slot: Slot, zones: list[str], placed: list[Slot], wanted: int
+    ) -> bool:
         """Put as many tasks into a slot as it has room for; return whether all have one."""
-        while (len(placed) < wanted and has_room(slot.free, spec)
-               and zone_allowed(spec, zones, slot.zone)):
+        while (
+            len(placed) < wanted
+            and has_room(slot.free, spec)
+            and zone_allowed(spec, zones, slot.zone)
+        ):
             slot.free = less(slot.free, spec)
             zones.append(slot.zone)
             placed.append(slot)
@@ -279,7 +334,7 @@
             for zone in kind.zones:
                 if zone not in allowed or not zone_allowed(spec, zones, zone):
                     continue
-                for spot in ((True, False) if spec.spot else (False,)):
+                for spot in (True, False) if spec.spot else (False,):
                     key = (kind.name, zone, spot)
                     if self.no_capacity.get(key, 0.0) > world.now:
                         continue
@@ -301,8 +356,16 @@
 
     def _ask(self, name: str, tries: int) -> None:
         type_name, zone, spot, count = self.renting[name]
-        self.world.call(lambda s, r: self._rented(name, tries, s, r), "cloud", "rent", name,
-                        type_name, zone, spot, count)
+        self.world.call(
+            lambda s, r: self._rented(name, tries, s, r),
+            "cloud",
+            "rent",
+            name,
+            type_name,
+            zone,
+            spot,
+            count,
+        )
 
     def _rented(self, name: str, tries: int, status: int, result: Any) -> None:
         world = self.world
--- a/oakmux/core/fleet/lists.py
+++ b/oakmux/core/fleet/lists.py
@@ -91,11 +91,15 @@
                 since = max(since, known.since)
             # Once listed, a machine stays listed until it is gone: for one that was, newer lists
             # prove it, and the silence of a few reports only guards against our own mistakes.
-            silence = (silent_s(world) if known is not None and known.listed
-                       else world.facts.workers.lease_s)
+            silence = (
+                silent_s(world)
+                if known is not None and known.listed
+                else world.facts.workers.lease_s
+            )
             machine = world.machines.get(name)
-            if asked - since < lag or (machine is not None
-                                       and world.now - machine.heard < silence):
+            if asked - since < lag or (
+                machine is not None and world.now - machine.heard < silence
+            ):
                 continue
             # Lists certainly newer than our knowledge of the machine lack it, repeatedly.
             known = self.listed.setdefault(name, Listed("", "", False, "running", since))
@@ -132,9 +136,11 @@
                 writes.append((TYPES_KEY, rows, None))
         most = max(1, limits.txn_ops // 2)
         for name in world.replica.by_machine:
-            if (name in self.returned and name not in world.replica.gone
-                    and world.now - self.gone_written.get(name, -1e9)
-                    > constants.STATE_TIMEOUT_S):
+            if (
+                name in self.returned
+                and name not in world.replica.gone
+                and world.now - self.gone_written.get(name, -1e9) > constants.STATE_TIMEOUT_S
+            ):
                 self.gone_written[name] = world.now
                 writes.append((gone_key(name), True, None))
         for name in world.replica.gone:
--- a/oakmux/core/fleet/returns.py
+++ b/oakmux/core/fleet/returns.py
@@ -26,8 +26,9 @@
 
     def _empty(self, name: str) -> bool:
         machine = self.world.machines.get(name)
-        return (not self.world.replica.by_machine.get(name)
-                and (machine is None or machine.idle_since is not None))
+        return not self.world.replica.by_machine.get(name) and (
+            machine is None or machine.idle_since is not None
+        )
 
     def idle(self, slots: list[Slot]) -> None:
         """Drain what has nothing to do, and return what is drained."""
@@ -40,18 +41,21 @@
             if drained is not None:
                 if not self._empty(name):
                     # Work came before the drain was known everywhere, or a move did not end.
-                    if (not sick(world, machine)
-                            and self.moving.get(name, 0.0) < world.now):
+                    if not sick(world, machine) and self.moving.get(name, 0.0) < world.now:
                         world.undrain(name)
                         self.moving.pop(name, None)
-                elif (world.now - drained >= constants.DRAIN_S
-                        and name not in self.sick_since):
+                elif world.now - drained >= constants.DRAIN_S and name not in self.sick_since:
                     self._return([name], "idle")
-            elif (machine.idle_since is not None and hears(machine) and self._empty(name)
-                    and name not in needed and not world.openings.names(name)
-                    # What ended in an outage left its machine idle for want of nothing but word.
-                    and world.now - max(machine.idle_since, world.back_at) > constants.IDLE_KEEP_S
-                    and world.now - machine.first_heard > constants.IDLE_KEEP_S):
+            elif (
+                machine.idle_since is not None
+                and hears(machine)
+                and self._empty(name)
+                and name not in needed
+                and not world.openings.names(name)
+                # What ended in an outage left its machine idle for want of nothing but word.
+                and world.now - max(machine.idle_since, world.back_at) > constants.IDLE_KEEP_S
+                and world.now - machine.first_heard > constants.IDLE_KEEP_S
+            ):
                 world.drain(name)
         names = [name for name in world.draining if name in world.machines]
         if names:
@@ -61,8 +65,9 @@
     def consolidate(self, slots: list[Slot]) -> None:
         """Move the services off the emptiest machine when others have room and their images."""
         world = self.world
-        if any(until > world.now and name in world.machines
-               for name, until in self.moving.items()):
+        if any(
+            until > world.now and name in world.machines for name, until in self.moving.items()
+        ):
             return
         self.moving = {n: t for n, t in self.moving.items() if n in world.draining}
         others = [s for s in slots if s.name in world.machines]
@@ -70,8 +75,12 @@
         for slot in others:
             machine = world.machines[slot.name]
             kind = world.types[slot.type]
-            if (machine.idle_since is not None or slot.used or slot.name in world.draining
-                    or world.now - machine.first_heard < constants.IDLE_KEEP_S):
+            if (
+                machine.idle_since is not None
+                or slot.used
+                or slot.name in world.draining
+                or world.now - machine.first_heard < constants.IDLE_KEEP_S
+            ):
                 continue
             left = slot.free[1] / kind.gpus if kind.gpus else slot.free[0] / kind.cpus
             if left >= constants.MOVE_FREE and (best is None or left > best[0]):
@@ -97,18 +106,26 @@
         for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
             job = world.replica.jobs.get(job_id)
             task = (f"{job_id}/{index}", binding.attempt)
-            if (job is None or job.spec is None or job.spec.kind != "service"
-                    or machine.tasks.get(task, ("",))[0] != "running"
-                    or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S):
+            if (
+                job is None
+                or job.spec is None
+                or job.spec.kind != "service"
+                or machine.tasks.get(task, ("",))[0] != "running"
+                or world.now - machine.since.get(task, world.now) < constants.IDLE_KEEP_S
+            ):
                 return None
             spec = job.spec
             zones = zones_of.setdefault(job_id, [b.zone for b in job.bindings()])
             zones.remove(binding.zone)
             for slot in others:
                 other = world.machines[slot.name]
-                if (other.idle_since is None and spec.image in other.images
-                        and has_room(free[slot.name], spec) and world.fits(spec, other)
-                        and zone_allowed(spec, zones, slot.zone)):
+                if (
+                    other.idle_since is None
+                    and spec.image in other.images
+                    and has_room(free[slot.name], spec)
+                    and world.fits(spec, other)
+                    and zone_allowed(spec, zones, slot.zone)
+                ):
                     free[slot.name] = less(free[slot.name], spec)
                     zones.append(slot.zone)
                     moves.append(task)
@@ -133,19 +150,24 @@
                 if known.state == "booting" and world.now - known.since > patience:
                     self.lists.never_up.append((world.now, (known.type, known.zone, known.spot)))
                     self._return([name], "never_booted")
-                elif (known.running_since is not None
-                        and world.now - max(known.running_since, self.lists.since) > silent):
+                elif (
+                    known.running_since is not None
+                    and world.now - max(known.running_since, self.lists.since) > silent
+                ):
                     self._return([name], "never_heard")
                 continue
             quiet = world.now - max(machine.heard, self.lists.since, world.resumed_at)
-            keeper_hears = (machine.keeper in world.replica.nodes
-                            and machine.keeper != world.label
-                            and world.now - self.word.peer_heard.get(machine.keeper, -1e9)
-                            > constants.ALIVE_S * 3)
+            keeper_hears = (
+                machine.keeper in world.replica.nodes
+                and machine.keeper != world.label
+                and world.now - self.word.peer_heard.get(machine.keeper, -1e9)
+                > constants.ALIVE_S * 3
+            )
             if quiet > silent * (2 if keeper_hears else 1):
                 self._return([name], "silent")
             elif min(deaf_s(world, machine), world.now - self.lists.since) > silent * (
-                    2 if machine.zone in deaf_zones else 1):
+                2 if machine.zone in deaf_zones else 1
+            ):
                 self._return([name], "deaf")
             elif sick(world, machine):
                 # Nothing new goes there; it is given back if that still stands once the jobs that
@@ -153,8 +175,9 @@
                 if name not in self.sick_since:
                     self.sick_since[name] = world.now
                     world.drain(name)
-                elif (self._empty(name)
-                        and world.now - self.sick_since[name] > constants.SICK_HOLD_S):
+                elif (
+                    self._empty(name) and world.now - self.sick_since[name] > constants.SICK_HOLD_S
+                ):
                     self._return([name], "sick")
             elif self.sick_since.pop(name, None) is not None:
                 world.undrain(name)
--- a/oakmux/core/index.py
+++ b/oakmux/core/index.py
@@ -40,8 +40,14 @@
 def class_of(kind: MachineType, zone: str, spot: bool, free: Room, idle: bool) -> Class:
     """Return the class of a machine with so much room."""
     part = min(free[0] / kind.cpus, free[2] / kind.memory_gb)
-    return Class(kind.name, zone, spot, math.floor(free[1] + constants.EPSILON),
-                 math.floor(part * constants.ROOM_LEVELS + constants.EPSILON), idle)
+    return Class(
+        kind.name,
+        zone,
+        spot,
+        math.floor(free[1] + constants.EPSILON),
+        math.floor(part * constants.ROOM_LEVELS + constants.EPSILON),
+        idle,
+    )
 
 
 def may_fit(spec: JobSpec, kind: MachineType, place: Class) -> bool:
@@ -131,8 +137,13 @@
             self._leave(number)
             self.world.silent.add(machine.name)
             return
-        place = class_of(self.world.types[machine.type], machine.zone, machine.spot,
-                         room(self.world, machine), machine.idle_since is not None)
+        place = class_of(
+            self.world.types[machine.type],
+            machine.zone,
+            machine.spot,
+            room(self.world, machine),
+            machine.idle_since is not None,
+        )
         self._weigh(number, machine)
         old = self.place.get(number)
         if old == place:
@@ -181,8 +192,12 @@
         teams: set[str] = set()
         for job_id, _ in replica.by_machine.get(machine.name, ()):
             job = replica.jobs.get(job_id)
-            if (job is not None and job.spec is not None and job.spec.kind != "service"
-                    and not job.spec.joint):
+            if (
+                job is not None
+                and job.spec is not None
+                and job.spec.kind != "service"
+                and not job.spec.joint
+            ):
                 priorities.add(job.priority)
                 teams.add(job.team)
         old = self.victims.get(number)
@@ -201,8 +216,14 @@
     def _order(self, spec: JobSpec) -> list[Class]:
         """Return the classes where a task may find room, the best first: spot where it is
         cheaper for the job, in use rather than idle, fullest."""
-        key = (spec.types and tuple(spec.types), spec.zone, spec.spot, spec.cpus, spec.gpus,
-               spec.memory_gb)
+        key = (
+            spec.types and tuple(spec.types),
+            spec.zone,
+            spec.spot,
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+        )
         order = self.orders.get(key)
         if order is None:
             if len(self.orders) >= constants.MAX_QUEUE:
@@ -210,9 +231,13 @@
             rows = []
             for place in self.classes:
                 kind = self.world.types.get(place.type)
-                if (kind is None or not self.world.fits_type(spec, place.type)
-                        or spec.zone not in (None, place.zone) or (place.spot and not spec.spot)
-                        or not may_fit(spec, kind, place)):
+                if (
+                    kind is None
+                    or not self.world.fits_type(spec, place.type)
+                    or spec.zone not in (None, place.zone)
+                    or (place.spot and not spec.spot)
+                    or not may_fit(spec, kind, place)
+                ):
                     continue
                 dearer = not place.spot if spec.gpus else place.spot
                 left = max(place.gpus / (kind.gpus or 1.0), place.level / constants.ROOM_LEVELS)
@@ -221,8 +246,14 @@
             order = self.orders[key] = [place for _, place in rows]
         return order
 
-    def draw(self, spec: JobSpec, zones: Collection[str], avoid: Collection[str],
-             wanted: int, left: Callable[[Machine, Room], Room] | None = None) -> list[Drawn]:
+    def draw(
+        self,
+        spec: JobSpec,
+        zones: Collection[str],
+        avoid: Collection[str],
+        wanted: int,
+        left: Callable[[Machine, Room], Room] | None = None,
+    ) -> list[Drawn]:
         """Draw machines with room for `wanted` tasks and some more, at random from the best
         classes first, those that hold the image before all others. `left` may take off what is
         promised of a machine's room."""
@@ -270,10 +301,17 @@
 
     def fitting(self, spec: JobSpec, zones: Collection[str]) -> BitMap:
         """Return the machines that a job allows, with room or not."""
-        return BitMap.union(BitMap(), *(
-            members for (type_name, zone, spot), members in self.kinds.items()
-            if zone in zones and spec.zone in (None, zone) and (spec.spot or not spot)
-            and self.world.fits_type(spec, type_name)))
+        return BitMap.union(
+            BitMap(),
+            *(
+                members
+                for (type_name, zone, spot), members in self.kinds.items()
+                if zone in zones
+                and spec.zone in (None, zone)
+                and (spec.spot or not spot)
+                and self.world.fits_type(spec, type_name)
+            ),
+        )
 
     def holding(self, spec: JobSpec, zones: Collection[str]) -> BitMap:
         """Return the machines that a job allows and that hold its image."""
@@ -284,8 +322,10 @@
         """Return machines with work that may give way to a job: of lower priority, or of the
         teams in `beyond`."""
         return BitMap.union(
-            BitMap(), *(ids for priority, ids in self.weak.items() if priority < job.priority),
-            *(self.teams[team] for team in beyond if team in self.teams))
+            BitMap(),
+            *(ids for priority, ids in self.weak.items() if priority < job.priority),
+            *(self.teams[team] for team in beyond if team in self.teams),
+        )
 
     def freed(self, names: Iterable[str]) -> None:
         """Room on machines that was promised is free for others again."""
@@ -299,8 +339,11 @@
 
     def some(self, ids: BitMap, count: int, avoid: Collection[str] = ()) -> list[Machine]:
         """Return up to `count` usable machines of a set, at random."""
-        return [machine for number in pick(self.world.rng, ids, count)
-                if (machine := self._fresh(number)) is not None and machine.name not in avoid]
+        return [
+            machine
+            for number in pick(self.world.rng, ids, count)
+            if (machine := self._fresh(number)) is not None and machine.name not in avoid
+        ]
 
 
 def _discard(sets: dict, keys: Iterable, number: int) -> None:
--- a/oakmux/core/jobs.py
+++ b/oakmux/core/jobs.py
@@ -41,8 +41,14 @@
 
     __slots__ = ("stamp", "last", "done", "bound", "compact")
 
-    def __init__(self, stamp: int = 0, last: int = 0, done: int = 0,
-                 bound: dict[int, Binding] | None = None, compact: bool = True) -> None:
+    def __init__(
+        self,
+        stamp: int = 0,
+        last: int = 0,
+        done: int = 0,
+        bound: dict[int, Binding] | None = None,
+        compact: bool = True,
+    ) -> None:
         self.stamp = stamp
         self.last = last
         self.done = done
@@ -60,16 +66,20 @@
         heads, the machine and its head before all pairs of task and attempt there.
         """
         if form < 2:
-            return [self.last, f"{self.done:x}",
-                    [[i, b.attempt, b.machine, b.session, b.term, b.zone, b.stop]
-                     for i, b in sorted(self.bound.items())]]
+            return [
+                self.last,
+                f"{self.done:x}",
+                [
+                    [i, b.attempt, b.machine, b.session, b.term, b.zone, b.stop]
+                    for i, b in sorted(self.bound.items())
+                ],
+            ]
         heads: dict[tuple, int] = {}
         groups: dict[tuple[str, int], list] = {}
         for i, b in sorted(self.bound.items()):
             head = heads.setdefault((b.session, b.term, b.zone, int(b.stop)), len(heads))
             groups.setdefault((b.machine, head), [b.machine, head]).extend((i, b.attempt))
-        return [self.last, f"{self.done:x}", [list(head) for head in heads],
-                list(groups.values())]
+        return [self.last, f"{self.done:x}", [list(head) for head in heads], list(groups.values())]
 
 
 def chunk_from(value: Any, stamp: int) -> Chunk:
@@ -100,11 +110,33 @@
 class Job:
     """A job as the records have it."""
 
-    __slots__ = ("id", "team", "state", "stamp", "spec", "chunks", "order", "tasks", "service",
-                 "unmet", "since", "priority", "due", "takes")
-
-    def __init__(self, job_id: str, team: str, state: str, stamp: int, spec: JobSpec | None,
-                 order: int, tasks: int) -> None:
+    __slots__ = (
+        "id",
+        "team",
+        "state",
+        "stamp",
+        "spec",
+        "chunks",
+        "order",
+        "tasks",
+        "service",
+        "unmet",
+        "since",
+        "priority",
+        "due",
+        "takes",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        team: str,
+        state: str,
+        stamp: int,
+        spec: JobSpec | None,
+        order: int,
+        tasks: int,
+    ) -> None:
         self.id = job_id
         self.team = team
         self.state = state
@@ -165,8 +197,11 @@
 
     def unbound(self) -> int:
         """Count tasks that are neither done nor bound."""
-        return self.tasks - self.done_count() - sum(
-            len(chunk.bound) for chunk in self.chunks.values())
+        return (
+            self.tasks
+            - self.done_count()
+            - sum(len(chunk.bound) for chunk in self.chunks.values())
+        )
 
 
 def job_value(state: str, team: str, spec: JobSpec | None, order: int, tasks: int) -> list:
@@ -371,8 +406,7 @@
         spec = None if raw is None else msgspec.convert(raw, JobSpec)
         new = job is None
         if job is None:
-            job = self.jobs[job_id] = Job(
-                job_id, team, state, stamp, spec, order, tasks)
+            job = self.jobs[job_id] = Job(job_id, team, state, stamp, spec, order, tasks)
             job.chunks.update(self.loose.pop(job_id, {}))
             self._count(job, len(job.bindings()))
             for binding in job.bindings():
@@ -396,8 +430,10 @@
             return
         bisect.insort(self.cancels, (stamp, job_id))
         if len(self.cancels) > 2 * constants.CANCELS_KEPT:
-            old, self.cancels = (self.cancels[:constants.CANCELS_KEPT],
-                                 self.cancels[constants.CANCELS_KEPT:])
+            old, self.cancels = (
+                self.cancels[: constants.CANCELS_KEPT],
+                self.cancels[constants.CANCELS_KEPT :],
+            )
             self.cancels_floor = old[-1][0]
 
     def cancelled_since(self, epoch: int) -> list[str] | None:
--- a/oakmux/core/keeper/floor.py
+++ b/oakmux/core/keeper/floor.py
@@ -12,8 +12,11 @@
 
 def weight(spec: JobSpec, kind: MachineType) -> float:
     """Return the part of a machine that a task takes, of what it takes most of."""
-    return max(spec.cpus / kind.cpus, spec.memory_gb / kind.memory_gb,
-               spec.gpus / kind.gpus if kind.gpus else 0.0)
+    return max(
+        spec.cpus / kind.cpus,
+        spec.memory_gb / kind.memory_gb,
+        spec.gpus / kind.gpus if kind.gpus else 0.0,
+    )
 
 
 class Floor:
@@ -34,8 +37,14 @@
         """Return who is due by age among jobs that have a reservation on a machine, or None."""
         if self.owed <= 0:
             return None
-        due = [job for job in jobs if job.spec is not None and not job.spec.joint
-               and has_room(free, job.spec) and aged(self.world, job, job.spec)]
+        due = [
+            job
+            for job in jobs
+            if job.spec is not None
+            and not job.spec.joint
+            and has_room(free, job.spec)
+            and aged(self.world, job, job.spec)
+        ]
         job = min(due, key=lambda job: (job.since, job.id), default=None)
         if job is None or job.spec is None or weight(job.spec, kind) > self.owed:
             return None
--- a/oakmux/core/keeper/hearing.py
+++ b/oakmux/core/keeper/hearing.py
@@ -51,5 +51,8 @@
 
 def deaf_s(world: World, machine: Machine) -> float:
     """Return the seconds for which a machine has not heard us, as far as this process saw."""
-    return 0.0 if machine.deaf_since is None else world.now - max(machine.deaf_since,
-                                                                  world.resumed_at)
+    return (
+        0.0
+        if machine.deaf_since is None
+        else world.now - max(machine.deaf_since, world.resumed_at)
+    )
--- a/oakmux/core/keeper/kept.py
+++ b/oakmux/core/keeper/kept.py
@@ -19,8 +19,21 @@
 class Kept:
     """What a keeper remembers of a machine that reports to it."""
 
-    __slots__ = ("queue", "offers", "starting", "answered", "refused", "ordering", "direct_after",
-                 "orphans", "stops", "known", "delayed", "firm", "since")
+    __slots__ = (
+        "queue",
+        "offers",
+        "starting",
+        "answered",
+        "refused",
+        "ordering",
+        "direct_after",
+        "orphans",
+        "stops",
+        "known",
+        "delayed",
+        "firm",
+        "since",
+    )
 
     def __init__(self) -> None:
         self.queue: dict[str, Reservation] = {}
--- a/oakmux/core/keeper/orders.py
+++ b/oakmux/core/keeper/orders.py
@@ -92,24 +92,31 @@
         world = self.world
         if self.word.state_fresh():
             return False
-        if (machine.token > world.term
-                and kept.since + world.facts.workers.lease_s > world.state_heard
-                and self.word.unseen(self.word.patience_s())):
+        if (
+            machine.token > world.term
+            and kept.since + world.facts.workers.lease_s > world.state_heard
+            and self.word.unseen(self.word.patience_s())
+        ):
             # Whoever kept it before us, and gave orders for a lease after that at the most, may
             # have given a start of a job that was cancelled since, whose bindings we never saw.
             return True
         for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
             task = (f"{job_id}/{index}", binding.attempt)
             sent = binding.term != world.term or task in kept.starting
-            if (sent and binding.session == machine.session and machine.token <= binding.term
-                    and task not in machine.tasks and self.word.is_cancelled(job_id)
-                    and world.now - self.word.cancelled.get(job_id, -1e9)
-                    >= self.word.patience_s()):
+            if (
+                sent
+                and binding.session == machine.session
+                and machine.token <= binding.term
+                and task not in machine.tasks
+                and self.word.is_cancelled(job_id)
+                and world.now - self.word.cancelled.get(job_id, -1e9) >= self.word.patience_s()
+            ):
                 return True
         return False
 
-    def _too_soon(self, kept: Kept, machine: Machine, job: Job, binding: Binding,
-                  task: Task) -> bool:
+    def _too_soon(
+        self, kept: Kept, machine: Machine, job: Job, binding: Binding, task: Task
+    ) -> bool:
         """Whether a gang's task that has its image should be started later, since others fetch it.
 
         The task would wait for them, `gang_wait_s` at most, and end with the whole attempt: a
@@ -128,8 +135,9 @@
                     continue
                 there = world.machines.get(other.machine)
                 state = there.tasks.get((f"{job.id}/{index}", other.attempt)) if there else None
-                if there is not None and (state[0] == "fetching" if state is not None
-                                          else spec.image not in there.images):
+                if there is not None and (
+                    state[0] == "fetching" if state is not None else spec.image not in there.images
+                ):
                     return True
         return False
 
@@ -139,14 +147,27 @@
         The tasks of a larger gang have to be stopped together: their owner sees to that.
         """
         spec = job.spec
-        if (machine.notice_at is None or spec is None or not spec.checkpoint_s
-                or state != "running" or spec.tasks > 1):
+        if (
+            machine.notice_at is None
+            or spec is None
+            or not spec.checkpoint_s
+            or state != "running"
+            or spec.tasks > 1
+        ):
             return False
         times_ = self.world.facts.workers
         return machine.notice_at - self.world.now <= spec.save_s + 2 * times_.report_s
 
-    def _stop(self, kept: Kept, machine: Machine, orders: list[dict], task: Task, state: str,
-              job: Job | None, ended: bool) -> None:
+    def _stop(
+        self,
+        kept: Kept,
+        machine: Machine,
+        orders: list[dict],
+        task: Task,
+        state: str,
+        job: Job | None,
+        ended: bool,
+    ) -> None:
         grace = 0.0 if ended or job is None or job.spec is None else job.spec.save_s
         if state == "saving" and not ended:
             return
@@ -154,8 +175,7 @@
         kept.stops.setdefault(task, self.world.now)
         event("stop", task=task[0], attempt=task[1], machine=machine.name, grace=grace)
 
-    def _unbound(self, kept: Kept, machine: Machine, orders: list[dict],
-                 names: set[Task]) -> None:
+    def _unbound(self, kept: Kept, machine: Machine, orders: list[dict], names: set[Task]) -> None:
         """Forget exited tasks that the records have let go of; stop live ones."""
         world = self.world
         orphans = {t: kept.orphans.get(t, world.now) for t in machine.tasks if t not in names}
@@ -175,10 +195,16 @@
         world = self.world
         kept = self.ward.kept.get(name)
         machine = world.machines.get(name)
-        if (kept is None or machine is None or machine.keeper != world.label or kept.ordering
-                or world.now < kept.direct_after or not world.term
-                or machine.token != world.term or world.now - machine.heard
-                > world.facts.workers.lease_s):
+        if (
+            kept is None
+            or machine is None
+            or machine.keeper != world.label
+            or kept.ordering
+            or world.now < kept.direct_after
+            or not world.term
+            or machine.token != world.term
+            or world.now - machine.heard > world.facts.workers.lease_s
+        ):
             return
         orders, starts = self.orders(kept, machine, forget=False)
         if not orders:
@@ -188,11 +214,18 @@
             kept.starting[task] = term
         world.dirty_machines.add(name)
         kept.ordering = True
-        world.call(lambda outcome, report: self._ordered(name, starts, term, outcome, report),
-                   "orders", machine.addr, term, machine.session, orders)
+        world.call(
+            lambda outcome, report: self._ordered(name, starts, term, outcome, report),
+            "orders",
+            machine.addr,
+            term,
+            machine.session,
+            orders,
+        )
 
-    def _ordered(self, name: str, starts: list[Task], term: int, outcome: str,
-                 report: Report | None) -> None:
+    def _ordered(
+        self, name: str, starts: list[Task], term: int, outcome: str, report: Report | None
+    ) -> None:
         world = self.world
         kept = self.ward.kept.setdefault(name, Kept())
         kept.ordering = False
--- a/oakmux/core/keeper/proof.py
+++ b/oakmux/core/keeper/proof.py
@@ -4,8 +4,13 @@
 from oakmux.core.world import Machine, Task, World
 
 
-def gone(world: World, machine: Machine | None, task: Task, binding: Binding,
-         shown: dict[Task, tuple[str, str, bool]]) -> tuple[str, bool] | None:
+def gone(
+    world: World,
+    machine: Machine | None,
+    task: Task,
+    binding: Binding,
+    shown: dict[Task, tuple[str, str, bool]],
+) -> tuple[str, bool] | None:
     """Return (why, saved) if a bound task is proven gone from its machine, else None."""
     if binding.machine in world.replica.gone:
         return "lost", False
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -44,11 +44,11 @@
         job = world.replica.jobs.get(job_id)
         # A task that was stopped stays in the reports until it is forgotten; it stops nothing.
         stopping = any(machine.tasks.get(task, ("exited",))[0] != "exited" for task in kept.stops)
-        if (job is None or job.spec is None or job.final or stopping
-                or not usable(world, machine)):
+        if job is None or job.spec is None or job.final or stopping or not usable(world, machine):
             return
-        chosen = victims(world, machine, job, job.spec, teams.usage(world), self.held(kept),
-                         kept.firm)
+        chosen = victims(
+            world, machine, job, job.spec, teams.usage(world), self.held(kept), kept.firm
+        )
         for task in chosen[1] if chosen is not None else ():
             kept.stops[task] = world.now
             event("preempt", task=task[0], attempt=task[1], machine=machine.name, by=job_id)
@@ -66,8 +66,12 @@
         for offer_id, (job_id, until, claim) in list(kept.offers.items()):
             job = self.world.replica.jobs.get(job_id)
             # Once the team has another owner, nothing can come of offers to the one before.
-            if (until <= now or job is None or job.spec is None
-                    or self.world.replica.roles.get(job.team, ("", 0, 0))[2] != claim):
+            if (
+                until <= now
+                or job is None
+                or job.spec is None
+                or self.world.replica.roles.get(job.team, ("", 0, 0))[2] != claim
+            ):
                 del kept.offers[offer_id]
             else:
                 specs.append(job.spec)
@@ -94,9 +98,16 @@
         world = self.world
         kept = self.ward.kept.get(name)
         machine = world.machines.get(name)
-        if (kept is None or not kept.queue or machine is None or machine.keeper != world.label
-                or machine.token != world.term or not world.term or not self.word.state_fresh()
-                or not usable(world, machine)):
+        if (
+            kept is None
+            or not kept.queue
+            or machine is None
+            or machine.keeper != world.label
+            or machine.token != world.term
+            or not world.term
+            or not self.word.state_fresh()
+            or not usable(world, machine)
+        ):
             return
         free = room(world, machine, self.held(kept))
         if full(world, free):
@@ -105,8 +116,12 @@
         ranked = []
         for reservation in list(kept.queue.values()):
             job = world.replica.jobs.get(reservation.job_id)
-            if (job is None or job.final or job.spec is None
-                    or world.now - reservation.since > constants.RETRY_MOST_S):
+            if (
+                job is None
+                or job.final
+                or job.spec is None
+                or world.now - reservation.since > constants.RETRY_MOST_S
+            ):
                 del kept.queue[reservation.job_id]
                 continue
             if not has_room(free, job.spec) or world.openings.bars(name, job, job.spec):
@@ -116,8 +131,9 @@
             ranked.append((rank(world, job, job.spec, used), job.since, job.id, reservation, job))
         ranked.sort(key=lambda row: row[:3])
         kind = world.types[machine.type]
-        oldest = self.floor.oldest(kind, free, (row[-1] for row in ranked
-                                                if row[-1].team in world.replica.roles))
+        oldest = self.floor.oldest(
+            kind, free, (row[-1] for row in ranked if row[-1].team in world.replica.roles)
+        )
         if oldest is not None and oldest.spec is not None:
             # Work that came by its age is not stopped again for what stands above it.
             kept.firm.add(oldest.id)
@@ -145,8 +161,19 @@
         if spec.joint:
             hold += gather_s(spec) + constants.PREEMPT_S
         kept.offers[self.next_offer] = (job.id, world.now + hold, claim)
-        world.emit("send", label, ("offer", machine.name, job.id, self.next_offer,
-                                   machine.session, world.term, world.label))
+        world.emit(
+            "send",
+            label,
+            (
+                "offer",
+                machine.name,
+                job.id,
+                self.next_offer,
+                machine.session,
+                world.term,
+                world.label,
+            ),
+        )
         return less(free, spec)
 
 
@@ -154,14 +181,20 @@
     """Return the seconds for which tasks save once they are told to stop. A gang that did not
     wait for that let the room go that it had made, for minutes."""
     specs = [world.replica.jobs[name.partition("/")[0]].spec for name, _ in tasks]
-    return max((spec.save_s for spec in specs if spec is not None and spec.checkpoint_s),
-               default=0.0)
+    return max(
+        (spec.save_s for spec in specs if spec is not None and spec.checkpoint_s), default=0.0
+    )
 
 
-def victims(world: World, machine: Machine, job: Job, spec: JobSpec,
-            used: dict[str, tuple[float, float]],
-            held: list[JobSpec] | None = None, firm: Collection[str] = ()
-            ) -> tuple[float, list[Task]] | None:
+def victims(
+    world: World,
+    machine: Machine,
+    job: Job,
+    spec: JobSpec,
+    used: dict[str, tuple[float, float]],
+    held: list[JobSpec] | None = None,
+    firm: Collection[str] = (),
+) -> tuple[float, list[Task]] | None:
     """Return (lost work, tasks) whose end makes room for one task of a job, or None.
 
     Only work of lower priority may go, and, for a job within its team's guarantee, work that
@@ -174,10 +207,17 @@
         other = world.replica.jobs.get(job_id)
         task = (f"{job_id}/{index}", binding.attempt)
         state = machine.tasks.get(task)
-        if (other is None or other.spec is None or state is None or binding.stop
-                or state[0] not in ("fetching", "waiting", "running")
-                or other.spec.kind == "service" or other.id == job.id
-                or other.spec.joint or other.id in firm):
+        if (
+            other is None
+            or other.spec is None
+            or state is None
+            or binding.stop
+            or state[0] not in ("fetching", "waiting", "running")
+            or other.spec.kind == "service"
+            or other.id == job.id
+            or other.spec.joint
+            or other.id in firm
+        ):
             continue
         if other.priority >= job.priority and other.team not in beyond:
             continue
@@ -186,7 +226,7 @@
         if other.spec.checkpoint_s and state[0] == "running":
             lost = min(lost, other.spec.save_s)
         # What is urgent itself has to start again too, and a start undone so soon was no start.
-        lost += other.priority ** 2 * constants.VICTIM_RANK_S * (2 if young else 1)
+        lost += other.priority**2 * constants.VICTIM_RANK_S * (2 if young else 1)
         rows.append((other.priority, lost, task, other.spec))
     rows.sort(key=lambda row: row[:3])
     free = room(world, machine, held)
@@ -200,7 +240,7 @@
         total += lost
     if not chosen or not has_room(free, spec):
         return None
-    for _, lost, task, other_spec in reversed(rows[:len(chosen)]):
+    for _, lost, task, other_spec in reversed(rows[: len(chosen)]):
         less_free = less(free, other_spec)
         if len(chosen) > 1 and has_room(less_free, spec):  # made needless by what came after it
             free = less_free
@@ -213,6 +253,12 @@
     """Return the order in a queue: guaranteed work and priority first, then what must begin at
     last, what has to start first for a deadline, what can meet its aim, fair between teams, and
     by turn."""
-    return (not teams.inside(world, job, spec, used), -job.priority, not elder(world, job),
-            job.latest, late(world, job, spec), teams.share(world, job.team, used),
-            turn_ms(world, job, spec))
+    return (
+        not teams.inside(world, job, spec, used),
+        -job.priority,
+        not elder(world, job),
+        job.latest,
+        late(world, job, spec),
+        teams.share(world, job.team, used),
+        turn_ms(world, job, spec),
+    )
--- a/oakmux/core/keeper/reports.py
+++ b/oakmux/core/keeper/reports.py
@@ -20,8 +20,15 @@
 class Reports:
     """Takes workers' reports."""
 
-    def __init__(self, world: World, ward: Ward, word: Word, membership: Membership,
-                 orders: Orders, queue: Queue) -> None:
+    def __init__(
+        self,
+        world: World,
+        ward: Ward,
+        word: Word,
+        membership: Membership,
+        orders: Orders,
+        queue: Queue,
+    ) -> None:
         self.world = world
         self.ward = ward
         self.word = word
@@ -113,10 +120,21 @@
     else:
         before = machine.tasks if machine.session == report.session else {}
         proven = next_word(world, machine, report, keeper, keeper_term)
-        changed = proven or (machine.session, machine.token, machine.tasks, machine.keeper,
-                   machine.keeper_term, machine.notice_at is None) != (
-                       report.session, report.token, report.tasks, keeper, keeper_term,
-                       report.notice_s is None)
+        changed = proven or (
+            machine.session,
+            machine.token,
+            machine.tasks,
+            machine.keeper,
+            machine.keeper_term,
+            machine.notice_at is None,
+        ) != (
+            report.session,
+            report.token,
+            report.tasks,
+            keeper,
+            keeper_term,
+            report.notice_s is None,
+        )
         machine.take(report, world.now)
         world.heard(machine)
     if machine.keeper != keeper:
@@ -149,7 +167,7 @@
                 world.failures.note(job_id, machine.name)
                 if job_id not in machine.errors:
                     machine.errors.append(job_id)
-                    del machine.errors[:-constants.ERRORS_KEPT]
+                    del machine.errors[: -constants.ERRORS_KEPT]
             if old[0] == "fetching" and why != "done" and spec is not None:
                 machine.images.pop(spec.image, None)  # a fetch that nobody waits for is given up
     for spec in live:
@@ -157,8 +175,11 @@
     # Since when a task runs; until then since now: what stops it then loses no work but a fetch.
     machine.since = {
         task: machine.since.get(task, world.now)
-        if "running" == state[0] == before.get(task, ("",))[0] else world.now
-        for task, state in machine.tasks.items() if state[0] != "exited"}
+        if "running" == state[0] == before.get(task, ("",))[0]
+        else world.now
+        for task, state in machine.tasks.items()
+        if state[0] != "exited"
+    }
     if machine.since:
         machine.idle_since = None
     elif machine.idle_since is None:
--- a/oakmux/core/keeper/room.py
+++ b/oakmux/core/keeper/room.py
@@ -29,12 +29,15 @@
         return 0.0, 0.0, 0.0
     cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
     jobs = world.replica.jobs
-    live = {task for (task, _), state in machine.tasks.items()
-            if state[0] not in ("exited", "refused")}
+    live = {
+        task for (task, _), state in machine.tasks.items() if state[0] not in ("exited", "refused")
+    }
     for (job_id, index), binding in world.replica.by_machine.get(machine.name, {}).items():
         task = f"{job_id}/{index}"
-        if (binding.session >= machine.session
-                and machine.tasks.get((task, binding.attempt), ("",))[0] != "exited"):
+        if (
+            binding.session >= machine.session
+            and machine.tasks.get((task, binding.attempt), ("",))[0] != "exited"
+        ):
             live.add(task)
     for task in live:
         job = jobs.get(task.partition("/")[0])
@@ -48,14 +51,20 @@
 def has_room(free: Room, spec: JobSpec) -> bool:
     """Whether one task fits into the free room."""
     slack = constants.EPSILON
-    return (spec.cpus <= free[0] + slack and spec.gpus <= free[1] + slack
-            and spec.memory_gb <= free[2] + slack)
+    return (
+        spec.cpus <= free[0] + slack
+        and spec.gpus <= free[1] + slack
+        and spec.memory_gb <= free[2] + slack
+    )
 
 
 def less(free: Room, spec: JobSpec, count: int = 1) -> Room:
     """Return the room that is left after `count` tasks."""
-    return (free[0] - count * spec.cpus, free[1] - count * spec.gpus,
-            free[2] - count * spec.memory_gb)
+    return (
+        free[0] - count * spec.cpus,
+        free[1] - count * spec.gpus,
+        free[2] - count * spec.memory_gb,
+    )
 
 
 def times(free: Room, spec: JobSpec) -> int:
@@ -73,16 +82,21 @@
 def full(world: World, free: Room) -> bool:
     """Whether no task of any unfinished job can have room here."""
     cpus, gpus, memory = free
-    return (cpus <= constants.EPSILON or memory <= constants.EPSILON
-            or (gpus <= constants.EPSILON and not world.replica.gpuless))
+    return (
+        cpus <= constants.EPSILON
+        or memory <= constants.EPSILON
+        or (gpus <= constants.EPSILON and not world.replica.gpuless)
+    )
 
 
 def gather_s(spec: JobSpec) -> float:
     """Return the seconds for which a gang gathers room; large ones may wait for machines."""
     if not spec.joint:
         return 0.0
-    return min(constants.GANG_GATHER_S + spec.tasks * constants.GANG_GATHER_TASK_S,
-               constants.GANG_GATHER_MOST_S)
+    return min(
+        constants.GANG_GATHER_S + spec.tasks * constants.GANG_GATHER_TASK_S,
+        constants.GANG_GATHER_MOST_S,
+    )
 
 
 def silent_s(world: World) -> float:
@@ -105,13 +119,19 @@
 
 def _open(world: World, machine: Machine) -> bool:
     """Whether nothing but not hearing us could keep new tasks off a machine."""
-    return (world.now - machine.heard < silent_s(world)
-            and machine.name not in world.draining and machine.notice_at is None
-            and machine.name not in world.replica.gone and not sick(world, machine))
+    return (
+        world.now - machine.heard < silent_s(world)
+        and machine.name not in world.draining
+        and machine.notice_at is None
+        and machine.name not in world.replica.gone
+        and not sick(world, machine)
+    )
 
 
 def sick(world: World, machine: Machine) -> bool:
     """Whether tasks of several jobs failed on a machine, and none that fails elsewhere too."""
-    return len(machine.errors) >= constants.SICK_ERRORS and sum(
-        world.failures.blames(job_id, machine.name)
-        for job_id in machine.errors) >= constants.SICK_ERRORS
+    return (
+        len(machine.errors) >= constants.SICK_ERRORS
+        and sum(world.failures.blames(job_id, machine.name) for job_id in machine.errors)
+        >= constants.SICK_ERRORS
+    )
--- a/oakmux/core/keeper/word.py
+++ b/oakmux/core/keeper/word.py
@@ -59,7 +59,8 @@
         members = self.world.settings.members
         return bool(members) and all(
             self.world.now - self.peer_heard.get(m.label, -1e9) >= constants.ALONE_S
-            for m in members)
+            for m in members
+        )
 
     def is_cancelled(self, job_id: str) -> bool:
         """Whether a job is cancelled, by our records or by a peer's word."""
@@ -75,12 +76,19 @@
         """Return what a peer must know that knows all cancellations up to a revision: those after
         it, and the revision up to which that is all of them; -1 if we can't say."""
         if since < 0:  # of a version that does not say what it has
-            return [job for _, job in self.world.replica.cancels[-constants.CANCELS_UNASKED:]], -1
+            return [job for _, job in self.world.replica.cancels[-constants.CANCELS_UNASKED :]], -1
         found = self.world.replica.cancelled_since(since)
         return ([], -1) if found is None else (found, self.world.replica.epoch)
 
-    def peer_alive(self, label: str, life: int, state_age: float, cancelled: list[str],
-                   asked: float, until: int = -1) -> None:
+    def peer_alive(
+        self,
+        label: str,
+        life: int,
+        state_age: float,
+        cancelled: list[str],
+        asked: float,
+        until: int = -1,
+    ) -> None:
         """Take a peer's answer to a question asked at `asked`: it lives, and what was cancelled.
 
         The time of the question counts, so that an answer that was held up is not taken for new.
--- a/oakmux/core/membership.py
+++ b/oakmux/core/membership.py
@@ -27,8 +27,10 @@
     load = Counter(node for node in held.values() if node in nodes)
     chosen = {}
     for role in sorted(free):
-        chosen[role] = min(nodes, key=lambda node: (load[node], hashlib.blake2b(
-            f"{role}|{node}".encode()).digest()))
+        chosen[role] = min(
+            nodes,
+            key=lambda node: (load[node], hashlib.blake2b(f"{role}|{node}".encode()).digest()),
+        )
         load[chosen[role]] += 1
     return chosen
 
@@ -77,15 +79,23 @@
             self.busy.add("renew")
             self.next_renew = world.now + constants.NODE_RENEW_S
             world.call(self._renewed, "renew", self.lease)
-        if (self.node_written and world.replica.nodes.get(world.label) != world.life
-                and world.now - self.node_at > constants.STATE_STALE_S):
+        if (
+            self.node_written
+            and world.replica.nodes.get(world.label) != world.life
+            and world.now - self.node_at > constants.STATE_STALE_S
+        ):
             # A late write of the process before us has put its own life and lease there: once
             # that lease ends the key is gone, and others would share out roles without us.
             self.node_written = False
         if not self.node_written and "node" not in self.busy:
             self.busy.add("node")
-            world.call(self._node_done, "txn", [], [(node_key(world.label), world.life,
-                                                     self.lease)], constants.FIRST)
+            world.call(
+                self._node_done,
+                "txn",
+                [],
+                [(node_key(world.label), world.life, self.lease)],
+                constants.FIRST,
+            )
         if self.node_written and world.now - self.lease_since > constants.CLAIM_DELAY_S:
             self._claim()
 
@@ -103,14 +113,20 @@
         guards: list[tuple[str, int]] = []
         if replica.versions.get(label, 0) >= FORMAT:
             labels = [label, *(member.label for member in self.world.settings.members)]
-            if (any(replica.versions.get(name, 0) < FORMAT for name in labels)
-                    or label != min([label, *replica.nodes])):
+            if any(replica.versions.get(name, 0) < FORMAT for name in labels) or label != min(
+                [label, *replica.nodes]
+            ):
                 return
             key, guards = FORMAT_KEY, [(FORMAT_KEY, 0)]
             value = [FORMAT, chunk_tasks(self.world.facts.state.value_kb)]
         self.busy.add("version")
-        self.world.call(lambda s, r: self._version_done(key, value, s, r), "txn", guards,
-                        [(key, value, None)], 0)
+        self.world.call(
+            lambda s, r: self._version_done(key, value, s, r),
+            "txn",
+            guards,
+            [(key, value, None)],
+            0,
+        )
 
     def _version_done(self, key: str, value: Any, status: int, result: Any) -> None:
         self.busy.discard("version")
@@ -124,8 +140,13 @@
         value, stamp = self.world.replica.term
         self.busy.add("term")
         new = max(value, self.raise_above, self.world.term) + 1
-        self.world.call(lambda status, result: self._term_done(new, status, result),
-                        "txn", [(TERM_KEY, stamp)], [(TERM_KEY, new, None)], constants.FIRST)
+        self.world.call(
+            lambda status, result: self._term_done(new, status, result),
+            "txn",
+            [(TERM_KEY, stamp)],
+            [(TERM_KEY, new, None)],
+            constants.FIRST,
+        )
 
     def _term_done(self, new: int, status: int, result: Any) -> None:
         world = self.world
@@ -139,7 +160,8 @@
         elif status == 409:
             # Others raise it too, as all do at a cold start; what fails counts as a change.
             self.next_try = world.now + world.rng.uniform(
-                0.0, constants.TERM_SPREAD_S * world.settings.size)
+                0.0, constants.TERM_SPREAD_S * world.settings.size
+            )
             world.call(self._term_read, "get", TERM_KEY, 0)
             self.busy.add("term")
         else:
@@ -203,9 +225,13 @@
             self.busy.add(role)
             key = role_key(role)
             value = [world.label, world.life]
-            world.call(lambda s, r, role=role, value=value: self._claimed(role, value, s, r),
-                       "txn", [(key, row[2] if row else 0)], [(key, value, self.lease)],
-                       constants.FIRST)
+            world.call(
+                lambda s, r, role=role, value=value: self._claimed(role, value, s, r),
+                "txn",
+                [(key, row[2] if row else 0)],
+                [(key, value, self.lease)],
+                constants.FIRST,
+            )
         if not due and world.now >= self.next_yield:
             self.next_yield = world.now + constants.YIELD_S
             self._yield(held, nodes)
@@ -220,8 +246,13 @@
         # Writes of ours that come late are guarded by the key's stamp, as after a takeover.
         event("yield", role=mine[0], roles=len(mine))
         key = role_key(mine[0])
-        world.call(lambda s, r: self._yielded(key, s, r), "txn",
-                   [(key, world.my_roles[mine[0]])], [(key,)], 1)
+        world.call(
+            lambda s, r: self._yielded(key, s, r),
+            "txn",
+            [(key, world.my_roles[mine[0]])],
+            [(key,)],
+            1,
+        )
 
     def _yielded(self, key: str, status: int, result: Any) -> None:
         if status == 200:
@@ -245,8 +276,9 @@
         seen = (world.replica.role_changes, world.life, world.replica.epoch if self.early else 0)
         if seen == self.seen:
             return []
-        self.early = any(stamp > world.replica.epoch
-                         for _, _, stamp in world.replica.roles.values())
+        self.early = any(
+            stamp > world.replica.epoch for _, _, stamp in world.replica.roles.values()
+        )
         self.seen = (*seen[:2], world.replica.epoch if self.early else 0)
         held = {
             role: stamp
--- a/oakmux/core/owner/__init__.py
+++ b/oakmux/core/owner/__init__.py
@@ -21,8 +21,9 @@
         self.gangs = Gangs(world, self.index, self.open)
         self.waiting = Waiting(world, self.open)
         self.binder = Binder(world, keeper, self.copies, self.open, self.waiting)
-        self.sampler = Sampler(world, self.index, self.copies, self.binder, self.gangs,
-                               self.waiting)
+        self.sampler = Sampler(
+            world, self.index, self.copies, self.binder, self.gangs, self.waiting
+        )
 
     def lost(self, held: set[str]) -> None:
         """Drop what belongs to teams other than those held all the while. One that we lost and won
--- a/oakmux/core/owner/binding.py
+++ b/oakmux/core/owner/binding.py
@@ -19,8 +19,14 @@
 class Binder:
     """Binds tasks to offered room, and unbinds what is proven gone."""
 
-    def __init__(self, world: World, keeper: Keeper, copies: Copies,
-                 open_jobs: dict[str, Open], waiting: Waiting) -> None:
+    def __init__(
+        self,
+        world: World,
+        keeper: Keeper,
+        copies: Copies,
+        open_jobs: dict[str, Open],
+        waiting: Waiting,
+    ) -> None:
         self.world = world
         self.keeper = keeper
         self.copies = copies
@@ -50,8 +56,9 @@
                 self.release(state)
             self.copies.finish.pop(job_id, None)
             for number in list(job.chunks):
-                if (not self.copies.chunk(job, number).bound
-                        and number not in self.copies.work.get(job_id, ())):
+                if not self.copies.chunk(job, number).bound and number not in self.copies.work.get(
+                    job_id, ()
+                ):
                     self.copies.edit(job, number)  # a finished job needs no chunks any more
         elif not job.ready:
             return  # no reservations while it waits on others
@@ -63,25 +70,42 @@
         else:
             self.waiting.moved(job)
 
-    def offer(self, name: str, job_id: str, offer_id: int, session: int, term: int,
-              keeper: str) -> None:
+    def offer(
+        self, name: str, job_id: str, offer_id: int, session: int, term: int, keeper: str
+    ) -> None:
         """Bind a task to offered room, or decline."""
         world = self.world
         job = world.replica.jobs.get(job_id)
         machine = world.machines.get(name)
         state = self.open.get(job_id)
-        if (job is None or job.spec is None or state is None or machine is None or job.final
-                or not job.ready or not self.copies.owns(job) or machine.session != session
-                or world.now < state.retry_at or not usable(world, machine)
-                or name in state.avoid or not world.fits(job.spec, machine)
-                or job_id in self.keeper.word.cancelled
-                or job_id in self.copies.finish or not self._take_offer(
-                    job, job.spec, state, machine, (world.now, name, offer_id, session, term,
-                                                    keeper, machine.zone))):
+        if (
+            job is None
+            or job.spec is None
+            or state is None
+            or machine is None
+            or job.final
+            or not job.ready
+            or not self.copies.owns(job)
+            or machine.session != session
+            or world.now < state.retry_at
+            or not usable(world, machine)
+            or name in state.avoid
+            or not world.fits(job.spec, machine)
+            or job_id in self.keeper.word.cancelled
+            or job_id in self.copies.finish
+            or not self._take_offer(
+                job,
+                job.spec,
+                state,
+                machine,
+                (world.now, name, offer_id, session, term, keeper, machine.zone),
+            )
+        ):
             world.emit("send", keeper, ("decline", name, offer_id))
 
-    def _take_offer(self, job: Job, spec: JobSpec, state: Open, machine: Machine,
-                    offer: tuple) -> bool:
+    def _take_offer(
+        self, job: Job, spec: JobSpec, state: Open, machine: Machine, offer: tuple
+    ) -> bool:
         gang = spec.joint
         bound = self.copies.bindings(job)
         if gang and bound:
@@ -89,8 +113,9 @@
         if self.copies.beyond_limit(job, spec, spec.tasks if gang else 1):
             return False
         if not gang:
-            if (not zone_allowed(spec, [b.zone for b in bound], machine.zone)
-                    or not self.copies.unstarted(job)):
+            if not zone_allowed(
+                spec, [b.zone for b in bound], machine.zone
+            ) or not self.copies.unstarted(job):
                 return False
             state.offers.append(offer)
             self.gathered[job.id] = None
@@ -101,8 +126,9 @@
         chosen = choose_gang(spec, state.offers)
         size = self.copies.per_chunk
         if chosen is not None and all(
-                self.copies.holds(job, first // size, chosen[first:first + size])
-                for first in range(0, spec.tasks, size)):
+            self.copies.holds(job, first // size, chosen[first : first + size])
+            for first in range(0, spec.tasks, size)
+        ):
             spare = [o for o in state.offers if o not in chosen]
             state.offers = spare
             self.release(state)
@@ -111,9 +137,11 @@
 
     def choose(self, job: Job, spec: JobSpec, state: Open) -> None:
         """Bind tasks to the best of the offers that came in; decline the others."""
-        offers = [(preference(self.world, job, spec, machine, room(self.world, machine)), offer)
-                  for offer in state.offers
-                  if (machine := self.world.machines.get(offer[1])) is not None]
+        offers = [
+            (preference(self.world, job, spec, machine, room(self.world, machine)), offer)
+            for offer in state.offers
+            if (machine := self.world.machines.get(offer[1])) is not None
+        ]
         # Offers of one machine stay together: its tasks share one fetch.
         offers.sort(key=lambda row: (row[0], row[1][1]))
         for _, offer in offers:
@@ -168,9 +196,14 @@
             proof = gone(world, machine, task, binding, shown)
             if proof is not None:
                 self._unbind(job, index, current, *proof)
-            elif (machine is not None and machine.notice_at is not None and job.spec is not None
-                    and job.spec.joint and job.spec.checkpoint_s
-                    and shown.get(task, ("",))[0] == "running"):
+            elif (
+                machine is not None
+                and machine.notice_at is not None
+                and job.spec is not None
+                and job.spec.joint
+                and job.spec.checkpoint_s
+                and shown.get(task, ("",))[0] == "running"
+            ):
                 # The cloud takes this machine: the gang saves while all its tasks still can.
                 stop_rest(self.copies, job, job.spec, binding.attempt)
 
@@ -182,8 +215,14 @@
         due = world.now + (self.copies.coalesce_s if lazy else 0.0)
         chunk = self.copies.edit(job, number, due)
         del chunk.bound[index]
-        event("unbind", task=f"{job.id}/{index}", attempt=binding.attempt,
-              machine=binding.machine, why=why, saved=int(saved))
+        event(
+            "unbind",
+            task=f"{job.id}/{index}",
+            attempt=binding.attempt,
+            machine=binding.machine,
+            why=why,
+            saved=int(saved),
+        )
         state = self.open.get(job.id)
         spec = job.spec
         if spec is None or job.final:
@@ -209,8 +248,9 @@
                 state.avoid.add(binding.machine)
                 if len(state.avoid) > max(1, len(world.machines) // 2):
                     state.avoid.clear()
-                pause = min(constants.RETRY_FIRST_S * 2 ** (state.failures - 1),
-                            constants.RETRY_MOST_S)
+                pause = min(
+                    constants.RETRY_FIRST_S * 2 ** (state.failures - 1), constants.RETRY_MOST_S
+                )
                 state.retry_at = world.now + (pause if state.failures > 1 else 0.0)
             elif why in ("unknown", "busy", "no_room"):
                 state.retry_at = world.now + constants.RETRY_FIRST_S
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/copies.py
@@ -56,11 +56,18 @@
         self.least_bytes = value_limit(limits)
         share = limits.write_rps / world.settings.size
         self.own_chunk = chunk_tasks(world.facts.state.value_kb)
-        self.coalesce_s = min(max(constants.COALESCE_S, constants.COALESCE_CHANGES / share),
-                              constants.COALESCE_MOST_S)
+        self.coalesce_s = min(
+            max(constants.COALESCE_S, constants.COALESCE_CHANGES / share),
+            constants.COALESCE_MOST_S,
+        )
         # A transaction far above our share of the rate would hold up all that comes after it.
-        self.most_writes = min(limits.txn_ops, max(constants.WRITES_LEAST, int(
-            constants.WRITES_S * limits.write_rps / world.settings.size)))
+        self.most_writes = min(
+            limits.txn_ops,
+            max(
+                constants.WRITES_LEAST,
+                int(constants.WRITES_S * limits.write_rps / world.settings.size),
+            ),
+        )
 
     @property
     def per_chunk(self) -> int:
@@ -105,9 +112,12 @@
     def shrink(self, job: Job) -> None:
         """See that chunks of format 1 keep within the limits to come."""
         for number, chunk in job.chunks.items():
-            if (not chunk.compact and number not in self.work.get(job.id, ())
-                    and len(chunk.bound) * constants.BINDING_BYTES > self.least_bytes
-                    and value_bytes(chunk.to_value(1)) > self.least_bytes):
+            if (
+                not chunk.compact
+                and number not in self.work.get(job.id, ())
+                and len(chunk.bound) * constants.BINDING_BYTES > self.least_bytes
+                and value_bytes(chunk.to_value(1)) > self.least_bytes
+            ):
                 self.edit(job, number)
 
     def owns(self, job: Job) -> bool:
@@ -116,8 +126,7 @@
 
     def chunk(self, job: Job, number: int) -> Chunk:
         """Return a chunk as it will be written, or an empty one; only to be read."""
-        return (self.work.get(job.id, {}).get(number) or job.chunks.get(number)
-                or Chunk())
+        return self.work.get(job.id, {}).get(number) or job.chunks.get(number) or Chunk()
 
     def edit(self, job: Job, number: int, due: float = 0.0) -> Chunk:
         """Return a working copy to change; it is written once `due`, the earliest first."""
@@ -182,7 +191,8 @@
             job = self.world.replica.jobs[job_id]
             if job.team == team:
                 more = sum(len(chunk.bound) for chunk in mine.values()) - sum(
-                    len(job.chunks[n].bound) for n in mine if n in job.chunks)
+                    len(job.chunks[n].bound) for n in mine if n in job.chunks
+                )
                 cpus += more * job.takes[0]
                 gpus += more * job.takes[1]
         return cpus, gpus
@@ -197,12 +207,16 @@
         for other, claim in list(self.limit_claims.items()):
             if claim.until <= self.world.now:
                 del self.limit_claims[other]
-            elif claim.team == job.team and other != job.id and (
-                    claim.priority, -claim.since) > (job.priority, -job.since):
+            elif (
+                claim.team == job.team
+                and other != job.id
+                and (claim.priority, -claim.since) > (job.priority, -job.since)
+            ):
                 cpus += claim.cpus
                 gpus += claim.gpus
-        return teams.beyond_limit(self.world, job.team, cpus + tasks * spec.cpus,
-                                  gpus + tasks * spec.gpus)
+        return teams.beyond_limit(
+            self.world, job.team, cpus + tasks * spec.cpus, gpus + tasks * spec.gpus
+        )
 
     def claim_limit(self, job: Job, spec: JobSpec, wanted: int) -> None:
         """A job is kept back by its team's limit: what its lower work lets go of is kept for it.
@@ -216,27 +230,44 @@
         least = spec.tasks if spec.kind == "gang" else 1
         use = cpus, gpus = self.team_use(job.team)
         first = elder(self.world, job)
-        old = first or (spec.kind == "gang" and (
-            self.world.clock_ms - job.since > 1000 * constants.OPENING_AFTER_S))
+        old = first or (
+            spec.kind == "gang"
+            and (self.world.clock_ms - job.since > 1000 * constants.OPENING_AFTER_S)
+        )
         for priority, lower in self.world.replica.used_ending.get(job.team, {}).items():
             if priority < job.priority or (priority == job.priority and old):
                 cpus -= lower[0]
                 gpus -= lower[1]
         if (first or (cpus, gpus) != use) and not teams.beyond_limit(
-                self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus):
-            tasks = max(least, min(wanted, constants.MAX_RESERVATIONS_PER_JOB, teams.tasks_left(
-                self.world, job.team, spec, {job.team: (cpus, gpus)})))
+            self.world, job.team, cpus + least * spec.cpus, gpus + least * spec.gpus
+        ):
+            tasks = max(
+                least,
+                min(
+                    wanted,
+                    constants.MAX_RESERVATIONS_PER_JOB,
+                    teams.tasks_left(self.world, job.team, spec, {job.team: (cpus, gpus)}),
+                ),
+            )
             self.limit_claims[job.id] = LimitClaim(
-                now + constants.LIMIT_CLAIM_S, job.team, job.priority,
-                job.since if old else math.inf, tasks * spec.cpus, tasks * spec.gpus)
+                now + constants.LIMIT_CLAIM_S,
+                job.team,
+                job.priority,
+                job.since if old else math.inf,
+                tasks * spec.cpus,
+                tasks * spec.gpus,
+            )
 
     # --- writing ---
 
     def flush(self) -> None:
         """Write changed chunks, many to a transaction, each job in at most one at a time."""
         world = self.world
-        if (world.now < self.write_after or not self.dirty
-                or self.in_flight >= constants.WRITES_IN_FLIGHT):
+        if (
+            world.now < self.write_after
+            or not self.dirty
+            or self.in_flight >= constants.WRITES_IN_FLIGHT
+        ):
             return
         guards: dict[str, int] = {}
         writes: list[tuple] = []
@@ -262,15 +293,21 @@
             numbers = [n for n in numbers if not self._too_large(job_id, n, values[n], limit)]
             if not numbers:
                 continue
-            finishing = job_id in self.finish and not job.final and len(numbers) == len(
-                by_job[job_id])
+            finishing = (
+                job_id in self.finish and not job.final and len(numbers) == len(by_job[job_id])
+            )
             guards[role_key(job.team)] = world.my_roles[job.team]
             guards[job_key(job_id)] = job.stamp
             jobs_in[job_id] = "done" if finishing else ""
             if finishing:
                 spec = job.spec if self.bindings(job) else None
-                writes.append((job_key(job_id),
-                               job_value("done", job.team, spec, job.order, job.tasks), None))
+                writes.append(
+                    (
+                        job_key(job_id),
+                        job_value("done", job.team, spec, job.order, job.tasks),
+                        None,
+                    )
+                )
             for number in numbers:
                 chunk = self.work[job_id][number]
                 key = chunk_key(job_id, number)
@@ -291,8 +328,13 @@
             return
         self.writing.update(jobs_in)
         self.in_flight += 1
-        world.call(lambda status, result: self._written(writes, sent, jobs_in, status, result),
-                   "txn", list(guards.items()), writes, 1)
+        world.call(
+            lambda status, result: self._written(writes, sent, jobs_in, status, result),
+            "txn",
+            list(guards.items()),
+            writes,
+            1,
+        )
 
     def _too_large(self, job_id: str, number: int, value: list, limit: int) -> bool:
         """Whether a record has outgrown the limit; it is written once more of its tasks ended."""
@@ -302,13 +344,15 @@
         key = chunk_key(job_id, number)
         if key not in self.outgrown:
             self.outgrown.add(key)
-            log.error("event=record_too_large key=%s bytes=%s limit=%s", key, value_bytes(value),
-                      limit)
+            log.error(
+                "event=record_too_large key=%s bytes=%s limit=%s", key, value_bytes(value), limit
+            )
         self.dirty[(job_id, number)] = self.world.now + constants.RETRY_MOST_S
         return True
 
-    def _written(self, writes: list[tuple], sent: list, jobs_in: dict[str, str], status: int,
-                 result: Any) -> None:
+    def _written(
+        self, writes: list[tuple], sent: list, jobs_in: dict[str, str], status: int, result: Any
+    ) -> None:
         world = self.world
         self.writing.difference_update(jobs_in)
         self.in_flight -= 1
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -77,13 +77,15 @@
                 free = less(free, claim.spec, claim.tasks)
         return free
 
-    def _ask(self, job: Job, spec: JobSpec, state: Open, chosen: dict[str, int],
-             wait_s: float) -> None:
+    def _ask(
+        self, job: Job, spec: JobSpec, state: Open, chosen: dict[str, int], wait_s: float
+    ) -> None:
         """Note that machines were asked for room, and for how long an answer may take."""
         now = self.world.now
         if len(self.claims) > 2 * len(self.world.machines):  # of machines that are gone
-            self.claims = {name: claims for name, claims in self.claims.items()
-                           if name in self.world.machines}
+            self.claims = {
+                name: claims for name, claims in self.claims.items() if name in self.world.machines
+            }
         for name, count in chosen.items():
             state.asked[name] = (now + wait_s, count)
             self.claims.setdefault(name, {})[job.id] = Claim(state.gather_until, count, spec)
@@ -113,15 +115,20 @@
             state.gather_until = world.now + gather_s(spec)
         groups: list[Group] = []
         all_zones = world.facts.zones
-        for zones in ([[zone] for zone in all_zones] if spec.one_zone else [all_zones]):
+        for zones in [[zone] for zone in all_zones] if spec.one_zone else [all_zones]:
             coming = self._coming(state, zones)
             if coming >= spec.tasks:
                 return True
             rows = self._draw(job, spec, state, zones, spec.tasks - coming)
             counts = [(times(row.free, spec), row.held) for row in rows]
-            groups.append((sum(count for count, held in counts if held) + coming
-                           + world.rng.random(),
-                           sum(count for count, _ in counts) + coming, rows, zones))
+            groups.append(
+                (
+                    sum(count for count, held in counts if held) + coming + world.rng.random(),
+                    sum(count for count, _ in counts) + coming,
+                    rows,
+                    zones,
+                )
+            )
         enough = [group for group in groups if group[1] >= spec.tasks]
         if enough:
             group = max(enough, key=lambda group: min(group[0], spec.tasks))
@@ -134,16 +141,23 @@
             for group in groups:
                 _, there, rows, zones = group
                 fitting = self.index.fitting(spec, zones) - self.index.numbers(
-                    [*(row.machine.name for row in rows), *state.asked])
+                    [*(row.machine.name for row in rows), *state.asked]
+                )
                 if self._make_room(job, spec, state, fitting, spec.tasks - there, math.inf):
                     self._reserve(job, spec, state, group)
                     return True
-        if self.gathering != job.id and self._must_open(job, spec) and self._open(
-                job, spec, state):
+        if (
+            self.gathering != job.id
+            and self._must_open(job, spec)
+            and self._open(job, spec, state)
+        ):
             return bool(state.asked or state.offers)  # no turn is needed to have machines named
         waiting = self.open.get(self.gathering)
-        if (waiting is None or waiting.next_sample == math.inf
-                or (elder(world, job) and self._before(job, self.gathering))):
+        if (
+            waiting is None
+            or waiting.next_sample == math.inf
+            or (elder(world, job) and self._before(job, self.gathering))
+        ):
             self.gathering = job.id
         if self.gathering == job.id and not self._open(job, spec, state):
             self._reserve(job, spec, state, groups[0])
@@ -155,16 +169,26 @@
         other work more than they gain."""
         if not elder(self.world, job):
             return False
-        machines = max((spec.tasks * weight(spec, kind) for kind in self.world.types.values()
-                        if self.world.fits_type(spec, kind.name)), default=0.0)
-        large = min(constants.OPENING_MACHINES, constants.OPENING_SHARE * len(
-            self.index.fitting(spec, self.world.facts.zones)))
+        machines = max(
+            (
+                spec.tasks * weight(spec, kind)
+                for kind in self.world.types.values()
+                if self.world.fits_type(spec, kind.name)
+            ),
+            default=0.0,
+        )
+        large = min(
+            constants.OPENING_MACHINES,
+            constants.OPENING_SHARE * len(self.index.fitting(spec, self.world.facts.zones)),
+        )
         return machines >= large
 
     def _before(self, job: Job, name: str) -> bool:
         """Whether a gang that must begin at last goes before the one that gathers now."""
-        mine, other = ((-one.priority, not elder(self.world, one), one.since, one.id)
-                       for one in (job, self.world.replica.jobs[name]))
+        mine, other = (
+            (-one.priority, not elder(self.world, one), one.since, one.id)
+            for one in (job, self.world.replica.jobs[name])
+        )
         return mine < other
 
     def _open(self, job: Job, spec: JobSpec, state: Open) -> bool:
@@ -174,10 +198,13 @@
         the gang asks for all at once when all is ready.
         """
         world = self.world
-        if (not (world.settings.spread.openings or self._must_open(job, spec))
-                or world.replica.format < 2
-                or spec.tasks < constants.OPENING_TASKS or spec.spread
-                or world.clock_ms - job.since < 1000 * constants.OPENING_AFTER_S):
+        if (
+            not (world.settings.spread.openings or self._must_open(job, spec))
+            or world.replica.format < 2
+            or spec.tasks < constants.OPENING_TASKS
+            or spec.spread
+            or world.clock_ms - job.since < 1000 * constants.OPENING_AFTER_S
+        ):
             return False
         if world.now < state.next_open:  # its word stands for longer than that
             return bool(state.opening)
@@ -185,21 +212,37 @@
         fitting = self.index.fitting(spec, world.facts.zones)
         others = world.openings.held(job)
         taken = self.index.numbers(others)
-        rows = sites(world, job, spec, self.index.some(fitting - taken, constants.OPENING_LOOKS,
-                                                       state.avoid))
+        rows = sites(
+            world,
+            job,
+            spec,
+            self.index.some(fitting - taken, constants.OPENING_LOOKS, state.avoid),
+        )
         spare = math.ceil(spec.tasks * constants.OPENING_SPARE)
         need = (spec.cpus, spec.gpus, spec.memory_gb)
-        chosen = (choose(need, spec.tasks + spare, rows, spec.one_zone, state.opening)
-                  or choose(need, spec.tasks, rows, spec.one_zone, state.opening))
+        chosen = choose(need, spec.tasks + spare, rows, spec.one_zone, state.opening) or choose(
+            need, spec.tasks, rows, spec.one_zone, state.opening
+        )
         # One opening may always be; with others, enough must be left for other work.
-        if (chosen is None or chosen.ready_s > constants.OPENING_MOST_S
-                or (taken and len(taken) + len(chosen.machines)
-                    > constants.OPENING_SHARE * len(fitting))):
+        if (
+            chosen is None
+            or chosen.ready_s > constants.OPENING_MOST_S
+            or (
+                taken
+                and len(taken) + len(chosen.machines) > constants.OPENING_SHARE * len(fitting)
+            )
+        ):
             return False
         if set(chosen.machines) != set(state.opening):
-            event("opening", job=job.id, zone=chosen.zone, machines=len(chosen.machines),
-                  ready_s=round(chosen.ready_s), lost_s=round(chosen.lost_s),
-                  kept=len(chosen.machines.keys() & state.opening.keys()))
+            event(
+                "opening",
+                job=job.id,
+                zone=chosen.zone,
+                machines=len(chosen.machines),
+                ready_s=round(chosen.ready_s),
+                lost_s=round(chosen.lost_s),
+                kept=len(chosen.machines.keys() & state.opening.keys()),
+            )
         state.opening = chosen.machines
         self._say(job, list(chosen.machines), chosen.ready_s)
         return True
@@ -207,8 +250,9 @@
     def _say(self, job: Job, names: list[str], ready_s: float) -> None:
         """Tell all controllers of an opening, or that it is over."""
         for label in (self.world.label, *(m.label for m in self.world.settings.members)):
-            self.world.emit("send", label, ("opening", job.id, job.priority, job.since, names,
-                                            ready_s))
+            self.world.emit(
+                "send", label, ("opening", job.id, job.priority, job.since, names, ready_s)
+            )
 
     def close(self, job: Job, state: Open) -> None:
         """End a job's opening: it is bound, or over."""
@@ -217,15 +261,17 @@
             self.end_turn(job)
             self._say(job, [], 0.0)
 
-    def _make_room(self, job: Job, spec: JobSpec, state: Open, among: BitMap, wanted: int,
-                   most: float) -> bool:
+    def _make_room(
+        self, job: Job, spec: JobSpec, state: Open, among: BitMap, wanted: int, most: float
+    ) -> bool:
         """Ask for work to stop on as many machines as tasks lack room; return whether it was."""
         now = self.world.now
         names = make_room(self.world, self.index, job, spec, state, among, wanted, most)
         if names:
             wait_s = state.preempt_at - now
-            state.gather_until = min(max(state.gather_until, now + wait_s),
-                                     state.gather_until + wait_s)
+            state.gather_until = min(
+                max(state.gather_until, now + wait_s), state.gather_until + wait_s
+            )
             self._ask(job, spec, state, dict.fromkeys(names, 1), wait_s)
         return bool(names)
 
@@ -235,25 +281,29 @@
         _, there, rows, zones = group
         fetching = [row for row in rows if not row.held]
         held = [row for row in rows if row.held]
-        missing = spec.tasks - self._coming(state, zones) - sum(
-            times(row.free, spec) for row in held)
+        missing = (
+            spec.tasks - self._coming(state, zones) - sum(times(row.free, spec) for row in held)
+        )
         if missing <= 0 or not fetching or spec.spread:
             return False
         if state.patient_until is None:  # tried for no longer than the fetch would take
             state.patient_until = self.world.now + fetch_s(self.world, spec, fetching[0].machine)
         holders = self.index.holding(spec, zones) - self.index.numbers(
-            [*(row.machine.name for row in held), *state.asked])
+            [*(row.machine.name for row in held), *state.asked]
+        )
         if self.world.now > state.patient_until or not self._make_room(
-                job, spec, state, holders, missing,
-                worth_s(self.world, spec, fetching[0].machine)):
+            job, spec, state, holders, missing, worth_s(self.world, spec, fetching[0].machine)
+        ):
             return False
         self._reserve(job, spec, state, (0.0, there, held, zones))
         return True
 
-    def _draw(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
-              missing: int) -> list[Drawn]:
+    def _draw(
+        self, job: Job, spec: JobSpec, state: Open, zones: list[str], missing: int
+    ) -> list[Drawn]:
         """Draw machines with room that is still free for a gang; of a zone no more than its
         tasks may have there."""
+
         def left(machine: Machine, free: Room) -> Room:
             return self.left(job, machine, free)
 
@@ -270,8 +320,7 @@
                     rows.append(row._replace(free=less((0.0, 0.0, 0.0), spec, -count)))
         return rows
 
-    def _reserve(self, job: Job, spec: JobSpec, state: Open,
-                 group: Group) -> None:
+    def _reserve(self, job: Job, spec: JobSpec, state: Open, group: Group) -> None:
         """Reserve what was drawn in a zone, as far as it is still missing."""
         _, _, rows, zones = group
         chosen = best(self.world, job, spec, rows, spec.tasks - self._coming(state, zones))
--- a/oakmux/core/owner/places.py
+++ b/oakmux/core/owner/places.py
@@ -29,8 +29,9 @@
             continue
         if state is None and job.spec.image == spec.image:
             held = True
-        elif state[0] == "fetching" if state is not None else (
-                job.spec.image not in machine.images):
+        elif (
+            state[0] == "fetching" if state is not None else (job.spec.image not in machine.images)
+        ):
             others.append(job)
     return held, others
 
@@ -45,8 +46,11 @@
 def strands(spec: JobSpec, kind: MachineType, free: Room) -> bool:
     """Whether a task without GPUs would take CPUs that a machine's free GPUs need, by the share
     that falls to each."""
-    return (not spec.gpus and free[1] > constants.EPSILON
-            and (free[0] - spec.cpus) * kind.gpus < free[1] * kind.cpus - constants.EPSILON)
+    return (
+        not spec.gpus
+        and free[1] > constants.EPSILON
+        and (free[0] - spec.cpus) * kind.gpus < free[1] * kind.cpus - constants.EPSILON
+    )
 
 
 def zone_allowed(spec: JobSpec, zones: list[str], zone: str) -> bool:
@@ -67,15 +71,26 @@
     held, others = fetches(world, spec, machine)
     fetching = not held and any(urgent or other.priority >= constants.URGENT for other in others)
     dearer = spec.spot and not machine.spot if spec.gpus else machine.spot
-    return (strands(spec, kind, free), not held, fetching, dearer,
-            machine.idle_since is not None, left)
+    return (
+        strands(spec, kind, free),
+        not held,
+        fetching,
+        dearer,
+        machine.idle_since is not None,
+        left,
+    )
 
 
 def best(world: World, job: Job, spec: JobSpec, rows: list[Drawn], count: int) -> dict[str, int]:
     """Choose among drawn machines with room: image held, spot if allowed, fullest; chance
     decides between equals."""
-    ranked = sorted(((preference(world, job, spec, row.machine, row.free), world.rng.random(),
-                      row) for row in rows), key=lambda entry: entry[:2])
+    ranked = sorted(
+        (
+            (preference(world, job, spec, row.machine, row.free), world.rng.random(), row)
+            for row in rows
+        ),
+        key=lambda entry: entry[:2],
+    )
     chosen: dict[str, int] = {}
     for _, _, row in ranked:
         if count <= 0:
@@ -88,8 +103,7 @@
 def reserve(world: World, job: Job, chosen: dict[str, int]) -> None:
     """Send reservations {machine: tasks} to the keepers of the machines."""
     for name, number in chosen.items():
-        world.emit("send", world.machines[name].keeper,
-                        ("reserve", name, job.id, number))
+        world.emit("send", world.machines[name].keeper, ("reserve", name, job.id, number))
 
 
 def worth_s(world: World, spec: JobSpec, machine: Machine) -> float:
@@ -102,8 +116,16 @@
     return fetch
 
 
-def make_room(world: World, index: Index, job: Job, spec: JobSpec, state: Open, among: BitMap,
-              wanted: int, most: float) -> list[str]:
+def make_room(
+    world: World,
+    index: Index,
+    job: Job,
+    spec: JobSpec,
+    state: Open,
+    among: BitMap,
+    wanted: int,
+    most: float,
+) -> list[str]:
     """Ask the keepers of as many machines as tasks wait to stop work of less right, where
     that costs less than `most` seconds; return which were asked. For a gang, all its
     tasks must find room so. Looked at are some machines drawn from `among`, those that hold
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -23,8 +23,15 @@
 class Sampler:
     """Draws machines for the jobs of the teams that we own."""
 
-    def __init__(self, world: World, index: Index, copies: Copies, binder: Binder,
-                 gangs: Gangs, waiting: Waiting) -> None:
+    def __init__(
+        self,
+        world: World,
+        index: Index,
+        copies: Copies,
+        binder: Binder,
+        gangs: Gangs,
+        waiting: Waiting,
+    ) -> None:
         self.world = world
         self.index = index
         self.open = binder.open
@@ -75,10 +82,16 @@
 
     def _use_fell(self) -> list[str]:
         """Return the teams of ours that use less than at the last tick."""
-        used = {team: self.copies.team_use(team) for team in self.world.my_roles
-                if team in self.world.teams}
-        fell = [team for team, use in used.items()
-                if use[0] < self.used.get(team, use)[0] or use[1] < self.used.get(team, use)[1]]
+        used = {
+            team: self.copies.team_use(team)
+            for team in self.world.my_roles
+            if team in self.world.teams
+        }
+        fell = [
+            team
+            for team, use in used.items()
+            if use[0] < self.used.get(team, use)[0] or use[1] < self.used.get(team, use)[1]
+        ]
         self.used = used
         return fell
 
@@ -156,8 +169,9 @@
         openings = self.world.openings
         if not openings.by_machine:
             return None
-        return lambda machine, free: (0.0, 0.0, 0.0) if openings.bars(
-            machine.name, job, spec) else free
+        return lambda machine, free: (
+            (0.0, 0.0, 0.0) if openings.bars(machine.name, job, spec) else free
+        )
 
     def _wanted(self, shape: Shape, spec: JobSpec) -> int:
         """Count what the first jobs of a line have to start."""
@@ -176,8 +190,9 @@
         else:
             self.waiting.none_found(shape)
 
-    def _widely(self, job: Job, spec: JobSpec, state: Open, zones: list[str], wanted: int,
-                count: int) -> bool:
+    def _widely(
+        self, job: Job, spec: JobSpec, state: Open, zones: list[str], wanted: int, count: int
+    ) -> bool:
         """Have room made, or queue at fitting machines, full as they are: reservations wait there
         for longer than it takes to look for room anew. Return whether room is made for all."""
         world = self.world
@@ -201,26 +216,49 @@
         oldest = self.world.replica.jobs[self.waiting.lines.oldest(shape)]
         if oldest is not job and oldest.spec is not None and aged(self.world, oldest, oldest.spec):
             fitting = self.index.fitting(oldest.spec, self.world.facts.zones)
-            some = self.index.some(fitting, constants.MAX_RESERVATIONS_PER_JOB,
-                                   self.open[oldest.id].avoid)
+            some = self.index.some(
+                fitting, constants.MAX_RESERVATIONS_PER_JOB, self.open[oldest.id].avoid
+            )
             reserve(self.world, oldest, {machine.name: 1 for machine in some})
 
-    def _take_room(self, job: Job, spec: JobSpec, state: Open, zones: list[str],
-                   rows: list[Drawn], wanted: int, count: int) -> None:
+    def _take_room(
+        self,
+        job: Job,
+        spec: JobSpec,
+        state: Open,
+        zones: list[str],
+        rows: list[Drawn],
+        wanted: int,
+        count: int,
+    ) -> None:
         """Reserve room that was drawn, or wait a little where the image is."""
         world = self.world
         holders = self.index.holding(spec, zones)
         there = [row for row in rows if row.held]
         # A fetch blocks its place as well: stopping young work where the image is costs less.
-        if holders and not there and make_room(world, self.index, job, spec, state, holders,
-                                               wanted, worth_s(world, spec, rows[0].machine)):
+        if (
+            holders
+            and not there
+            and make_room(
+                world,
+                self.index,
+                job,
+                spec,
+                state,
+                holders,
+                wanted,
+                worth_s(world, spec, rows[0].machine),
+            )
+        ):
             state.next_sample = state.preempt_at
-        elif (len(holders) >= wanted > sum(times(row.free, spec) for row in there)
-                and self._patient(spec, state, rows[0].machine)):
+        elif len(holders) >= wanted > sum(
+            times(row.free, spec) for row in there
+        ) and self._patient(spec, state, rows[0].machine):
             state.next_sample = world.now + constants.WAIT_RESAMPLE_S
             queued = self.index.some(holders, count, state.avoid)
-            reserve(world, job, {**{m.name: 1 for m in queued},
-                                 **best(world, job, spec, there, count)})
+            reserve(
+                world, job, {**{m.name: 1 for m in queued}, **best(world, job, spec, there, count)}
+            )
         else:
             reserve(world, job, best(world, job, spec, rows, count))
 
--- a/oakmux/core/owner/state.py
+++ b/oakmux/core/owner/state.py
@@ -4,9 +4,22 @@
 class Open:
     """What an owner remembers of an unfinished job; nothing here outlives it."""
 
-    __slots__ = ("next_sample", "offers", "cursor", "failures", "retry_at", "avoid",
-                 "quiet_until", "preempt_at", "next_wide", "patient_until", "asked",
-                 "gather_until", "opening", "next_open")
+    __slots__ = (
+        "next_sample",
+        "offers",
+        "cursor",
+        "failures",
+        "retry_at",
+        "avoid",
+        "quiet_until",
+        "preempt_at",
+        "next_wide",
+        "patient_until",
+        "asked",
+        "gather_until",
+        "opening",
+        "next_open",
+    )
 
     def __init__(self) -> None:
         self.next_sample = 0.0
--- a/oakmux/core/spread/lines.py
+++ b/oakmux/core/spread/lines.py
@@ -39,16 +39,21 @@
 
     def may_fit(self, place: Class) -> bool:
         """Whether a machine of a class may have room for a task; if not, none has."""
-        return (self.gpus < place.gpus + 1 and self.zone in (None, place.zone)
-                and (self.spot or not place.spot)
-                and any(name == place.type and need <= place.level + 1
-                        for name, need in self.needs))
+        return (
+            self.gpus < place.gpus + 1
+            and self.zone in (None, place.zone)
+            and (self.spot or not place.spot)
+            and any(name == place.type and need <= place.level + 1 for name, need in self.needs)
+        )
 
 
 def needs_of(world: World, spec: JobSpec) -> Needs:
     """Return what a task takes of each machine type that it fits."""
-    return tuple((kind.name, _level(spec, kind)) for kind in world.types.values()
-                 if world.fits_type(spec, kind.name))
+    return tuple(
+        (kind.name, _level(spec, kind))
+        for kind in world.types.values()
+        if world.fits_type(spec, kind.name)
+    )
 
 
 def _level(spec: JobSpec, kind: MachineType) -> int:
@@ -58,9 +63,18 @@
 
 def shape_of(world: World, job: Job, spec: JobSpec) -> Shape:
     """Return the line where a job stands."""
-    return Shape(job.team, job.priority, spec.kind, spec.tasks if spec.joint else 0,
-                 needs_of(world, spec), spec.gpus, spec.zone, spec.spot, spec.one_zone,
-                 spec.spread)
+    return Shape(
+        job.team,
+        job.priority,
+        spec.kind,
+        spec.tasks if spec.joint else 0,
+        needs_of(world, spec),
+        spec.gpus,
+        spec.zone,
+        spec.spot,
+        spec.one_zone,
+        spec.spread,
+    )
 
 
 Place = tuple[bool, float, bool, float, str]
@@ -85,8 +99,9 @@
     def resize(self) -> bool:
         """Line all jobs up anew if the machine types changed, and with them the shapes; return
         whether they did."""
-        sizes = {kind.name: (kind.cpus, kind.gpus, kind.memory_gb)
-                 for kind in self.world.types.values()}
+        sizes = {
+            kind.name: (kind.cpus, kind.gpus, kind.memory_gb) for kind in self.world.types.values()
+        }
         if sizes == self.sizes:
             return False
         self.sizes = sizes
@@ -101,8 +116,13 @@
     def put(self, job: Job, spec: JobSpec) -> Shape:
         """Put a job where it belongs now; return its line."""
         shape = shape_of(self.world, job, spec)
-        place = (not elder(self.world, job), job.latest, late(self.world, job, spec),
-                 turn_ms(self.world, job, spec), job.id)
+        place = (
+            not elder(self.world, job),
+            job.latest,
+            late(self.world, job, spec),
+            turn_ms(self.world, job, spec),
+            job.id,
+        )
         if self.where.get(job.id) != (shape, place, job.since):
             self.drop(job.id)
             line = self.lines.get(shape)
--- a/oakmux/core/spread/opening.py
+++ b/oakmux/core/spread/opening.py
@@ -55,8 +55,11 @@
 
 def fits(need: Room, free: Room) -> int:
     """Return how many tasks fit into free room; as many as there may be if they need nothing."""
-    counts = [math.floor((have + constants.EPSILON) / want)
-              for want, have in zip(need, free, strict=True) if want > 0]
+    counts = [
+        math.floor((have + constants.EPSILON) / want)
+        for want, have in zip(need, free, strict=True)
+        if want > 0
+    ]
     return max(0, min(counts, default=constants.CHUNK_TASKS))
 
 
@@ -77,8 +80,13 @@
             needed = _needed(need, gone, _plus(free, gone), count)
             free = _plus(free, needed)
             gone = [held for held in gone if held not in needed]
-            rows.append(Part(max(held.ready_s for held in needed),
-                             sum(held.lost_s for held in needed), site.name))
+            rows.append(
+                Part(
+                    max(held.ready_s for held in needed),
+                    sum(held.lost_s for held in needed),
+                    site.name,
+                )
+            )
             rows += [Part(rows[-1].ready_s, 0.0, site.name)] * (count - found - 1)
             found = count
     return rows[:most]
@@ -101,8 +109,13 @@
     return free
 
 
-def choose(need: Room, tasks: int, sites: Iterable[Site], one_zone: bool,
-           kept: Mapping[str, int] | None = None) -> Opening | None:
+def choose(
+    need: Room,
+    tasks: int,
+    sites: Iterable[Site],
+    one_zone: bool,
+    kept: Mapping[str, int] | None = None,
+) -> Opening | None:
     """Return the machines to open for all tasks of a gang, or None if there never is room.
 
     The zone (or the whole fleet) whose room is ready first is taken; in it, of all room that is
--- a/oakmux/core/spread/openings.py
+++ b/oakmux/core/spread/openings.py
@@ -27,19 +27,22 @@
         self.by_job: dict[str, Standing] = {}
         self.by_machine: dict[str, str] = {}
 
-    def take(self, job_id: str, priority: int, since: float, names: list[str],
-             ready_s: float) -> None:
+    def take(
+        self, job_id: str, priority: int, since: float, names: list[str], ready_s: float
+    ) -> None:
         """Take an owner's word; no names end the opening."""
         now = self.world.now
         self.by_job.pop(job_id, None)
         for other in [o for o, row in self.by_job.items() if row.until <= now]:
             del self.by_job[other]
         if names and len(self.by_job) < constants.OPENINGS_MOST:
-            self.by_job[job_id] = Standing(priority, since, now + constants.OPENING_S,
-                                           now + ready_s, frozenset(names))
+            self.by_job[job_id] = Standing(
+                priority, since, now + constants.OPENING_S, now + ready_s, frozenset(names)
+            )
         self.by_machine = {}
-        for other, row in sorted(self.by_job.items(), key=lambda entry: (
-                entry[1].priority, -entry[1].since, entry[0])):
+        for other, row in sorted(
+            self.by_job.items(), key=lambda entry: (entry[1].priority, -entry[1].since, entry[0])
+        ):
             self.by_machine.update(dict.fromkeys(row.machines, other))
 
     def bars(self, machine: str, job: Job, spec: JobSpec) -> bool:
@@ -60,7 +63,8 @@
         if job.priority < row.priority and spec.kind != "service" and not spec.joint:
             return left < constants.OPENING_SOON_S
         ends = spec.estimate_s * constants.OPENING_ERROR + max(
-            (self.world.fetch_s(spec, name) for name in self.world.types), default=0.0)
+            (self.world.fetch_s(spec, name) for name in self.world.types), default=0.0
+        )
         return spec.kind == "service" or ends > left
 
     def names(self, machine: str) -> bool:
@@ -72,6 +76,9 @@
         """Return the machines that openings of jobs before this one name. What younger ones wait
         for it may have: else the oldest finds nothing where several smaller ones wait."""
         mine = (job.priority, -job.since, job.id)
-        before = {name for name, row in self.by_job.items()
-                  if name != job.id and (row.priority, -row.since, name) > mine}
+        before = {
+            name
+            for name, row in self.by_job.items()
+            if name != job.id and (row.priority, -row.since, name) > mine
+        }
         return {machine for machine, name in self.by_machine.items() if name in before}
--- a/oakmux/core/spread/order.py
+++ b/oakmux/core/spread/order.py
@@ -16,8 +16,11 @@
 def elder(world: World, job: Job) -> bool:
     """Whether a job of which nothing has started comes before all others of its priority: it is
     well on its way to the time by which all work must have begun, the largest too."""
-    return (world.clock_ms - job.since > 1000 * elder_s(job) and not job.begun
-            and not world.failures.suspect(job))
+    return (
+        world.clock_ms - job.since > 1000 * elder_s(job)
+        and not job.begun
+        and not world.failures.suspect(job)
+    )
 
 
 def elder_s(job: Job) -> float:
@@ -38,8 +41,12 @@
 def late(world: World, job: Job, spec: JobSpec) -> bool:
     """Whether an array can't meet its class's aim for finishing any more, by its estimate."""
     within = world.finish_aims.get(spec.lane)
-    return (spec.kind == "array" and within is not None and world.clock_ms
-            > job.since + 1000 * (within - spec.estimate_s) and not elder(world, job))
+    return (
+        spec.kind == "array"
+        and within is not None
+        and world.clock_ms > job.since + 1000 * (within - spec.estimate_s)
+        and not elder(world, job)
+    )
 
 
 def aged(world: World, job: Job, spec: JobSpec) -> bool:
--- a/oakmux/core/spread/sites.py
+++ b/oakmux/core/spread/sites.py
@@ -38,14 +38,25 @@
     return found
 
 
-def _held(world: World, job: Job, machine: Machine, other: Job, spec: JobSpec, index: int,
-          binding: Binding, beyond: list[str]) -> Held:
+def _held(
+    world: World,
+    job: Job,
+    machine: Machine,
+    other: Job,
+    spec: JobSpec,
+    index: int,
+    binding: Binding,
+    beyond: list[str],
+) -> Held:
     task = (f"{other.id}/{index}", binding.attempt)
     takes = (spec.cpus, spec.gpus, spec.memory_gb)
     if binding.stop or other.final:
         return Held(takes, 0.0, 0.0)
-    if (spec.kind != "service" and not spec.joint
-            and (other.priority < job.priority or other.team in beyond)):
+    if (
+        spec.kind != "service"
+        and not spec.joint
+        and (other.priority < job.priority or other.team in beyond)
+    ):
         ran = world.now - machine.since.get(task, world.now)
         return Held(takes, 0.0, min(ran, spec.save_s) if spec.checkpoint_s else ran)
     return Held(takes, left_s(world, machine, task, spec), 0.0)
--- a/oakmux/core/spread/waiting.py
+++ b/oakmux/core/spread/waiting.py
@@ -92,8 +92,11 @@
     def none_found(self, shape: Shape) -> None:
         """The first of a line found no room. The safety net's pause grows, for urgent work less:
         what may give way to it changes with time."""
-        most = constants.LINE_URGENT_S if shape.priority >= constants.URGENT \
+        most = (
+            constants.LINE_URGENT_S
+            if shape.priority >= constants.URGENT
             else constants.LINE_MOST_S
+        )
         old = self.shut.get(shape)
         pause = constants.WIDE_S if old is None else min(most, 2 * old.pause)
         self.shut[shape] = Shut(self.world.now + pause, pause, False)
@@ -118,8 +121,11 @@
         """Machines got room: open the lines that it may suit."""
         places = list(gained)
         if places:
-            for shape in [shape for shape, shut in self.shut.items() if not shut.limit
-                          and any(shape.may_fit(place) for place in places)]:
+            for shape in [
+                shape
+                for shape, shut in self.shut.items()
+                if not shut.limit and any(shape.may_fit(place) for place in places)
+            ]:
                 self.shut[shape].until = 0.0  # the pause stays, should nothing be found
 
     def use_fell(self, teams: Iterable[str]) -> None:
--- a/oakmux/core/teams.py
+++ b/oakmux/core/teams.py
@@ -11,20 +11,28 @@
     limits = world.teams.get(team)
     if limits is None:
         return True
-    return bool((limits.cpus_max and cpus > limits.cpus_max + constants.EPSILON)
-                or (limits.gpus_max and gpus > limits.gpus_max + constants.EPSILON))
+    return bool(
+        (limits.cpus_max and cpus > limits.cpus_max + constants.EPSILON)
+        or (limits.gpus_max and gpus > limits.gpus_max + constants.EPSILON)
+    )
 
 
-def tasks_left(world: World, team: str, spec: JobSpec,
-               used: dict[str, tuple[float, float]]) -> int:
+def tasks_left(
+    world: World, team: str, spec: JobSpec, used: dict[str, tuple[float, float]]
+) -> int:
     """Return how many more tasks of a job its team's limit allows."""
     limits = world.teams.get(team)
     if limits is None:
         return 0
     cpus, gpus = used.get(team, (0.0, 0.0))
-    counts = [int((most - use + constants.EPSILON) / need)
-              for most, use, need in ((limits.cpus_max, cpus, spec.cpus),
-                                      (limits.gpus_max, gpus, spec.gpus)) if most and need]
+    counts = [
+        int((most - use + constants.EPSILON) / need)
+        for most, use, need in (
+            (limits.cpus_max, cpus, spec.cpus),
+            (limits.gpus_max, gpus, spec.gpus),
+        )
+        if most and need
+    ]
     return max(0, min(counts, default=spec.tasks))
 
 
@@ -58,25 +66,31 @@
     limits = world.teams.get(team)
     if limits is None or not (limits.cpus or limits.gpus):
         return False
-    return ((not limits.cpus or cpus <= limits.cpus + constants.EPSILON)
-            and (not limits.gpus or gpus <= limits.gpus + constants.EPSILON))
+    return (not limits.cpus or cpus <= limits.cpus + constants.EPSILON) and (
+        not limits.gpus or gpus <= limits.gpus + constants.EPSILON
+    )
 
 
-def inside(world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]],
-           count: int = 1) -> bool:
+def inside(
+    world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]], count: int = 1
+) -> bool:
     """Whether so many more tasks of a job stay within what its team is guaranteed."""
     cpus, gpus = used.get(job.team, (0.0, 0.0))
     return within_guarantee(world, job.team, cpus + count * spec.cpus, gpus + count * spec.gpus)
 
 
-def beyond(world: World, job: Job, spec: JobSpec,
-           used: dict[str, tuple[float, float]]) -> list[str]:
+def beyond(
+    world: World, job: Job, spec: JobSpec, used: dict[str, tuple[float, float]]
+) -> list[str]:
     """Return the other teams whose work must give way to a job, since they use more than they
     are guaranteed and it is within its own team's guarantee."""
     if not inside(world, job, spec, used, spec.tasks if spec.kind == "gang" else 1):
         return []
-    return [team for team in world.teams if team != job.team
-            and not within_guarantee(world, team, *used.get(team, (0.0, 0.0)))]
+    return [
+        team
+        for team in world.teams
+        if team != job.team and not within_guarantee(world, team, *used.get(team, (0.0, 0.0)))
+    ]
 
 
 def share(world: World, team: str, used: dict[str, tuple[float, float]]) -> float:
@@ -85,6 +99,12 @@
     limits = world.teams.get(team)
     if limits is None:
         return 1e9
-    parts = [use / have for use, have in ((cpus, limits.cpus or limits.cpus_max),
-                                          (gpus, limits.gpus or limits.gpus_max)) if have]
+    parts = [
+        use / have
+        for use, have in (
+            (cpus, limits.cpus or limits.cpus_max),
+            (gpus, limits.gpus or limits.gpus_max),
+        )
+        if have
+    ]
     return max(parts, default=0.0)
--- a/oakmux/core/world.py
+++ b/oakmux/core/world.py
@@ -21,9 +21,28 @@
 class Machine:
     """The newest that any controller has heard of a machine."""
 
-    __slots__ = ("name", "addr", "type", "zone", "spot", "session", "seq", "token", "notice_at",
-                 "tasks", "keeper", "keeper_term", "heard", "images", "errors", "idle_since",
-                 "first_heard", "since", "unheard", "deaf_since")
+    __slots__ = (
+        "name",
+        "addr",
+        "type",
+        "zone",
+        "spot",
+        "session",
+        "seq",
+        "token",
+        "notice_at",
+        "tasks",
+        "keeper",
+        "keeper_term",
+        "heard",
+        "images",
+        "errors",
+        "idle_since",
+        "first_heard",
+        "since",
+        "unheard",
+        "deaf_since",
+    )
 
     def __init__(self, report: Report, now: float) -> None:
         self.name = report.machine
@@ -86,17 +105,23 @@
         self.wait_aims: dict[str, list[float]] = {}
         self.finish_aims: dict[str, float] = {}
         # The GPUs that one array is taken to have to itself when its size makes it younger.
-        self.part_gpus = max(1.0, constants.SIZE_PART * sum(
-            team.gpus or team.gpus_max for team in settings.facts.teams))
+        self.part_gpus = max(
+            1.0,
+            constants.SIZE_PART * sum(team.gpus or team.gpus_max for team in settings.facts.teams),
+        )
         for aim in settings.facts.objectives:
             if aim.kind == "wait" and aim.lane and aim.within_s is not None:
                 self.wait_aims.setdefault(aim.lane, []).append(aim.within_s)
             elif aim.kind == "finished" and aim.lane and aim.within_s is not None:
-                self.finish_aims[aim.lane] = max(aim.within_s,
-                                                 self.finish_aims.get(aim.lane, 0.0))
-        self.guarantee_s = min((aim.within_s for aim in settings.facts.objectives
-                                if aim.kind == "guarantee" and aim.within_s is not None),
-                               default=None)
+                self.finish_aims[aim.lane] = max(aim.within_s, self.finish_aims.get(aim.lane, 0.0))
+        self.guarantee_s = min(
+            (
+                aim.within_s
+                for aim in settings.facts.objectives
+                if aim.kind == "guarantee" and aim.within_s is not None
+            ),
+            default=None,
+        )
         self.machines: dict[str, Machine] = {}
         # Machines that are certainly gone, the newest last: copies of their reports may come late,
         # also after their record was cleaned up.
@@ -184,9 +209,13 @@
     def fits_type(self, spec: JobSpec, type_name: str) -> bool:
         """Whether a task of the job fits an empty machine of an allowed type."""
         kind = self.types.get(type_name)
-        return (kind is not None and (spec.types is None or type_name in spec.types)
-                and spec.cpus <= kind.cpus and spec.gpus <= kind.gpus
-                and spec.memory_gb <= kind.memory_gb)
+        return (
+            kind is not None
+            and (spec.types is None or type_name in spec.types)
+            and spec.cpus <= kind.cpus
+            and spec.gpus <= kind.gpus
+            and spec.memory_gb <= kind.memory_gb
+        )
 
     def fetch_s(self, spec: JobSpec, type_name: str) -> float:
         """Return the seconds that a machine without the job's image needs for it, nominally."""
@@ -194,9 +223,11 @@
 
     def fits(self, spec: JobSpec, machine: Machine) -> bool:
         """Whether the job allows this machine, room and other tasks apart."""
-        return (self.fits_type(spec, machine.type)
-                and (spec.zone is None or spec.zone == machine.zone)
-                and (spec.spot or not machine.spot))
+        return (
+            self.fits_type(spec, machine.type)
+            and (spec.zone is None or spec.zone == machine.zone)
+            and (spec.spot or not machine.spot)
+        )
 
 
 def event(name: str, **fields: Any) -> None:
--- a/oakmux/net/cloud.py
+++ b/oakmux/net/cloud.py
@@ -21,8 +21,9 @@
         self.addr = settings.external.cloud
         self.put = put
         # One controller holds the fleet; the others only read the catalogue now and then.
-        self.bucket = Bucket(settings.facts.cloud.rps * constants.CLOUD_SHARE,
-                             constants.CLOUD_BURST_S)
+        self.bucket = Bucket(
+            settings.facts.cloud.rps * constants.CLOUD_SHARE, constants.CLOUD_BURST_S
+        )
         self.turn = asyncio.Lock()
         self.client = Client(constants.CLOUD_CONNECTIONS)
 
@@ -33,9 +34,9 @@
                 await asyncio.sleep(wait)
             self.bucket.take(1)
         data = b"" if body is None else wire.encode(body)
-        status, answer = await self.client.request(self.addr, method, path, data,
-                                                   constants.CLOUD_TIMEOUT_S,
-                                                   constants.MAX_STATE_BODY)
+        status, answer = await self.client.request(
+            self.addr, method, path, data, constants.CLOUD_TIMEOUT_S, constants.MAX_STATE_BODY
+        )
         return status, wire.decode(answer) if answer else None
 
     async def carry_out(self, op: int, kind: str, *args: Any) -> None:
@@ -68,8 +69,9 @@
                 return 200, rows
             since = items[-1][0]
 
-    async def _rent(self, name: str, type_name: str, zone: str, spot: bool,
-                    count: int) -> tuple[int, Any]:
+    async def _rent(
+        self, name: str, type_name: str, zone: str, spot: bool, count: int
+    ) -> tuple[int, Any]:
         body = wire.rent_body(name, type_name, zone, spot, count)
         status, answer = await self._call("POST", wire.PATH_MACHINES, body)
         if status == 200:
--- a/oakmux/net/http.py
+++ b/oakmux/net/http.py
@@ -11,10 +11,19 @@
 
 log = logging.getLogger("oakmux.http")
 
-REASONS = {200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 409: "Conflict", 421: "Misdirected Request",
-           422: "Unprocessable Content", 429: "Too Many Requests",
-           500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    421: "Misdirected Request",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 class NotSent(Exception):
@@ -27,8 +36,11 @@
 
 def render(status: int, body: bytes, retry_after: int | None = None, close: bool = False) -> bytes:
     """Return a whole response."""
-    head = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
-            "Content-Type: application/cbor", f"Content-Length: {len(body)}"]
+    head = [
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
+        "Content-Type: application/cbor",
+        f"Content-Length: {len(body)}",
+    ]
     if retry_after is not None:
         head.append(f"Retry-After: {retry_after}")
     if close:
@@ -41,8 +53,9 @@
 
     __slots__ = ("method", "path", "body", "too_large", "_conn")
 
-    def __init__(self, method: str, path: str, body: bytes, too_large: bool,
-                 conn: "ServerProtocol") -> None:
+    def __init__(
+        self, method: str, path: str, body: bytes, too_large: bool, conn: "ServerProtocol"
+    ) -> None:
         self.method = method
         self.path = path
         self.body = body
@@ -59,8 +72,13 @@
 class ServerProtocol(asyncio.Protocol):
     """A connection that somebody opened to us."""
 
-    def __init__(self, handler: Callable[[Request], None], live: set["ServerProtocol"],
-                 limit: int, max_body: int = constants.MAX_BODY) -> None:
+    def __init__(
+        self,
+        handler: Callable[[Request], None],
+        live: set["ServerProtocol"],
+        limit: int,
+        max_body: int = constants.MAX_BODY,
+    ) -> None:
         self.handler = handler
         self.max_body = max_body
         self.live = live
@@ -118,9 +136,12 @@
         if self.current is not None:  # pipelining is not allowed
             raise httptools.HttpParserError("pipelined")
         self.keep = self.parser.should_keep_alive()
-        request = self.request(self.parser.get_method().decode("ascii", "replace"),
-                               self.url.decode("latin-1"), b"".join(self.chunks),
-                               self.size > self.max_body)
+        request = self.request(
+            self.parser.get_method().decode("ascii", "replace"),
+            self.url.decode("latin-1"),
+            b"".join(self.chunks),
+            self.size > self.max_body,
+        )
         self.chunks = []
         self.current = request
         try:
@@ -218,12 +239,20 @@
             raise NotSent(str(error) or "timeout") from None
         return proto
 
-    async def request(self, addr: str, method: str, path: str, body: bytes, timeout: float,
-                      limit: int = constants.MAX_BODY) -> tuple[int, bytes]:
+    async def request(
+        self,
+        addr: str,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        limit: int = constants.MAX_BODY,
+    ) -> tuple[int, bytes]:
         """Return (status, body); raises NotSent or NoAnswer."""
-        data = (f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\n"
-                f"Content-Type: application/cbor\r\nContent-Length: {len(body)}\r\n\r\n"
-                ).encode() + body
+        data = (
+            f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\n"
+            f"Content-Type: application/cbor\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         async with self.slots:
             pool = self.idle.setdefault(addr, [])
             proto = None
--- a/oakmux/net/peers.py
+++ b/oakmux/net/peers.py
@@ -53,8 +53,14 @@
 class Peer:
     """The way to one peer; what is lost of the machines' news is sent anew."""
 
-    def __init__(self, label: str, peer: str, addr: str, put: Callable[[tuple], None],
-                 since: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        label: str,
+        peer: str,
+        addr: str,
+        put: Callable[[tuple], None],
+        since: Callable[[], int],
+    ) -> None:
         self.label = label
         self.peer = peer
         self.addr = addr
@@ -84,8 +90,10 @@
                 self.woken.clear()
                 await self.woken.wait()
             await self._gather()
-            batch, self.outbox = (self.outbox[: constants.PEER_BATCH],
-                                  self.outbox[constants.PEER_BATCH:])
+            batch, self.outbox = (
+                self.outbox[: constants.PEER_BATCH],
+                self.outbox[constants.PEER_BATCH :],
+            )
             try:
                 await self._send(batch)
                 tries = 0
@@ -116,7 +124,8 @@
         asked = asyncio.get_running_loop().time()
         body = wire.encode(["batch", self.label, batch, self.since()])
         status, answer = await self.client.request(
-            self.addr, "POST", PATH, body, constants.PEER_TIMEOUT_S, constants.PEER_BODY)
+            self.addr, "POST", PATH, body, constants.PEER_TIMEOUT_S, constants.PEER_BODY
+        )
         if status != 200:
             raise NoAnswer(f"status {status}")
         try:
@@ -126,5 +135,6 @@
         if word.life != self.life:
             self.life = word.life
             self.put(("peer_new", self.peer))
-        self.put(("peer_alive", self.peer, word.life, word.state_age, word.cancelled, asked,
-                  word.until))
+        self.put(
+            ("peer_alive", self.peer, word.life, word.state_age, word.cancelled, asked, word.until)
+        )
--- a/oakmux/net/state.py
+++ b/oakmux/net/state.py
@@ -41,8 +41,9 @@
         self.writes = Line()
         self.count = 0
         self.next_borrow = 0.0
-        self.watch_gap = max(constants.WATCH_GAP_S,
-                             1.0 / (limits.rps * share * constants.WATCH_SHARE))
+        self.watch_gap = max(
+            constants.WATCH_GAP_S, 1.0 / (limits.rps * share * constants.WATCH_SHARE)
+        )
         self.tasks: set[asyncio.Task] = set()
         self.refused: set[tuple[int, str]] = set()
 
@@ -94,8 +95,9 @@
             # A user's change goes ahead of its share: behind an owner's transaction it waited
             # for up to two seconds. The next transaction waits so much longer.
             ahead = self.ahead.allowed(now) if priority <= 0 else 0.0
-            wait = max(self.requests.wait(now, 1),
-                       self.changes.wait(now, cost - ahead) if cost else 0.0)
+            wait = max(
+                self.requests.wait(now, 1), self.changes.wait(now, cost - ahead) if cost else 0.0
+            )
             if wait > 0:
                 self._borrow(now)
                 try:  # something more urgent may come meanwhile
@@ -152,11 +154,13 @@
             self.ahead.reset(asyncio.get_running_loop().time())
         self.put(("done", number, status, result))
 
-    async def _call(self, method: str, path: str, body: Any = None,
-                    timeout: float = constants.STATE_TIMEOUT_S) -> tuple[int, Any]:
+    async def _call(
+        self, method: str, path: str, body: Any = None, timeout: float = constants.STATE_TIMEOUT_S
+    ) -> tuple[int, Any]:
         data = b"" if body is None else wire.encode(body)
-        status, answer = await self.client.request(self.addr, method, path, data, timeout,
-                                                   constants.MAX_STATE_BODY)
+        status, answer = await self.client.request(
+            self.addr, method, path, data, timeout, constants.MAX_STATE_BODY
+        )
         if status == 503:
             return 503, None
         return status, wire.decode(answer) if answer else None
@@ -165,8 +169,11 @@
         body = wire.txn_body(guards, writes)
         status, answer = await self._call("POST", wire.PATH_TXN, body)
         if writes and log.isEnabledFor(logging.DEBUG):
-            log.debug("event=txn status=%s changes=%s", status,
-                      ",".join(write[0] if len(write) > 1 else f"-{write[0]}" for write in writes))
+            log.debug(
+                "event=txn status=%s changes=%s",
+                status,
+                ",".join(write[0] if len(write) > 1 else f"-{write[0]}" for write in writes),
+            )
         if status in (200, 409):
             return status, wire.parse_txn(answer)
         if status in (400, 429):
@@ -180,9 +187,15 @@
             return
         self.refused.add((status, key))
         size = max((value_bytes(write[1]) for write in writes if len(write) > 1), default=0)
-        log.error("event=txn_refused status=%s key=%s bytes=%s changes=%s conditions=%s why=%r",
-                  status, key, size, len(writes), len(guards),
-                  str(answer)[:constants.LOG_TEXT])
+        log.error(
+            "event=txn_refused status=%s key=%s bytes=%s changes=%s conditions=%s why=%r",
+            status,
+            key,
+            size,
+            len(writes),
+            len(guards),
+            str(answer)[: constants.LOG_TEXT],
+        )
 
     async def _get(self, key: str, _: int) -> tuple[int, Any]:
         status, answer = await self._call("GET", f"{wire.PATH_KV}/{quote(key)}")
@@ -217,10 +230,13 @@
                 if epoch is None:
                     epoch = await self._load()
                 asked = loop.time()
-                path = (f"{wire.PATH_WATCH}?prefix={PREFIX}&since={epoch}"
-                        f"&block_ms={int(constants.WATCH_BLOCK_S * 1000)}")
+                path = (
+                    f"{wire.PATH_WATCH}?prefix={PREFIX}&since={epoch}"
+                    f"&block_ms={int(constants.WATCH_BLOCK_S * 1000)}"
+                )
                 status, answer = await self._paced(
-                    path, constants.WATCH_BLOCK_S + constants.STATE_TIMEOUT_S)
+                    path, constants.WATCH_BLOCK_S + constants.STATE_TIMEOUT_S
+                )
                 if status == 200:
                     events, epoch = wire.parse_events(answer)
                     self.put(("watch", events, epoch, asked))
--- a/oakmux/net/users.py
+++ b/oakmux/net/users.py
@@ -22,13 +22,19 @@
 
     def refuse(self, request: Request, status: int, reason: str) -> None:
         """Answer an error at once."""
-        request.respond(status, wire.encode({"error": reason}),
-                        constants.RETRY_AFTER_S if status == 503 else None)
+        request.respond(
+            status,
+            wire.encode({"error": reason}),
+            constants.RETRY_AFTER_S if status == 503 else None,
+        )
 
     def answer(self, request: Request, status: int, answer: tuple) -> None:
         """Answer for the core."""
-        request.respond(status, wire.encode(wire.answer_body(answer)),
-                        constants.RETRY_AFTER_S if status == 503 else None)
+        request.respond(
+            status,
+            wire.encode(wire.answer_body(answer)),
+            constants.RETRY_AFTER_S if status == 503 else None,
+        )
 
     def _queue(self, request: Request, *command: object) -> None:
         if not self.put(command):
@@ -46,10 +52,13 @@
         elif path == wire.PATH_JOBS:
             self._route(request, "POST", lambda: self._submit(request))
         elif path.startswith(wire.PATH_JOBS + "/"):
-            rest = path[len(wire.PATH_JOBS) + 1:]
+            rest = path[len(wire.PATH_JOBS) + 1 :]
             if rest.endswith(wire.CANCEL):
-                self._route(request, "POST",
-                            lambda: self._job(request, "cancel", rest.removesuffix(wire.CANCEL)))
+                self._route(
+                    request,
+                    "POST",
+                    lambda: self._job(request, "cancel", rest.removesuffix(wire.CANCEL)),
+                )
             else:
                 self._route(request, "GET", lambda: self._job(request, "query", rest))
         else:
--- a/oakmux/net/workers.py
+++ b/oakmux/net/workers.py
@@ -16,14 +16,16 @@
         self.put = put
         self.client = Client(constants.WORKER_CONNECTIONS)
 
-    async def orders(self, op: int, addr: str, token: int, session: int,
-                     orders: list[dict]) -> None:
+    async def orders(
+        self, op: int, addr: str, token: int, session: int, orders: list[dict]
+    ) -> None:
         """Send orders: ok, refused, unsent (certainly nothing done) or lost (not known)."""
         outcome, report = "lost", None
         try:
             body = wire.encode(wire.orders_body(token, session, orders))
-            status, answer = await self.client.request(addr, "POST", wire.PATH_ORDERS, body,
-                                                       constants.ORDERS_TIMEOUT_S)
+            status, answer = await self.client.request(
+                addr, "POST", wire.PATH_ORDERS, body, constants.ORDERS_TIMEOUT_S
+            )
             if status in (200, 409):
                 report = wire.parse_report(wire.decode(answer))
                 outcome = "ok" if status == 200 else "refused"
--- a/oakmux/schedules/calendars.py
+++ b/oakmux/schedules/calendars.py
@@ -11,8 +11,12 @@
 from oakmux.schedules.turns import BadRule, Rule, check_recurrence
 
 KEPT = ("VEVENT", "VTODO")
-POLICY = {"X-OAKMUX-OVERLAP": "overlap", "X-OAKMUX-CATCH-UP": "catch_up",
-          "X-OAKMUX-WINDOW-S": "window_s", "X-OAKMUX-JITTER-S": "jitter_s"}
+POLICY = {
+    "X-OAKMUX-OVERLAP": "overlap",
+    "X-OAKMUX-CATCH-UP": "catch_up",
+    "X-OAKMUX-WINDOW-S": "window_s",
+    "X-OAKMUX-JITTER-S": "jitter_s",
+}
 
 
 class BadCalendar(ValueError):
@@ -47,7 +51,7 @@
     except (BadCalendar, BadRule, zones.UnknownZone) as error:
         raise BadCalendar(str(error)) from None
     except Exception as error:  # the parser's and its values' errors are of many kinds
-        raise BadCalendar(f"not iCalendar: {error!r}"[:constants.NOTE_TEXT]) from None
+        raise BadCalendar(f"not iCalendar: {error!r}"[: constants.NOTE_TEXT]) from None
 
 
 def _object(parsed: Any, components: list, zone: str) -> Object:
@@ -68,15 +72,27 @@
     first = _wall(start.dt, start.params, own, zone)
     recurrence = _recurrence(master, own, start.dt)
     check_recurrence(recurrence, first)
-    moved = tuple(sorted(_override(part, own, zone)
-                         for part in components if part is not master))
-    rule = Rule("calendar", own, recurrence, first, _walls(master, "RDATE", own, zone),
-                _walls(master, "EXDATE", own, zone), moved)
+    moved = tuple(sorted(_override(part, own, zone) for part in components if part is not master))
+    rule = Rule(
+        "calendar",
+        own,
+        recurrence,
+        first,
+        _walls(master, "RDATE", own, zone),
+        _walls(master, "EXDATE", own, zone),
+        moved,
+    )
     template = str(master.get("X-OAKMUX-TEMPLATE", "")).strip() or _category(master)
-    return Object(str(master["UID"]), master.name, rule, template, _policy(master),
-                  _deadline(master, first, own, zone),
-                  str(master.get("STATUS", "")).upper() in ("CANCELLED", "COMPLETED"),
-                  str(master.get("SUMMARY", ""))[:constants.NOTE_TEXT])
+    return Object(
+        str(master["UID"]),
+        master.name,
+        rule,
+        template,
+        _policy(master),
+        _deadline(master, first, own, zone),
+        str(master.get("STATUS", "")).upper() in ("CANCELLED", "COMPLETED"),
+        str(master.get("SUMMARY", ""))[: constants.NOTE_TEXT],
+    )
 
 
 def _zone(moment: date, params: Any, zone: str) -> str:
@@ -92,7 +108,7 @@
             return tried
         except zones.UnknownZone:
             continue
-    raise BadCalendar(f"TZID {name[:constants.LOG_TEXT]!r}: only zones of the tz database")
+    raise BadCalendar(f"TZID {name[: constants.LOG_TEXT]!r}: only zones of the tz database")
 
 
 def _wall(moment: date, params: Any, own: str, zone: str) -> int:
--- a/oakmux/schedules/clock.py
+++ b/oakmux/schedules/clock.py
@@ -175,8 +175,10 @@
         self.store.changed.clear()
         self._plan()
         # Without news from the state service nothing can be written, and what runs is not known.
-        if (not self.daytime.steady
-                or self.world.now - self.world.state_heard > constants.STATE_STALE_S):
+        if (
+            not self.daytime.steady
+            or self.world.now - self.world.state_heard > constants.STATE_STALE_S
+        ):
             return
         now_ms = self.daytime.now_ms()
         for _ in range(constants.DUE_PER_TICK):
@@ -197,8 +199,18 @@
     def _taken(self, stamp: int) -> None:
         """The role came or went: what was planned under it is void."""
         self.held = stamp
-        for held in (self.plans, self.heap, self.due, self.queued, self.to_plan, self.in_plan,
-                     self.flying, self.not_before, self.failed, self.tried):
+        for held in (
+            self.plans,
+            self.heap,
+            self.due,
+            self.queued,
+            self.to_plan,
+            self.in_plan,
+            self.flying,
+            self.not_before,
+            self.failed,
+            self.tried,
+        ):
             held.clear()
         if stamp:
             event("clock_taken", entries=len(self.store.entries))
@@ -226,7 +238,7 @@
             try:
                 plan = Plan(entry, slot)
             except Exception as error:  # one rule that fails must not hold up all others
-                event("turns_failed", entry=name, why=repr(error)[:constants.LOG_TEXT])
+                event("turns_failed", entry=name, why=repr(error)[: constants.LOG_TEXT])
                 continue
             plan.tries = self.tried.get(name, 0)
             self.plans[name] = plan
@@ -241,8 +253,9 @@
         may differ: none is early by the true time, even if ours is ahead by so much.
         """
         if plan.turn is not None:
-            heapq.heappush(self.heap, (self._due_ms(plan.entry, plan.turn), plan.entry.name,
-                                       id(plan)))
+            heapq.heappush(
+                self.heap, (self._due_ms(plan.entry, plan.turn), plan.entry.name, id(plan))
+            )
 
     def _due_ms(self, entry: Entry, turn: Turn) -> int:
         return policy.planned_ms(entry, turn) + math.ceil(self.world.facts.skew_ms)
@@ -256,17 +269,23 @@
     def live(self, entry: Entry, slot: Slot) -> list[Any]:
         """Return the jobs of the turns that the slot still knows."""
         jobs, steps = self.world.replica.jobs, self.store.steps(entry)
-        return [jobs[name] for row in slot.rows
-                for name in records.jobs_of(entry, row, steps) if name in jobs]
+        return [
+            jobs[name]
+            for row in slot.rows
+            for name in records.jobs_of(entry, row, steps)
+            if name in jobs
+        ]
 
     def _write(self, now_ms: int) -> None:
         """Write what is due, shard by shard, the most urgent first."""
         most = constants.TURNS_IN_FLIGHT - len(self.flying)
         if most <= 0 or not self.due:
             return
-        waiting = [(best, number) for number, best in self.due.best().items()
-                   if number not in self.flying
-                   and self.not_before.get(number, 0) <= self.world.now]
+        waiting = [
+            (best, number)
+            for number, best in self.due.best().items()
+            if number not in self.flying and self.not_before.get(number, 0) <= self.world.now
+        ]
         if not waiting:
             return
         first = min(waiting)[0][0]
@@ -281,8 +300,11 @@
                 try:
                     more = self._take(batch, plan, now_ms)
                 except Exception as error:  # as above: the others go on
-                    event("turns_failed", entry=plan.entry.name,
-                          why=repr(error)[:constants.LOG_TEXT])
+                    event(
+                        "turns_failed",
+                        entry=plan.entry.name,
+                        why=repr(error)[: constants.LOG_TEXT],
+                    )
                     self.due.pop(plan.entry.name)
                     continue
                 if not more:
@@ -319,15 +341,30 @@
                 made = policy.release(slot, plan.tries)
                 at, turn = waits, None
             elif turn is not None and self._due_ms(entry, turn) <= now_ms:
-                made = policy.decide(entry, slot, turn, plan.later, now_ms,
-                                     partial(self.busy, entry, slot), plan.tries)
+                made = policy.decide(
+                    entry,
+                    slot,
+                    turn,
+                    plan.later,
+                    now_ms,
+                    partial(self.busy, entry, slot),
+                    plan.tries,
+                )
                 at = turn.at
             else:
                 self.due.pop(entry.name)
                 return True
             if made.make and refusal is not None:
-                made = policy.Decision(slot.noted(made.slot.mark, 0 if waits else slot.pending, at,
-                                                  records.REFUSED, note=refusal), False)
+                made = policy.Decision(
+                    slot.noted(
+                        made.slot.mark,
+                        0 if waits else slot.pending,
+                        at,
+                        records.REFUSED,
+                        note=refusal,
+                    ),
+                    False,
+                )
             if not self._fits(batch, plan, made, at, now_ms):
                 return False
             slot = made.slot
@@ -367,8 +404,7 @@
             plan.slot, plan.run, plan.turn, plan.ahead = slot, again.run, again.turn, []
             return
 
-    def _fits(self, batch: Batch, plan: Plan, made: policy.Decision, at: int,
-              now_ms: int) -> bool:
+    def _fits(self, batch: Batch, plan: Plan, made: policy.Decision, at: int, now_ms: int) -> bool:
         """Add the jobs of a decision if there is room in the transaction."""
         limits = self.world.facts.state.least
         if not made.make:
@@ -379,8 +415,13 @@
         if made.replace:
             for job in self.live(entry, plan.slot):
                 if not job.final and job.ready and job.spec is not None:
-                    writes.append((job_key(job.id), job_value(
-                        "cancelled", job.team, job.spec, job.order, job.tasks), None))
+                    writes.append(
+                        (
+                            job_key(job.id),
+                            job_value("cancelled", job.team, job.spec, job.order, job.tasks),
+                            None,
+                        )
+                    )
                     guards[job_key(job.id)] = job.stamp
         if len(batch.writes) + len(writes) + 1 > limits.txn_ops:
             if batch.writes or batch.slots:
@@ -391,8 +432,15 @@
         batch.guards.update({key: guards[key] for key, *_ in writes})
         batch.guards.update(store.guards(records.template_key(entry.template)))
         batch.owners.update(dict.fromkeys(ids, entry.name))
-        batch.said.append({"entry": entry.name, "turn": at, "jobs": ",".join(ids),
-                           "late_ms": now_ms - at * 1000, "team": entry.team})
+        batch.said.append(
+            {
+                "entry": entry.name,
+                "turn": at,
+                "jobs": ",".join(ids),
+                "late_ms": now_ms - at * 1000,
+                "team": entry.team,
+            }
+        )
         return True
 
     def _send(self, batch: Batch) -> None:
@@ -401,8 +449,13 @@
         guards = {role_key(CLOCK): self.held, **self.store.guards(write[0]), **batch.guards}
         self.flying.add(number)
         held = self.held
-        self.world.call(lambda s, r: self._sent(batch, write[1], held, s, r), "txn",
-                        list(guards.items()), [write, *batch.writes], constants.TURN_RANK)
+        self.world.call(
+            lambda s, r: self._sent(batch, write[1], held, s, r),
+            "txn",
+            list(guards.items()),
+            [write, *batch.writes],
+            constants.TURN_RANK,
+        )
 
     def _sent(self, batch: Batch, value: list, held: int, status: int, result: Any) -> None:
         if held == self.held:
@@ -432,14 +485,18 @@
             (self.queued.add if plan.slot.pending else self.queued.discard)(name)
             self._arm(plan)
         if batch.said and not self.due:
-            event("turns_served", count=self.served, last=batch.said[-1]["entry"],
-                  late_ms=batch.said[-1]["late_ms"])
+            event(
+                "turns_served",
+                count=self.served,
+                last=batch.said[-1]["entry"],
+                late_ms=batch.said[-1]["late_ms"],
+            )
 
     def _failed(self, batch: Batch, status: int, result: Any) -> None:
         """Try turns again later. 409: the watch brings what was in the way. No answer: they may
         still be written late; then what we try again fails on the shard's version."""
         failures = self.failed.get(batch.shard, 0)
-        pause = min(constants.BACKOFF_MOST_S, constants.TURN_RETRY_S * 2 ** failures)
+        pause = min(constants.BACKOFF_MOST_S, constants.TURN_RETRY_S * 2**failures)
         self.failed[batch.shard] = min(failures + 1, 10)
         if status == 400:
             event("turns_refused", shard=batch.shard, jobs=len(batch.writes))
--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -50,16 +50,38 @@
 
 def policy_options(command: Any) -> Any:
     """Add the options that say what happens when turns meet or come late."""
-    for option in reversed((
-            click.option("--overlap", type=click.Choice(("skip", "queue", "allow", "replace")),
-                         default="skip", show_default=True,
-                         help="What a turn does while the one before still runs."),
-            click.option("--catch-up", type=click.Choice(("all", "last", "none")), default="all",
-                         show_default=True, help="Which turns of an outage are made after it."),
-            click.option("--window-s", type=int, default=3600, show_default=True,
-                         help="How late a turn may be made."),
-            click.option("--jitter-s", type=int, default=0, show_default=True,
-                         help="Spread entries over so much time, each always by the same."))):
+    for option in reversed(
+        (
+            click.option(
+                "--overlap",
+                type=click.Choice(("skip", "queue", "allow", "replace")),
+                default="skip",
+                show_default=True,
+                help="What a turn does while the one before still runs.",
+            ),
+            click.option(
+                "--catch-up",
+                type=click.Choice(("all", "last", "none")),
+                default="all",
+                show_default=True,
+                help="Which turns of an outage are made after it.",
+            ),
+            click.option(
+                "--window-s",
+                type=int,
+                default=3600,
+                show_default=True,
+                help="How late a turn may be made.",
+            ),
+            click.option(
+                "--jitter-s",
+                type=int,
+                default=0,
+                show_default=True,
+                help="Spread entries over so much time, each always by the same.",
+            ),
+        )
+    ):
         command = option(command)
     return command
 
@@ -130,9 +152,15 @@
 def template_list(context: Context, prefix: str) -> None:
     """Show templates whose names begin with PREFIX."""
     rows = call(context, "templates", prefix=prefix)["templates"]
-    context.show(rows, "\n".join(
-        f"{row['name']}: {', '.join(step[0] for step in row['steps'])} "
-        f"(used by {row['used_by']})" for row in rows) or "no templates")
+    context.show(
+        rows,
+        "\n".join(
+            f"{row['name']}: {', '.join(step[0] for step in row['steps'])} "
+            f"(used by {row['used_by']})"
+            for row in rows
+        )
+        or "no templates",
+    )
 
 
 @template.command("remove")
@@ -152,8 +180,9 @@
 @click.argument("name")
 @click.option("--title", default="")
 @click.option("--zone", default="UTC", show_default=True, help="Zone of times without one.")
-@click.option("--template", "usual", default="",
-              help="Template (TEAM/NAME) of events that name none.")
+@click.option(
+    "--template", "usual", default="", help="Template (TEAM/NAME) of events that name none."
+)
 @click.pass_obj
 def calendar_add(context: Context, name: str, title: str, zone: str, usual: str) -> None:
     """Add the calendar NAME (TEAM/NAME), or change it."""
@@ -167,9 +196,15 @@
 def calendar_list(context: Context, team: str) -> None:
     """Show a team's calendars."""
     rows = call(context, "calendars", team=team)["calendars"]
-    context.show(rows, "\n".join(f"{team}/{row['name']}: {row['title']} ({row['zone']}, template "
-                                 f"{row['template'] or 'none'})" for row in rows)
-                 or "no calendars")
+    context.show(
+        rows,
+        "\n".join(
+            f"{team}/{row['name']}: {row['title']} ({row['zone']}, template "
+            f"{row['template'] or 'none'})"
+            for row in rows
+        )
+        or "no calendars",
+    )
 
 
 @calendar.command("remove")
@@ -206,16 +241,32 @@
 @click.option("--note", default="")
 @policy_options
 @click.pass_obj
-def add(context: Context, name: str, text: str | None, moment: str | None, zone: str, what: str,
-        until: str | None, deadline_s: float | None, note: str, **given: Any) -> None:
+def add(
+    context: Context,
+    name: str,
+    text: str | None,
+    moment: str | None,
+    zone: str,
+    what: str,
+    until: str | None,
+    deadline_s: float | None,
+    note: str,
+    **given: Any,
+) -> None:
     """Store the entry NAME (TEAM/NAME), or change it. An edit counts from now on."""
     if (text is None) == (moment is None):
         fail("one of --cron and --at is needed", EXIT_BAD)
     rule: Any = {"cron": text, "zone": zone}
     if moment is not None:
         rule = ["calendar", zone, "", wall(moment)]
-    entry = {"name": name, "rule": rule, "template": what, "policy": policy(**given),
-             "note": note, "deadline_s": deadline_s}
+    entry = {
+        "name": name,
+        "rule": rule,
+        "template": what,
+        "policy": policy(**given),
+        "note": note,
+        "deadline_s": deadline_s,
+    }
     if until:
         zones = need("zones")
         try:
@@ -224,8 +275,9 @@
             fail(str(error), EXIT_BAD)
     answer = call(context, "put", entries=[entry])
     upcoming = call(context, "next", name=name, count=1)["turns"]
-    context.show(answer, f"{name}: stored, next turn "
-                         + (when(upcoming[0]) if upcoming else "never"))
+    context.show(
+        answer, f"{name}: stored, next turn " + (when(upcoming[0]) if upcoming else "never")
+    )
 
 
 def wall(text: str) -> int:
@@ -241,7 +293,7 @@
 
 def slug(text: str) -> str:
     """Return what of a text may stand in a name."""
-    return WORD.sub("-", text).strip("-")[:constants.SLUG_TEXT] or "entry"
+    return WORD.sub("-", text).strip("-")[: constants.SLUG_TEXT] or "entry"
 
 
 def qualified(team: str, name: str) -> str:
@@ -264,16 +316,26 @@
         """Return the entry of a line of a cron table; its name follows from what it says."""
         program = line.command.split()[0] if line.command.split() else ""
         team = self.users.get(line.user, self.team)
-        what = (self.commands.get(line.command) or self.commands.get(program)
-                or self.commands.get(Path(program).name)
-                or line.environment.get("OAKMUX_TEMPLATE") or self.usual
-                or slug(Path(program).stem))
+        what = (
+            self.commands.get(line.command)
+            or self.commands.get(program)
+            or self.commands.get(Path(program).name)
+            or line.environment.get("OAKMUX_TEMPLATE")
+            or self.usual
+            or slug(Path(program).stem)
+        )
         note = line.command + (f" <<< {line.stdin!r}" if line.stdin else "")
-        return {"name": self.name(team, Path(program).stem, "|".join(
-            (line.user, line.rule.text, line.rule.zone, line.command, line.stdin))),
+        return {
+            "name": self.name(
+                team,
+                Path(program).stem,
+                "|".join((line.user, line.rule.text, line.rule.zone, line.command, line.stdin)),
+            ),
             "rule": {"cron": line.rule.text, "zone": line.rule.zone},
-            "template": qualified(team, what), "policy": rules,
-            "note": note[:constants.NOTE_TEXT]}
+            "template": qualified(team, what),
+            "policy": rules,
+            "note": note[: constants.NOTE_TEXT],
+        }
 
     def name(self, team: str, word: str, text: str) -> str:
         """Return a name that stays the same as long as the line does."""
@@ -309,8 +371,9 @@
     return found
 
 
-def rows_of(file: str, importing: Importing, zone: str, system: bool,
-            rules: dict) -> tuple[list[tuple[str, dict]], list[str]]:
+def rows_of(
+    file: str, importing: Importing, zone: str, system: bool, rules: dict
+) -> tuple[list[tuple[str, dict]], list[str]]:
     """Return ([(where, entry)], [problem]) of a cron table or a calendar's file."""
     try:
         text = Path(file).read_text(encoding="utf-8")
@@ -323,12 +386,20 @@
                 problems.append(f"{file}: UID {uid}: {found}")
                 continue
             what = found.template or importing.usual or slug(found.note)
-            rows.append((f"UID {uid}", {
-                "name": importing.name(importing.team, found.note, uid),
-                "rule": wire.plain(found.rule), "policy": {**rules, **found.policy},
-                "template": qualified(importing.team, what),
-                "note": found.note, "deadline_s": found.deadline_s,
-                **({"paused": True} if found.off else {})}))
+            rows.append(
+                (
+                    f"UID {uid}",
+                    {
+                        "name": importing.name(importing.team, found.note, uid),
+                        "rule": wire.plain(found.rule),
+                        "policy": {**rules, **found.policy},
+                        "template": qualified(importing.team, what),
+                        "note": found.note,
+                        "deadline_s": found.deadline_s,
+                        **({"paused": True} if found.off else {}),
+                    },
+                )
+            )
         return rows, problems
     zones, crontab = need("zones"), need("crontab")
     try:
@@ -336,17 +407,20 @@
     except zones.UnknownZone as error:
         fail(str(error), EXIT_BAD)
     lines, bad = crontab.parse(text, zone, system)
-    return ([(f"line {line.number}", importing.entry(line, rules)) for line in lines],
-            [f"{file}: {problem.text}" for problem in bad])
+    return (
+        [(f"line {line.number}", importing.entry(line, rules)) for line in lines],
+        [f"{file}: {problem.text}" for problem in bad],
+    )
 
 
 def batches(rows: list, size: int) -> list[list]:
     """Cut a list."""
-    return [rows[n:n + size] for n in range(0, len(rows), size)]
+    return [rows[n : n + size] for n in range(0, len(rows), size)]
 
 
-def checked(context: Context, file: str,
-            rows: list[tuple[str, dict]]) -> tuple[list[dict], list[str]]:
+def checked(
+    context: Context, file: str, rows: list[tuple[str, dict]]
+) -> tuple[list[dict], list[str]]:
     """Let the controllers check entries; return the good ones and the problems found."""
     good: list[dict] = []
     problems: list[str] = []
@@ -360,12 +434,21 @@
     return good, problems
 
 
-def importer(context: Context, file: str, team: str, prefix: str | None, usual: str | None,
-             mapping: str | None, zone: str, system: bool, **given: Any
-             ) -> tuple[list[dict], list[str], str]:
+def importer(
+    context: Context,
+    file: str,
+    team: str,
+    prefix: str | None,
+    usual: str | None,
+    mapping: str | None,
+    zone: str,
+    system: bool,
+    **given: Any,
+) -> tuple[list[dict], list[str], str]:
     """Read and check a file; returns entries, problems and how their names begin."""
-    importing = Importing(team, prefix or slug(Path(file).stem), usual,
-                          read_toml(mapping) if mapping else {})
+    importing = Importing(
+        team, prefix or slug(Path(file).stem), usual, read_toml(mapping) if mapping else {}
+    )
     rows, problems = rows_of(file, importing, zone, system, policy(**given))
     good, more = checked(context, file, rows)
     return good, problems + more, f"{team}/{importing.prefix}."
@@ -373,17 +456,31 @@
 
 def import_options(command: Any) -> Any:
     """Add the options of `import` and `check`."""
-    for option in reversed((
+    for option in reversed(
+        (
             click.argument("file", type=click.Path()),
             click.option("--team", required=True, help="Team of the entries."),
-            click.option("--template", "usual",
-                         help="Template of lines that name none; else the command's own name."),
-            click.option("--map", "mapping", type=click.Path(),
-                         help="TOML: [commands] command = template, [users] user = team."),
+            click.option(
+                "--template",
+                "usual",
+                help="Template of lines that name none; else the command's own name.",
+            ),
+            click.option(
+                "--map",
+                "mapping",
+                type=click.Path(),
+                help="TOML: [commands] command = template, [users] user = team.",
+            ),
             click.option("--prefix", help="How the entries' names begin (default: the file's)."),
-            click.option("--zone", default="UTC", show_default=True,
-                         help="Zone of lines without CRON_TZ or TZ, and of floating times."),
-            click.option("--system", is_flag=True, help="The table has a column for the user."))):
+            click.option(
+                "--zone",
+                default="UTC",
+                show_default=True,
+                help="Zone of lines without CRON_TZ or TZ, and of floating times.",
+            ),
+            click.option("--system", is_flag=True, help="The table has a column for the user."),
+        )
+    ):
         command = option(command)
     return command
 
@@ -391,8 +488,9 @@
 @schedule.command("import")
 @import_options
 @click.option("--skip-bad", is_flag=True, help="Store the good entries, say what is left out.")
-@click.option("--prune", is_flag=True,
-              help="Remove entries of an earlier import that the file has no more.")
+@click.option(
+    "--prune", is_flag=True, help="Remove entries of an earlier import that the file has no more."
+)
 @policy_options
 @click.pass_obj
 def import_file(context: Context, skip_bad: bool, prune: bool, **given: Any) -> None:
@@ -414,10 +512,10 @@
         removed = [row["name"] for row in all_rows(context, begin) if row["name"] not in kept]
         for name in removed:
             call(context, "remove", name=name)
-    context.show({"stored": [entry["name"] for entry in entries], "left_out": problems,
-                  "removed": removed},
-                 f"{len(entries)} entries stored, {len(problems)} left out, "
-                 f"{len(removed)} removed")
+    context.show(
+        {"stored": [entry["name"] for entry in entries], "left_out": problems, "removed": removed},
+        f"{len(entries)} entries stored, {len(problems)} left out, {len(removed)} removed",
+    )
 
 
 @schedule.command()
@@ -427,8 +525,10 @@
 def check(context: Context, **given: Any) -> None:
     """Check a cron table or an iCalendar FILE as `import` does, and store nothing."""
     entries, problems, _ = importer(context, **given)
-    context.show({"good": [entry["name"] for entry in entries], "problems": problems},
-                 "\n".join([*problems, f"{len(entries)} good, {len(problems)} bad"]))
+    context.show(
+        {"good": [entry["name"] for entry in entries], "problems": problems},
+        "\n".join([*problems, f"{len(entries)} good, {len(problems)} bad"]),
+    )
     if problems:
         sys.exit(EXIT_BAD)
 
@@ -449,12 +549,22 @@
 def list_entries(context: Context, prefix: str) -> None:
     """Show entries whose names begin with PREFIX (like a team and a slash)."""
     rows = all_rows(context, prefix)
-    context.show(rows, "\n".join(
-        f"{row['name']}: {row['rule']} {row['zone']} -> {row['template']}, "
-        + ("paused" if row["paused"] else
-           f"next {when(row['next'][0])}" if row["next"] else "no turns to come")
-        + (f", last {row['last']['outcome']}" if row["last"] else "") for row in rows)
-        or "no entries")
+    context.show(
+        rows,
+        "\n".join(
+            f"{row['name']}: {row['rule']} {row['zone']} -> {row['template']}, "
+            + (
+                "paused"
+                if row["paused"]
+                else f"next {when(row['next'][0])}"
+                if row["next"]
+                else "no turns to come"
+            )
+            + (f", last {row['last']['outcome']}" if row["last"] else "")
+            for row in rows
+        )
+        or "no entries",
+    )
 
 
 @schedule.command()
@@ -463,8 +573,10 @@
 def show(context: Context, name: str) -> None:
     """Show all that an entry says."""
     answer = call(context, "show", name=name)
-    context.show(answer, "\n".join(f"{key}: {value}" for key, value in answer.items()
-                                   if key != "rule_record"))
+    context.show(
+        answer,
+        "\n".join(f"{key}: {value}" for key, value in answer.items() if key != "rule_record"),
+    )
 
 
 @schedule.command("next")
@@ -486,10 +598,15 @@
 def history(context: Context, name: str) -> None:
     """Show the last turns, what became of each, and their jobs."""
     rows = call(context, "history", name=name)["turns"]
-    context.show(rows, "\n".join(
-        f"{row['local']}  {row['outcome']}{' ' + row['note'] if row['note'] else ''}"
-        + "".join(f"  {job}: {state}" for job, state in row["jobs"].items()) for row in rows)
-        or "no turns yet")
+    context.show(
+        rows,
+        "\n".join(
+            f"{row['local']}  {row['outcome']}{' ' + row['note'] if row['note'] else ''}"
+            + "".join(f"  {job}: {state}" for job, state in row["jobs"].items())
+            for row in rows
+        )
+        or "no turns yet",
+    )
 
 
 @schedule.command()
@@ -539,14 +656,15 @@
     year = need("replay.year")
     zones = need("zones")
     result = year.replay(entries, days, seed, zones.instant(wall(start), "UTC"))
-    text = [f"{result.entries} entries, {days} days from {start}, seed {seed}: "
-            f"{result.turns} turns, {result.made} made, {result.skipped} skipped since the one "
-            f"before ran; {result.seconds:.0f} s",
-            "troubles: " + ", ".join(f"{n} {name}" for name, n in result.troubles.items()),
-            "late (ms): " + ", ".join(f"{name} {value:.0f}"
-                                      for name, value in result.late_ms.items()),
-            f"lost {len(result.lost)}, besides {len(result.besides)}, doubled "
-            f"{len(result.doubled)}, early {result.early}"]
+    text = [
+        f"{result.entries} entries, {days} days from {start}, seed {seed}: "
+        f"{result.turns} turns, {result.made} made, {result.skipped} skipped since the one "
+        f"before ran; {result.seconds:.0f} s",
+        "troubles: " + ", ".join(f"{n} {name}" for name, n in result.troubles.items()),
+        "late (ms): " + ", ".join(f"{name} {value:.0f}" for name, value in result.late_ms.items()),
+        f"lost {len(result.lost)}, besides {len(result.besides)}, doubled "
+        f"{len(result.doubled)}, early {result.early}",
+    ]
     text += [*result.lost[:5], *result.besides[:5], *result.doubled[:5]]
     context.show({**result._asdict(), "good": result.good}, "\n".join(text))
     if not result.good:
@@ -555,17 +673,26 @@
 
 @schedule.command()
 @click.option("--entries", default=5000, show_default=True)
-@click.option("--rate", default=75.0, show_default=True,
-              help="Changes a second at the state service that turns may use.")
+@click.option(
+    "--rate",
+    default=75.0,
+    show_default=True,
+    help="Changes a second at the state service that turns may use.",
+)
 @click.option("--seed", default=1, show_default=True)
 @click.pass_obj
 def burst(context: Context, entries: int, rate: float, seed: int) -> None:
     """Measure many turns due in one second, on the same model as `replay`."""
     year = need("replay.year")
     found = year.burst(entries, rate, seed, need("zones").instant(wall("2026-06-01"), "UTC"))
-    context.show(found._asdict(), (
-        f"{found.made} of {found.entries} turns made at {found.rate:g} changes/s: the last "
-        f"{found.last_late_s:.1f} s late, the last urgent one {found.urgent_late_s:.1f} s; "
-        f"{found.changes_a_turn:.2f} changes a turn\n"
-        f"ticks (ms): " + ", ".join(f"{k} {v:.1f}" for k, v in found.tick_ms.items())
-        + f"; planned in {found.plan_s:.2f} s of processor time"))
+    context.show(
+        found._asdict(),
+        (
+            f"{found.made} of {found.entries} turns made at {found.rate:g} changes/s: the last "
+            f"{found.last_late_s:.1f} s late, the last urgent one {found.urgent_late_s:.1f} s; "
+            f"{found.changes_a_turn:.2f} changes a turn\n"
+            f"ticks (ms): "
+            + ", ".join(f"{k} {v:.1f}" for k, v in found.tick_ms.items())
+            + f"; planned in {found.plan_s:.2f} s of processor time"
+        ),
+    )
--- a/oakmux/schedules/crontab.py
+++ b/oakmux/schedules/crontab.py
@@ -16,15 +16,33 @@
 from oakmux.schedules.turns import BadRule, Rule, cron_rule
 from oakmux.schedules.zones import UnknownZone, zone
 
-FIELDS = (("minute", 0, 59), ("hour", 0, 23), ("day of month", 1, 31), ("month", 1, 12),
-          ("day of week", 0, 7))
+FIELDS = (
+    ("minute", 0, 59),
+    ("hour", 0, 23),
+    ("day of month", 1, 31),
+    ("month", 1, 12),
+    ("day of week", 0, 7),
+)
 MONTHS = "jan feb mar apr may jun jul aug sep oct nov dec".split()
 DAYS = "sun mon tue wed thu fri sat".split()
 ZONE_NAMES = ("CRON_TZ", "TZ")
-PLAIN = {"_WS": "a blank", "NUMBER": "a number", "WORD": "a name", "STAR": "'*'", "SLASH": "'/'",
-         "MINUS": "'-'", "COMMA": "','", "REST": "a command", "ALIAS": "@...", "NAME": "NAME=",
-         "EQUAL": "=", "$END": "the end of the line", "DOUBLE": '"...', "SINGLE": "'...",
-         "BARE": "a value"}
+PLAIN = {
+    "_WS": "a blank",
+    "NUMBER": "a number",
+    "WORD": "a name",
+    "STAR": "'*'",
+    "SLASH": "'/'",
+    "MINUS": "'-'",
+    "COMMA": "','",
+    "REST": "a command",
+    "ALIAS": "@...",
+    "NAME": "NAME=",
+    "EQUAL": "=",
+    "$END": "the end of the line",
+    "DOUBLE": '"...',
+    "SINGLE": "'...",
+    "BARE": "a value",
+}
 
 
 class Line(NamedTuple):
@@ -57,8 +75,9 @@
     return Lark(text, start="line", parser="lalr", maybe_placeholders=False)
 
 
-def parse(text: str, default_zone: str = "UTC",
-          system: bool = False) -> tuple[list[Line], list[Problem]]:
+def parse(
+    text: str, default_zone: str = "UTC", system: bool = False
+) -> tuple[list[Line], list[Problem]]:
     """Return a table's entries and its problems; `system` tables have a column for the user.
 
     Environment lines hold from where they stand. Neither list is ever a stand-in for the other:
@@ -105,8 +124,9 @@
         yield start, held
 
 
-def _line(raw: str, number: int, default_zone: str, system: bool,
-          environment: dict[str, str]) -> Line | dict[str, str]:
+def _line(
+    raw: str, number: int, default_zone: str, system: bool, environment: dict[str, str]
+) -> Line | dict[str, str]:
     try:
         tree = _grammar().parse(raw)
     except UnexpectedInput as error:
@@ -117,8 +137,9 @@
     assert isinstance(found, Tree)
     if found.data == "environment":
         return _environment(found)
-    zone_name = next((environment[name] for name in ZONE_NAMES if name in environment),
-                     default_zone)
+    zone_name = next(
+        (environment[name] for name in ZONE_NAMES if name in environment), default_zone
+    )
     rest = found.children[-1]
     assert isinstance(rest, Tree) and isinstance(rest.children[0], Token)
     user, command, stdin = _command(rest.children[0], system)
@@ -156,8 +177,7 @@
 
 def _without_empty(environment: dict[str, str]) -> dict[str, str]:
     """Return what is set; an empty zone means the usual one again."""
-    return {name: text for name, text in environment.items()
-            if text or name not in ZONE_NAMES}
+    return {name: text for name, text in environment.items() if text or name not in ZONE_NAMES}
 
 
 def _command(token: Token, system: bool) -> tuple[str, str, str]:
@@ -165,8 +185,9 @@
     text, user = str(token), ""
     column = token.column or 1
     if system:
-        user, _, text = text.partition(" ") if "\t" not in text.split(" ")[0] else (
-            text.partition("\t"))
+        user, _, text = (
+            text.partition(" ") if "\t" not in text.split(" ")[0] else (text.partition("\t"))
+        )
         text = text.strip()
         if not text:
             raise _Bad(column + len(user), "expected a command after the user")
@@ -182,9 +203,12 @@
         try:
             return cron_rule(str(first), zone_name)
         except BadRule as error:
-            raise _Bad(first.column or 1, f"{first}: {error}".removeprefix(
-                f"{first}: {first}: ") if str(error).startswith("@") else
-                f"unknown alias {first}") from None
+            raise _Bad(
+                first.column or 1,
+                f"{first}: {error}".removeprefix(f"{first}: {first}: ")
+                if str(error).startswith("@")
+                else f"unknown alias {first}",
+            ) from None
     parts = []
     for field, (name, low, high) in zip(tree.children[:5], FIELDS, strict=True):
         assert isinstance(field, Tree)
@@ -209,8 +233,11 @@
         assert isinstance(base, Tree)
         text, ends = "*", []
         if not isinstance(base.children[0], Token):
-            ends = [_value(item.children[0], name, low, high) for item in base.children
-                    if isinstance(item, Tree)]
+            ends = [
+                _value(item.children[0], name, low, high)
+                for item in base.children
+                if isinstance(item, Tree)
+            ]
             text = "-".join(str(end) for end in ends)
             if name == "day of week" and len(ends) == 2 and not ends[1]:
                 ends[1] = 7  # sat-sun
