--- a/oakmux/schedules/dav/protocol.py
+++ b/oakmux/schedules/dav/protocol.py
@@ -7,9 +7,18 @@
 from oakmux import constants
 from oakmux.net.http import REASONS, Request, ServerProtocol
 
-PHRASES = {**REASONS, 204: "No Content", 207: "Multi-Status", 301: "Moved Permanently",
-           401: "Unauthorized", 403: "Forbidden", 410: "Gone", 412: "Precondition Failed",
-           413: "Content Too Large", 501: "Not Implemented"}
+PHRASES = {
+    **REASONS,
+    204: "No Content",
+    207: "Multi-Status",
+    301: "Moved Permanently",
+    401: "Unauthorized",
+    403: "Forbidden",
+    410: "Gone",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    501: "Not Implemented",
+}
 
 
 class DavRequest(Request):
@@ -17,8 +26,15 @@
 
     __slots__ = ("headers",)
 
-    def __init__(self, method: str, path: str, body: bytes, too_large: bool,
-                 conn: "DavProtocol", headers: dict[str, str]) -> None:
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        too_large: bool,
+        conn: "DavProtocol",
+        headers: dict[str, str],
+    ) -> None:
         super().__init__(method, path, body, too_large, conn)
         self.headers = headers
 
@@ -49,8 +65,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self.header_bytes += len(name) + len(value)
-        if (self.header_bytes > constants.DAV_HEADER_BYTES
-                or len(self.headers) >= constants.DAV_HEADERS):
+        if (
+            self.header_bytes > constants.DAV_HEADER_BYTES
+            or len(self.headers) >= constants.DAV_HEADERS
+        ):
             raise httptools.HttpParserError("too many headers")
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
@@ -68,9 +86,11 @@
         if self.transport is None or self.current is not request:
             return
         self.current = None
-        lines = [f"HTTP/1.1 {status} {PHRASES.get(status, 'Status')}",
-                 f"Content-Length: {len(body)}",
-                 *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())]
+        lines = [
+            f"HTTP/1.1 {status} {PHRASES.get(status, 'Status')}",
+            f"Content-Length: {len(body)}",
+            *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
+        ]
         if not self.keep:
             lines.append("Connection: close")
         head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
--- a/oakmux/schedules/dav/serve.py
+++ b/oakmux/schedules/dav/serve.py
@@ -27,8 +27,17 @@
 SYNC = "urn:oakmux:sync:"
 # Properties whose texts can be looked for.
 TEXTS = ("UID", "SUMMARY")
-METHODS = ("OPTIONS", "PROPFIND", "PROPPATCH", "REPORT", "GET", "HEAD", "PUT", "DELETE",
-           "MKCALENDAR")
+METHODS = (
+    "OPTIONS",
+    "PROPFIND",
+    "PROPPATCH",
+    "REPORT",
+    "GET",
+    "HEAD",
+    "PUT",
+    "DELETE",
+    "MKCALENDAR",
+)
 ALLOWED = {"DAV": "1, 3, calendar-access", "Allow": ", ".join(METHODS)}
 XML = {"Content_Type": 'application/xml; charset="utf-8"'}
 CALENDAR_TYPE = "text/calendar; charset=utf-8"
@@ -64,17 +73,26 @@
         self.tokens = tokens
         self.tasks: set[asyncio.Task] = set()
         self.methods: dict[str, Callable] = {
-            "PROPFIND": self._propfind, "PROPPATCH": self._proppatch, "REPORT": self._report,
-            "GET": self._get, "HEAD": self._get, "PUT": self._put, "DELETE": self._delete,
-            "MKCALENDAR": self._mkcalendar}
+            "PROPFIND": self._propfind,
+            "PROPPATCH": self._proppatch,
+            "REPORT": self._report,
+            "GET": self._get,
+            "HEAD": self._get,
+            "PUT": self._put,
+            "DELETE": self._delete,
+            "MKCALENDAR": self._mkcalendar,
+        }
 
     async def listen(self, addr: str, context: ssl.SSLContext | None, limit: int) -> Any:
         """Open the listener; returns the server."""
         live: set[ServerProtocol] = set()
         host, port = settings.split_addr(addr)
         server = await asyncio.get_running_loop().create_server(
-            lambda: DavProtocol(self.handle, live, limit, constants.DAV_BODY), host, port,
-            ssl=context)
+            lambda: DavProtocol(self.handle, live, limit, constants.DAV_BODY),
+            host,
+            port,
+            ssl=context,
+        )
         log.info("event=caldav_listening addr=%s tls=%s", addr, context is not None)
         return server
 
@@ -147,36 +165,49 @@
 
     def _team_props(self, team: str) -> dict[str, Prop]:
         home = (href(f"{ROOT}{team}/"),)
-        return {DAV + "resourcetype": Prop("", (element(DAV + "collection"),
-                                                element(DAV + "principal"))),
-                DAV + "displayname": Prop(team),
-                DAV + "current-user-principal": Prop("", home),
-                DAV + "principal-URL": Prop("", home),
-                DAV + "owner": Prop("", home),
-                CAL + "calendar-home-set": Prop("", home)}
+        return {
+            DAV + "resourcetype": Prop(
+                "", (element(DAV + "collection"), element(DAV + "principal"))
+            ),
+            DAV + "displayname": Prop(team),
+            DAV + "current-user-principal": Prop("", home),
+            DAV + "principal-URL": Prop("", home),
+            DAV + "owner": Prop("", home),
+            CAL + "calendar-home-set": Prop("", home),
+        }
 
     def _calendar_props(self, team: str, title: str, epoch: int) -> dict[str, Prop]:
-        reports = [element(DAV + "supported-report", "", element(
-            DAV + "report", "", element(tag))) for tag in
-            (CAL + "calendar-query", CAL + "calendar-multiget", DAV + "sync-collection")]
-        rights = [element(DAV + "privilege", "", element(DAV + name))
-                  for name in ("read", "write", "bind", "unbind")]
-        return {DAV + "resourcetype": Prop("", (element(DAV + "collection"),
-                                                element(CAL + "calendar"))),
-                DAV + "displayname": Prop(title),
-                DAV + "current-user-principal": Prop("", (href(f"{ROOT}{team}/"),)),
-                DAV + "owner": Prop("", (href(f"{ROOT}{team}/"),)),
-                DAV + "sync-token": Prop(f"{SYNC}{epoch}"),
-                CS + "getctag": Prop(f"{SYNC}{epoch}"),
-                DAV + "supported-report-set": Prop("", tuple(reports)),
-                DAV + "current-user-privilege-set": Prop("", tuple(rights)),
-                CAL + "supported-calendar-component-set": Prop("", tuple(
-                    _component(name) for name in calendars.KEPT)),
-                CAL + "max-resource-size": Prop(str(constants.DAV_BODY))}
+        reports = [
+            element(DAV + "supported-report", "", element(DAV + "report", "", element(tag)))
+            for tag in (CAL + "calendar-query", CAL + "calendar-multiget", DAV + "sync-collection")
+        ]
+        rights = [
+            element(DAV + "privilege", "", element(DAV + name))
+            for name in ("read", "write", "bind", "unbind")
+        ]
+        return {
+            DAV + "resourcetype": Prop(
+                "", (element(DAV + "collection"), element(CAL + "calendar"))
+            ),
+            DAV + "displayname": Prop(title),
+            DAV + "current-user-principal": Prop("", (href(f"{ROOT}{team}/"),)),
+            DAV + "owner": Prop("", (href(f"{ROOT}{team}/"),)),
+            DAV + "sync-token": Prop(f"{SYNC}{epoch}"),
+            CS + "getctag": Prop(f"{SYNC}{epoch}"),
+            DAV + "supported-report-set": Prop("", tuple(reports)),
+            DAV + "current-user-privilege-set": Prop("", tuple(rights)),
+            CAL + "supported-calendar-component-set": Prop(
+                "", tuple(_component(name) for name in calendars.KEPT)
+            ),
+            CAL + "max-resource-size": Prop(str(constants.DAV_BODY)),
+        }
 
     def _object_props(self, row: dict, data: bool) -> dict[str, Prop]:
-        found = {DAV + "resourcetype": Prop(), DAV + "getetag": Prop(f'"{row["etag"]}"'),
-                 DAV + "getcontenttype": Prop(CALENDAR_TYPE)}
+        found = {
+            DAV + "resourcetype": Prop(),
+            DAV + "getetag": Prop(f'"{row["etag"]}"'),
+            DAV + "getcontenttype": Prop(CALENDAR_TYPE),
+        }
         if data:
             found[CAL + "calendar-data"] = Prop(row["text"])
         return found
@@ -194,22 +225,29 @@
             if parts:
                 answer.found(home, self._team_props(team), names)
             else:
-                props = {**self._team_props(team), DAV + "resourcetype": Prop("", (
-                    element(DAV + "collection"),)), DAV + "displayname": Prop("oakmux")}
+                props = {
+                    **self._team_props(team),
+                    DAV + "resourcetype": Prop("", (element(DAV + "collection"),)),
+                    DAV + "displayname": Prop("oakmux"),
+                }
                 answer.found(ROOT, props, names)
                 if deep:
                     answer.found(home, self._team_props(team), names)
             if parts and deep:
                 body = await self._ask("calendars", team=team)
                 for row in body["calendars"]:
-                    answer.found(f"{home}{quote(row['name'])}/", self._calendar_props(
-                        team, row["title"], body["epoch"]), names)
+                    answer.found(
+                        f"{home}{quote(row['name'])}/",
+                        self._calendar_props(team, row["title"], body["epoch"]),
+                        names,
+                    )
         else:
             await self._propfind_calendar(answer, names, deep, parts)
         request.reply(207, answer.body(), **XML)
 
-    async def _propfind_calendar(self, answer: Multistatus, names: list[str] | None, deep: bool,
-                                 parts: list[str]) -> None:
+    async def _propfind_calendar(
+        self, answer: Multistatus, names: list[str] | None, deep: bool, parts: list[str]
+    ) -> None:
         calendar = "/".join(parts[:2])
         if len(parts) == 3:
             body = await self._ask("objects", calendar=calendar, names=[parts[2]])
@@ -219,23 +257,34 @@
             answer.found(_path(calendar, parts[2]), self._object_props(row, False), names)
             return
         body = await self._ask("objects", calendar=calendar, **({} if deep else {"names": []}))
-        answer.found(_path(calendar), self._calendar_props(
-            parts[0], body["title"], body["epoch"]), names)
+        answer.found(
+            _path(calendar), self._calendar_props(parts[0], body["title"], body["epoch"]), names
+        )
         for row in body["objects"]:
             answer.found(_path(calendar, row["name"]), self._object_props(row, False), names)
 
     async def _proppatch(self, request: DavRequest, team: str, parts: list[str]) -> None:
         """Change a calendar's title; all other properties stand as they are."""
         root = xml.read(request.body, DAV + "propertyupdate")
-        found = {child.tag: child.text or "" for block in root for props in block
-                 for child in props if isinstance(child.tag, str)}
+        found = {
+            child.tag: child.text or ""
+            for block in root
+            for props in block
+            for child in props
+            if isinstance(child.tag, str)
+        }
         answer = Multistatus()
         path = _path(*parts[:2]) if len(parts) < 3 else _path("/".join(parts[:2]), parts[2])
         if len(parts) == 2 and set(found) == {DAV + "displayname"}:
             calendar = "/".join(parts)
             body = await self._ask("objects", calendar=calendar, names=[])
-            await self._ask("calendar", name=calendar, title=found[DAV + "displayname"],
-                            zone=body["zone"], template=body["template"])
+            await self._ask(
+                "calendar",
+                name=calendar,
+                title=found[DAV + "displayname"],
+                zone=body["zone"],
+                template=body["template"],
+            )
             answer.found(_path(calendar), {DAV + "displayname": Prop()}, None)
         else:
             answer.refused(path, list(found))
@@ -246,8 +295,13 @@
     async def _report(self, request: DavRequest, team: str, parts: list[str]) -> None:
         if len(parts) != 2:
             raise Failed(403, xml.error(DAV + "supported-report"), **XML)
-        root = xml.read(request.body, CAL + "calendar-query", CAL + "calendar-multiget",
-                        DAV + "sync-collection", CAL + "free-busy-query")
+        root = xml.read(
+            request.body,
+            CAL + "calendar-query",
+            CAL + "calendar-multiget",
+            DAV + "sync-collection",
+            CAL + "free-busy-query",
+        )
         names = xml.wanted(root) or []
         calendar = "/".join(parts)
         answer = Multistatus()
@@ -257,10 +311,14 @@
             paths = [unquote(child.text or "") for child in root.findall(DAV + "href")]
             if len(paths) > constants.CALENDAR_OBJECTS:
                 raise Failed(413)
-            wanted = {path: path.rpartition("/")[2] for path in paths
-                      if path.rpartition("/")[0] == f"{ROOT}{calendar}"}
-            body = await self._ask("objects", calendar=calendar, text=data,
-                                   names=list(wanted.values()))
+            wanted = {
+                path: path.rpartition("/")[2]
+                for path in paths
+                if path.rpartition("/")[0] == f"{ROOT}{calendar}"
+            }
+            body = await self._ask(
+                "objects", calendar=calendar, text=data, names=list(wanted.values())
+            )
             for path in paths:
                 if path not in wanted:
                     answer.gone(quote(path))
@@ -269,9 +327,15 @@
         elif root.tag == DAV + "sync-collection":
             body = await self._since(calendar, (root.findtext(DAV + "sync-token") or "").strip())
             if data:
-                body = {**await self._ask("objects", calendar=calendar, text=True,
-                                          names=[row["name"] for row in body["objects"]]),
-                        "epoch": body["epoch"]}
+                body = {
+                    **await self._ask(
+                        "objects",
+                        calendar=calendar,
+                        text=True,
+                        names=[row["name"] for row in body["objects"]],
+                    ),
+                    "epoch": body["epoch"],
+                }
             token = f"{SYNC}{body['epoch']}"
         else:
             raise Failed(403, xml.error(DAV + "supported-report"), **XML)
@@ -300,13 +364,15 @@
     async def _get(self, request: DavRequest, team: str, parts: list[str]) -> None:
         if len(parts) != 3:
             raise Failed(405, **ALLOWED)
-        body = await self._ask("objects", calendar="/".join(parts[:2]), names=[parts[2]],
-                               text=True)
+        body = await self._ask(
+            "objects", calendar="/".join(parts[:2]), names=[parts[2]], text=True
+        )
         row = body["objects"][0]
         if row["etag"] is None:
             raise Failed(404)
-        request.reply(200, row["text"].encode(), ETag=f'"{row["etag"]}"',
-                      Content_Type=CALENDAR_TYPE)
+        request.reply(
+            200, row["text"].encode(), ETag=f'"{row["etag"]}"', Content_Type=CALENDAR_TYPE
+        )
 
     async def _put(self, request: DavRequest, team: str, parts: list[str]) -> None:
         if len(parts) != 3:
@@ -326,19 +392,33 @@
         if template and "/" not in template:
             template = f"{team}/{template}"
         etag = hashlib.blake2b(request.body, digest_size=12).hexdigest()
-        entry = {"name": "/".join(parts), "rule": wire.plain(made.rule), "template": template,
-                 "policy": made.policy, "deadline_s": made.deadline_s, "paused": made.off,
-                 "note": made.note, "etag": etag, "component": made.component,
-                 "uid": made.uid}
+        entry = {
+            "name": "/".join(parts),
+            "rule": wire.plain(made.rule),
+            "template": template,
+            "policy": made.policy,
+            "deadline_s": made.deadline_s,
+            "paused": made.off,
+            "note": made.note,
+            "etag": etag,
+            "component": made.component,
+            "uid": made.uid,
+        }
         match = _tag(request.headers.get("if-match", ""))
-        await self._ask("put", entries=[entry], text=text, if_match=match,
-                        if_absent=request.headers.get("if-none-match", "").strip() == "*")
+        await self._ask(
+            "put",
+            entries=[entry],
+            text=text,
+            if_match=match,
+            if_absent=request.headers.get("if-none-match", "").strip() == "*",
+        )
         request.reply(201 if not match else 204, ETag=f'"{etag}"')
 
     async def _delete(self, request: DavRequest, team: str, parts: list[str]) -> None:
         if len(parts) == 3:
-            await self._ask("remove", name="/".join(parts),
-                            if_match=_tag(request.headers.get("if-match", "")))
+            await self._ask(
+                "remove", name="/".join(parts), if_match=_tag(request.headers.get("if-match", ""))
+            )
         elif len(parts) == 2:
             await self._ask("calendar-remove", name="/".join(parts))
         else:
--- a/oakmux/schedules/dav/xml.py
+++ b/oakmux/schedules/dav/xml.py
@@ -69,8 +69,10 @@
         asked = list(have) if names is None else names
         response = SubElement(self.root, DAV + "response")
         response.append(href(path))
-        for status, tags in (("200 OK", [tag for tag in asked if tag in have]),
-                             ("404 Not Found", [tag for tag in asked if tag not in have])):
+        for status, tags in (
+            ("200 OK", [tag for tag in asked if tag in have]),
+            ("404 Not Found", [tag for tag in asked if tag not in have]),
+        ):
             if not tags and (status != "200 OK" or asked):
                 continue
             stat = SubElement(response, DAV + "propstat")
--- a/oakmux/schedules/desk.py
+++ b/oakmux/schedules/desk.py
@@ -55,13 +55,24 @@
         self.shows = Shows(world, store)
         self.again: list[tuple[float, Callable[[], None]]] = []
         self.operations: dict[str, Callable[[Any, dict], None]] = {
-            "template": self._put_template, "template-remove": self._remove_template,
-            "templates": self.shows.templates, "put": self._put, "check": self._check,
-            "remove": self._remove, "list": self.shows.entries, "show": self.shows.show,
-            "next": self.shows.next, "history": self.shows.history, "pause": self._pause,
-            "resume": self._resume, "run-now": self._run_now, "calendars": self.shows.calendars,
-            "calendar": self._put_calendar, "calendar-remove": self._remove_calendar,
-            "objects": self.shows.objects, "changes": self.shows.changes,
+            "template": self._put_template,
+            "template-remove": self._remove_template,
+            "templates": self.shows.templates,
+            "put": self._put,
+            "check": self._check,
+            "remove": self._remove,
+            "list": self.shows.entries,
+            "show": self.shows.show,
+            "next": self.shows.next,
+            "history": self.shows.history,
+            "pause": self._pause,
+            "resume": self._resume,
+            "run-now": self._run_now,
+            "calendars": self.shows.calendars,
+            "calendar": self._put_calendar,
+            "calendar-remove": self._remove_calendar,
+            "objects": self.shows.objects,
+            "changes": self.shows.changes,
         }
 
     # --- requests ---
@@ -87,35 +98,46 @@
             self._error(rid, error)
         except UNFIT as error:
             self._error(rid, Refused(422, str(error)))
-        except (KeyError, TypeError, ValueError, OverflowError,
-                msgspec.ValidationError) as error:
-            self._error(rid, Refused(400, f"bad request: {error!r}"[:constants.NOTE_TEXT]))
+        except (KeyError, TypeError, ValueError, OverflowError, msgspec.ValidationError) as error:
+            self._error(rid, Refused(400, f"bad request: {error!r}"[: constants.NOTE_TEXT]))
 
     def _error(self, rid: Any, error: Refused) -> None:
         self.world.emit("answer", rid, error.status, ("error", str(error)))
 
     def tick(self) -> None:
         """Go on with what waits for newer records."""
-        due, self.again = ([row for row in self.again if row[0] <= self.world.now],
-                           [row for row in self.again if row[0] > self.world.now])
+        due, self.again = (
+            [row for row in self.again if row[0] <= self.world.now],
+            [row for row in self.again if row[0] > self.world.now],
+        )
         for _, run in due:
             try:
                 run()
             except Exception:  # one request must not take the others with it
                 log.exception("event=request_failed")
 
-    def _write(self, rid: Any, build: Callable[[], Change],
-               then: Callable[[int, dict], None] | None = None, tries: int = 0,
-               said: dict[str, Any] | None = None) -> None:
+    def _write(
+        self,
+        rid: Any,
+        build: Callable[[], Change],
+        then: Callable[[int, dict], None] | None = None,
+        tries: int = 0,
+        said: dict[str, Any] | None = None,
+    ) -> None:
         """Write what `build` makes of the records; anew if they turn out to have changed.
 
         What `build` puts into `said` is logged once it is written.
         """
         self._attempt(rid, partial(self._write_once, rid, build, then, tries, said))
 
-    def _write_once(self, rid: Any, build: Callable[[], Change],
-                    then: Callable[[int, dict], None] | None, tries: int,
-                    said: dict[str, Any] | None) -> None:
+    def _write_once(
+        self,
+        rid: Any,
+        build: Callable[[], Change],
+        then: Callable[[int, dict], None] | None,
+        tries: int,
+        said: dict[str, Any] | None,
+    ) -> None:
         guards, writes, status, body = build()
         answer = then or (lambda status, body: self.shows.say(rid, body, status))
         if not writes:
@@ -125,16 +147,24 @@
         def done(outcome: int, result: Any) -> None:
             if outcome == 200:
                 for write in writes:
-                    self.world.replica.apply(write[0], write[1] if len(write) > 1 else None,
-                                             result[0])
+                    self.world.replica.apply(
+                        write[0], write[1] if len(write) > 1 else None, result[0]
+                    )
                 if said:
                     event(**said)
                 answer(status, body)
-            elif (outcome == 409 and tries < constants.DESK_TRIES
-                  and len(self.again) < constants.MAX_WAITING):
+            elif (
+                outcome == 409
+                and tries < constants.DESK_TRIES
+                and len(self.again) < constants.MAX_WAITING
+            ):
                 # The watch brings what was in the way within a moment.
-                self.again.append((self.world.now + constants.TICK_S * (1 + tries),
-                                   lambda: self._write(rid, build, then, tries + 1, said)))
+                self.again.append(
+                    (
+                        self.world.now + constants.TICK_S * (1 + tries),
+                        lambda: self._write(rid, build, then, tries + 1, said),
+                    )
+                )
             elif outcome == 400:
                 self._error(rid, Refused(413, "too large for the state service"))
             else:
@@ -156,8 +186,12 @@
             if name not in self.store.templates:
                 self._bound(team, "templates", self.store.templates, constants.TEAM_TEMPLATES)
             said.update(name="template", template=name, steps=len(template.steps))
-            return (self.store.guards(key), [(key, value_of(template), None)], 200,
-                    {"name": name, "steps": len(template.steps)})
+            return (
+                self.store.guards(key),
+                [(key, value_of(template), None)],
+                200,
+                {"name": name, "steps": len(template.steps)},
+            )
 
         if args.get("dry"):
             self.shows.say(rid, {"name": name, "steps": len(template.steps)})
@@ -177,8 +211,11 @@
                 raise Refused(404, f"no template {name}")
             users = sorted(self.store.users.get(name, ()))
             if users:
-                raise Refused(409, f"{users[0]} uses it" + (
-                    f", and {len(users) - 1} more" if len(users) > 1 else ""))
+                raise Refused(
+                    409,
+                    f"{users[0]} uses it"
+                    + (f", and {len(users) - 1} more" if len(users) > 1 else ""),
+                )
             return self.store.guards(key), [(key,)], 200, {"removed": name}
 
         self._write(rid, build)
@@ -186,8 +223,12 @@
     # --- entries ---
 
     def _policy(self, args: dict) -> Policy:
-        made = Policy(str(args.get("overlap", "skip")), str(args.get("catch_up", "all")),
-                      int(args.get("window_s", Policy().window_s)), int(args.get("jitter_s", 0)))
+        made = Policy(
+            str(args.get("overlap", "skip")),
+            str(args.get("catch_up", "all")),
+            int(args.get("window_s", Policy().window_s)),
+            int(args.get("jitter_s", 0)),
+        )
         if made.overlap not in OVERLAPS:
             raise Refused(422, f"overlap: one of {', '.join(OVERLAPS)}")
         if made.catch_up not in CATCH_UPS:
@@ -207,11 +248,11 @@
         else:
             made = msgspec.convert(rule, Rule)
             if made.kind not in ("cron", "calendar"):
-                raise Refused(422, f"unknown kind of rule {made.kind[:constants.LOG_TEXT]!r}")
+                raise Refused(422, f"unknown kind of rule {made.kind[: constants.LOG_TEXT]!r}")
         zones.zone(made.zone)
         template = str(args["template"])
         if template not in self.store.templates:
-            raise Refused(422, f"no template {template[:constants.LOG_TEXT]}")
+            raise Refused(422, f"no template {template[: constants.LOG_TEXT]}")
         if template.partition("/")[0] != name.partition("/")[0]:
             raise Refused(422, f"{template} is another team's template")
         self._need_types()
@@ -219,13 +260,20 @@
         until, deadline = int(args.get("until") or 0), args.get("deadline_s")
         if not 0 <= until < 10**11 or deadline is not None and not 0 < deadline < 1e12:
             raise Refused(422, "until or deadline_s: out of range")
-        return Entry(name, made, template, self._policy(args.get("policy") or {}), until,
-                     bool(args.get("paused")), self.daytime.now_ms(),
-                     deadline_s=None if deadline is None else float(deadline),
-                     note=str(args.get("note", ""))[:constants.NOTE_TEXT],
-                     etag=str(args.get("etag", ""))[:constants.ETAG_TEXT],
-                     component=str(args.get("component", ""))[:constants.ETAG_TEXT],
-                     uid=str(args.get("uid", ""))[:constants.NOTE_TEXT])
+        return Entry(
+            name,
+            made,
+            template,
+            self._policy(args.get("policy") or {}),
+            until,
+            bool(args.get("paused")),
+            self.daytime.now_ms(),
+            deadline_s=None if deadline is None else float(deadline),
+            note=str(args.get("note", ""))[: constants.NOTE_TEXT],
+            etag=str(args.get("etag", ""))[: constants.ETAG_TEXT],
+            component=str(args.get("component", ""))[: constants.ETAG_TEXT],
+            uid=str(args.get("uid", ""))[: constants.NOTE_TEXT],
+        )
 
     def _now_s(self) -> int:
         """Return the time (s) up to which, by any clock here, turns may not have been made."""
@@ -236,8 +284,9 @@
         since = self._now_s()
         rows = old.rows if old is not None else []
         since = max([since, *(row[0] for row in rows if row[1] != MANUAL)])
-        return Slot(entry.name, mark_at(entry.rule, since), 0 if old is None else old.pending,
-                    rows)
+        return Slot(
+            entry.name, mark_at(entry.rule, since), 0 if old is None else old.pending, rows
+        )
 
     def _shard(self, number_of_new: int) -> tuple[int, int]:
         """Return a shard with room, and for how many of the new entries."""
@@ -257,8 +306,12 @@
         for row in self._few(args["entries"]):
             try:
                 entry = self._made(row)
-                rows.append({"name": entry.name, "next": self.shows.turns(
-                    entry, mark_at(entry.rule, self._now_s()), 1)})
+                rows.append(
+                    {
+                        "name": entry.name,
+                        "next": self.shows.turns(entry, mark_at(entry.rule, self._now_s()), 1),
+                    }
+                )
             except (Refused, *UNFIT) as error:
                 if isinstance(error, Refused) and error.status >= 500:
                     raise
@@ -281,8 +334,9 @@
         texts = {entries[0].name: str(args["text"])} if "text" in args and entries else {}
         self._put_more(rid, entries, args, texts, [])
 
-    def _put_more(self, rid: Any, left: list[Entry], args: dict, texts: dict[str, str],
-                  stored: list[str]) -> None:
+    def _put_more(
+        self, rid: Any, left: list[Entry], args: dict, texts: dict[str, str], stored: list[str]
+    ) -> None:
         if not left:
             self.shows.say(rid, {"stored": stored, "etag": args.get("etag", "")})
             return
@@ -321,10 +375,10 @@
 
         def done(_: int, __: dict) -> None:
             for entry in now:
-                event("entry", entry=entry.name, rule=entry.rule.kind,
-                      template=entry.template)
-            self._put_more(rid, left[len(now):], args, texts,
-                           [*stored, *(entry.name for entry in now)])
+                event("entry", entry=entry.name, rule=entry.rule.kind, template=entry.template)
+            self._put_more(
+                rid, left[len(now) :], args, texts, [*stored, *(entry.name for entry in now)]
+            )
 
         self._write(rid, build, done)
 
@@ -334,8 +388,9 @@
         if calendar != entry.team:
             self._bound(calendar, "entries", entries, constants.CALENDAR_OBJECTS, more)
 
-    def _bound(self, owner: str, what: str, names: Collection[str], most: int,
-               more: int = 0) -> None:
+    def _bound(
+        self, owner: str, what: str, names: Collection[str], most: int, more: int = 0
+    ) -> None:
         """Refuse one more of what a team or a calendar may have so many of."""
         count = sum(1 for name in names if name.startswith(owner + "/")) + more
         if count >= most:
@@ -396,19 +451,31 @@
         if made == old and not parts:
             return {}, [], 200, {}
         guards = store.guards(key, template_key(entry.template))
-        writes = [(key, self._sized(made), None), *parts,
-                  *((part_key(entry.name, n),) for n in range(len(parts), old.parts))]
+        writes = [
+            (key, self._sized(made), None),
+            *parts,
+            *((part_key(entry.name, n),) for n in range(len(parts), old.parts)),
+        ]
         if (made.rule, made.until) != (old.rule, old.until) or old.paused and not made.paused:
             slot = self._fresh_slot(made, store.slot(entry.name))
             self._with_slot(guards, writes, old.shard, entry.name, slot)
         return guards, writes, 200, {}
 
-    def _with_slot(self, guards: dict[str, int], writes: list[tuple], number: int, name: str,
-                   slot: Slot | None) -> None:
+    def _with_slot(
+        self,
+        guards: dict[str, int],
+        writes: list[tuple],
+        number: int,
+        name: str,
+        slot: Slot | None,
+    ) -> None:
         """Add to a change that an entry's slot becomes another, or goes."""
         guards.update(self.store.guards(shard_key(number)))
-        writes.append(self.store.shard_write(number, {} if slot is None else {name: slot},
-                                             name if slot is None else ""))
+        writes.append(
+            self.store.shard_write(
+                number, {} if slot is None else {name: slot}, name if slot is None else ""
+            )
+        )
 
     def _remove(self, rid: Any, args: dict) -> None:
         said: dict[str, Any] = {}
@@ -420,8 +487,10 @@
                 raise Refused(412, f"{entry.name} has changed")
             key = entry_key(entry.name)
             guards = self.store.guards(key)
-            writes: list[tuple] = [(key,), *((part_key(entry.name, n),)
-                                             for n in range(entry.parts))]
+            writes: list[tuple] = [
+                (key,),
+                *((part_key(entry.name, n),) for n in range(entry.parts)),
+            ]
             self._with_slot(guards, writes, entry.shard, entry.name, None)
             said.update(name="entry_removed", entry=entry.name)
             return guards, writes, 200, {"removed": entry.name}
@@ -447,8 +516,9 @@
             made = msgspec.structs.replace(entry, paused=paused)
             guards, writes = self.store.guards(key), [(key, value_of(made), None)]
             if not paused:
-                self._with_slot(guards, writes, entry.shard, entry.name,
-                                self._fresh_slot(made, slot))
+                self._with_slot(
+                    guards, writes, entry.shard, entry.name, self._fresh_slot(made, slot)
+                )
             said.update(name="entry_paused" if paused else "entry_resumed", entry=entry.name)
             return guards, writes, 200, body
 
@@ -475,10 +545,14 @@
                 return {}, [], 200, body
             if templates.early(self.world, template):
                 raise Refused(503, "an upgrade is under way: waits_on can't be recorded yet")
-            guards.update(self.store.guards(entry_key(entry.name),
-                                            template_key(entry.template)))
-            self._with_slot(guards, writes, entry.shard, entry.name, slot.noted(
-                slot.mark, slot.pending, now_ms // 1000, MANUAL, note=turn))
+            guards.update(self.store.guards(entry_key(entry.name), template_key(entry.template)))
+            self._with_slot(
+                guards,
+                writes,
+                entry.shard,
+                entry.name,
+                slot.noted(slot.mark, slot.pending, now_ms // 1000, MANUAL, note=turn),
+            )
             said.update(name="turn", entry=entry.name, turn=turn, jobs=",".join(ids), by="hand")
             return guards, writes, 201, body
 
@@ -488,8 +562,11 @@
 
     def _put_calendar(self, rid: Any, args: dict) -> None:
         name, team = self._named("calendar", args)
-        made = Calendar(str(args.get("title") or name.partition("/")[2])[:constants.NOTE_TEXT],
-                        str(args.get("zone") or "UTC"), str(args.get("template") or ""))
+        made = Calendar(
+            str(args.get("title") or name.partition("/")[2])[: constants.NOTE_TEXT],
+            str(args.get("zone") or "UTC"),
+            str(args.get("template") or ""),
+        )
         zones.zone(made.zone)
         if made.template and made.template not in self.store.templates:
             raise Refused(422, f"no template {made.template}")
@@ -500,8 +577,7 @@
                 raise Refused(405, "it exists")
             if name not in self.store.calendars:
                 self._bound(team, "calendars", self.store.calendars, constants.TEAM_CALENDARS)
-            return (self.store.guards(key), [(key, value_of(made), None)], 201,
-                    {"name": name})
+            return (self.store.guards(key), [(key, value_of(made), None)], 201, {"name": name})
 
         self._write(rid, build)
 
@@ -517,4 +593,3 @@
             return self.store.guards(key), [(key,)], 200, {"removed": name}
 
         self._write(rid, build)
-
--- a/oakmux/schedules/part.py
+++ b/oakmux/schedules/part.py
@@ -21,7 +21,9 @@
         world.more_roles.append(CLOCK)
         world.reserved = RESERVED
         self.commands: dict[str, Callable[..., None]] = {
-            "time": self.daytime.say, "schedules": self.desk.request}
+            "time": self.daytime.say,
+            "schedules": self.desk.request,
+        }
 
     def tick(self) -> None:
         """Make turns that are due and go on with requests."""
--- a/oakmux/schedules/plugin.py
+++ b/oakmux/schedules/plugin.py
@@ -17,8 +17,10 @@
 from oakmux.schedules.part import Schedules
 
 PATH = "/oakmux/schedules/"
-SECTIONS = {"schedules": {"enabled"},
-            "caldav": {"listen", "certificate", "key", "tokens", "plain"}}
+SECTIONS = {
+    "schedules": {"enabled"},
+    "caldav": {"listen", "certificate", "key", "tokens", "plain"},
+}
 
 
 class CalDav(msgspec.Struct, frozen=True):
@@ -39,6 +41,7 @@
 
     def paths(self, offer: Callable[[tuple], bool]) -> dict[str, Callable[[Request, str], None]]:
         """Serve requests of the command line at the public address."""
+
         def serve(request: Request, operation: str) -> None:
             try:
                 args = wire.decode(request.body) if request.body else {}
@@ -56,7 +59,8 @@
             from oakmux.schedules.dav.serve import Dav  # brings what reads calendars and XML
 
             await Dav(offer, self.caldav.tokens).listen(
-                self.caldav.listen, self.caldav.context, max(1, most // 4))
+                self.caldav.listen, self.caldav.context, max(1, most // 4)
+            )
 
     def tick(self) -> list[tuple]:
         """Tell the core the time of day."""
@@ -68,8 +72,9 @@
     parser = settings.read_ini(path, SECTIONS)
     try:
         if not parser.getboolean("schedules", "enabled", fallback=True):
-            raise settings.SettingsError(f"{path}: [schedules] enabled: to switch schedules off, "
-                                         "start without this file")
+            raise settings.SettingsError(
+                f"{path}: [schedules] enabled: to switch schedules off, start without this file"
+            )
         plain = parser.getboolean("caldav", "plain", fallback=False)
     except ValueError as error:
         raise settings.SettingsError(f"{path}: {error}") from None
@@ -92,8 +97,10 @@
 def _tls(folder: Path, row: configparser.SectionProxy) -> ssl.SSLContext:
     for name in ("certificate", "key"):
         if not row.get(name):
-            raise ValueError(f"{name}: is missing; for a listener without TLS, behind a proxy of "
-                             "your own, say plain = yes")
+            raise ValueError(
+                f"{name}: is missing; for a listener without TLS, behind a proxy of "
+                "your own, say plain = yes"
+            )
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     try:
--- a/oakmux/schedules/policy.py
+++ b/oakmux/schedules/policy.py
@@ -42,8 +42,15 @@
     return now_ms - planned_ms(entry, turn) > window_s(entry) * 1000
 
 
-def decide(entry: Entry, slot: Slot, turn: Turn, later: Callable[[], Turn | None], now_ms: int,
-           busy: Callable[[], bool], tries: int = 0) -> Decision:
+def decide(
+    entry: Entry,
+    slot: Slot,
+    turn: Turn,
+    later: Callable[[], Turn | None],
+    now_ms: int,
+    busy: Callable[[], bool],
+    tries: int = 0,
+) -> Decision:
     """Decide on the next turn of an entry; `later` gives the turn after it.
 
     `busy` tells whether jobs of an earlier turn may still run; it is asked only if it matters.
@@ -52,8 +59,16 @@
     following = later() if entry.policy.catch_up == "last" else None
     overtaken = following is not None and planned_ms(entry, following) <= now_ms
     if overtaken or expired(entry, turn, now_ms):
-        return Decision(slot.noted(turn.mark, slot.pending, turn.at, records.MISSED,
-                                   note="overtaken" if overtaken else ""), False)
+        return Decision(
+            slot.noted(
+                turn.mark,
+                slot.pending,
+                turn.at,
+                records.MISSED,
+                note="overtaken" if overtaken else "",
+            ),
+            False,
+        )
     overlap = entry.policy.overlap
     if overlap in ("skip", "queue") and (slot.pending or busy()):
         if overlap == "queue" and not slot.pending:
--- a/oakmux/schedules/records.py
+++ b/oakmux/schedules/records.py
@@ -26,8 +26,14 @@
 # Ids of jobs that turns make: 18 digits of which the first two are these. Others may not use them.
 RESERVED = "job-97"
 MADE, SKIPPED, QUEUED, MISSED, REFUSED, MANUAL = "m", "s", "q", "x", "r", "h"
-OUTCOMES = {MADE: "made", SKIPPED: "skipped: the one before still ran", QUEUED: "queued",
-            MISSED: "missed: too late to catch up", REFUSED: "refused", MANUAL: "by hand"}
+OUTCOMES = {
+    MADE: "made",
+    SKIPPED: "skipped: the one before still ran",
+    QUEUED: "queued",
+    MISSED: "missed: too late to catch up",
+    REFUSED: "refused",
+    MANUAL: "by hand",
+}
 
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
@@ -97,12 +103,13 @@
     pending: int = 0
     rows: list[tuple[int, str, int, str]] = []
 
-    def noted(self, mark: int, pending: int, at: int, outcome: str, tries: int = 0,
-              note: str = "") -> "Slot":
+    def noted(
+        self, mark: int, pending: int, at: int, outcome: str, tries: int = 0, note: str = ""
+    ) -> "Slot":
         """Return the slot after one more decision; old rows fall away."""
         rows = [row for row in self.rows if not (row[0] == at and row[1] == QUEUED)]
-        rows.append((at, outcome, tries, note[:constants.ROW_TEXT]))
-        return Slot(self.name, mark, pending, rows[-constants.ROWS_KEPT:])
+        rows.append((at, outcome, tries, note[: constants.ROW_TEXT]))
+        return Slot(self.name, mark, pending, rows[-constants.ROWS_KEPT :])
 
 
 def entry_key(name: str) -> str:
@@ -173,8 +180,12 @@
         self.log: deque[tuple[int, str]] = deque(maxlen=constants.CHANGES_KEPT)
         self.log_since = 0
         self._takers: dict[str, Callable[[str, Any, int], None]] = {
-            "e": self._entry, "t": self._template, "m": self._shard, "c": self._calendar,
-            "p": self._part}
+            "e": self._entry,
+            "t": self._template,
+            "m": self._shard,
+            "c": self._calendar,
+            "p": self._part,
+        }
 
     def keys(self) -> set[str]:
         """Return the keys of all records that stand."""
--- a/oakmux/schedules/replay/model.py
+++ b/oakmux/schedules/replay/model.py
@@ -44,10 +44,21 @@
 
 def settings_for(label: str) -> Settings:
     """Return the settings of a controller of the model."""
-    return Settings(label, "10.0.0.1:80", "10.0.0.1:81", External("10.0.0.2:1", "10.0.0.3:1"),
-                    Facts(["a"], [Team(TEAM)], Workers(1, 10, 10, 10, 30),
-                          StateLimits(700, 250, 8, 12), CloudLimits(5, 5), 3,
-                          skew_ms=SKEW_S * 1000))
+    return Settings(
+        label,
+        "10.0.0.1:80",
+        "10.0.0.1:81",
+        External("10.0.0.2:1", "10.0.0.3:1"),
+        Facts(
+            ["a"],
+            [Team(TEAM)],
+            Workers(1, 10, 10, 10, 30),
+            StateLimits(700, 250, 8, 12),
+            CloudLimits(5, 5),
+            3,
+            skew_ms=SKEW_S * 1000,
+        ),
+    )
 
 
 class Controller:
@@ -68,8 +79,10 @@
         self.world = World(settings_for(self.label), random.Random(self.life), 0)
         self.world.types = {MACHINE.name: MACHINE}
         self.part = Schedules(self.world)
-        self.world.replica.load([(key, value, stamp) for key, (value, stamp)
-                                 in self.model.rows.items()], self.model.epoch)
+        self.world.replica.load(
+            [(key, value, stamp) for key, (value, stamp) in self.model.rows.items()],
+            self.model.epoch,
+        )
         self.wake(0.0)
 
     def crash(self) -> None:
@@ -262,8 +275,9 @@
     def holder(self) -> Controller | None:
         """Return who holds the role by the records."""
         row = self.rows.get(role_key(CLOCK))
-        return next((one for one in self.controllers
-                     if row and row[0] == [one.label, one.life]), None)
+        return next(
+            (one for one in self.controllers if row and row[0] == [one.label, one.life]), None
+        )
 
     def takeover(self) -> None:
         """The holder is gone: its lease ends, another takes the role."""
--- a/oakmux/schedules/replay/oracle.py
+++ b/oakmux/schedules/replay/oracle.py
@@ -61,7 +61,8 @@
     def __init__(self, text: str) -> None:
         fields = text.split()
         self.minutes, self.hours, self.days, self.months, weekdays = (
-            _field(field, *span) for field, span in zip(fields, RANGES, strict=True))
+            _field(field, *span) for field, span in zip(fields, RANGES, strict=True)
+        )
         self.weekdays = {day % 7 for day in weekdays}
         self.stars = fields[0].startswith("*") or fields[1].startswith("*")
         self.both = not (fields[2].startswith("*") or fields[4].startswith("*"))
@@ -70,7 +71,8 @@
         """Whether the expression has this day."""
         of_month, of_week = wall.day in self.days, wall.isoweekday() % 7 in self.weekdays
         return wall.month in self.months and (
-            of_month or of_week if self.both else of_month and of_week)
+            of_month or of_week if self.both else of_month and of_week
+        )
 
     def shows(self, wall: datetime) -> bool:
         """Whether the expression has this wall minute."""
@@ -91,10 +93,16 @@
     def __init__(self, rule: Rule, last: datetime) -> None:
         self.parts = dict(part.split("=") for part in rule.text.split(";")) if rule.text else {}
         self.start = datetime.fromtimestamp(rule.start, UTC).replace(tzinfo=None)
-        walls = {w for w in self._walls(last)
-                 if int(w.replace(tzinfo=UTC).timestamp()) not in rule.without}
-        walls.update(datetime.fromtimestamp(w, UTC).replace(tzinfo=None) for w in rule.more
-                     if w not in rule.without)
+        walls = {
+            w
+            for w in self._walls(last)
+            if int(w.replace(tzinfo=UTC).timestamp()) not in rule.without
+        }
+        walls.update(
+            datetime.fromtimestamp(w, UTC).replace(tzinfo=None)
+            for w in rule.more
+            if w not in rule.without
+        )
         for old, new in rule.moved:
             walls.discard(datetime.fromtimestamp(old, UTC).replace(tzinfo=None))
             if new is not None:
@@ -135,23 +143,28 @@
         kind = self.parts["FREQ"]
         if kind == "DAILY":
             return (day - first).days % interval == 0 and (
-                not by_days or WEEKDAYS[day.weekday()] in by_days)
+                not by_days or WEEKDAYS[day.weekday()] in by_days
+            )
         if kind == "WEEKLY":
-            weeks = (day - timedelta(days=day.weekday())
-                     - (first - timedelta(days=first.weekday()))).days // 7
+            weeks = (
+                day - timedelta(days=day.weekday()) - (first - timedelta(days=first.weekday()))
+            ).days // 7
             return weeks % interval == 0 and WEEKDAYS[day.weekday()] in (
-                by_days or [WEEKDAYS[first.weekday()]])
+                by_days or [WEEKDAYS[first.weekday()]]
+            )
         if kind == "MONTHLY":
             months = (day.year - first.year) * 12 + day.month - first.month
             if months % interval:
                 return False
             if by_days:
                 return any(self._nth(day, text) for text in by_days)
-            length = ((day.replace(day=28) + timedelta(days=4)).replace(day=1)
-                      - timedelta(days=1)).day
+            length = (
+                (day.replace(day=28) + timedelta(days=4)).replace(day=1) - timedelta(days=1)
+            ).day
             return day.day in [d if d > 0 else length + 1 + d for d in of_month or [first.day]]
         return (day.year - first.year) % interval == 0 and (
-            day.day == first.day and (bool(by_month) or day.month == first.month))
+            day.day == first.day and (bool(by_month) or day.month == first.month)
+        )
 
     def _nth(self, day: date, text: str) -> bool:
         if WEEKDAYS[day.weekday()] != text[-2:]:
--- a/oakmux/schedules/replay/year.py
+++ b/oakmux/schedules/replay/year.py
@@ -15,9 +15,18 @@
 from oakmux.schedules.turns import Rule, cron_rule, mark_at
 from oakmux.wire import JobSpec
 
-ZONES = ("UTC", "Africa/Nairobi", "Asia/Jakarta", "Europe/Berlin", "America/New_York",
-         "America/Santiago", "Australia/Adelaide", "Australia/Lord_Howe", "Africa/Casablanca",
-         "Pacific/Auckland")
+ZONES = (
+    "UTC",
+    "Africa/Nairobi",
+    "Asia/Jakarta",
+    "Europe/Berlin",
+    "America/New_York",
+    "America/Santiago",
+    "Australia/Adelaide",
+    "Australia/Lord_Howe",
+    "Africa/Casablanca",
+    "Pacific/Auckland",
+)
 DAY = 86_400
 SHARD = 25
 TEMPLATE, URGENT = f"{TEAM}/run", f"{TEAM}/urgent"
@@ -69,13 +78,30 @@
     first = wall // DAY * DAY - rng.randrange(730) * DAY + rng.randrange(1440) * 60
     if rng.random() < 0.5:  # the hours at which clocks are changed
         first = first // DAY * DAY + rng.choice((0, 1, 2, 3)) * 3600 + rng.randrange(60) * 60
-    text = rng.choice((
-        "FREQ=DAILY", "FREQ=DAILY;INTERVAL=2", "FREQ=WEEKLY;BYDAY=MO,WE,SU", "FREQ=WEEKLY",
-        "FREQ=WEEKLY;INTERVAL=2;BYDAY=SA,SU", "FREQ=MONTHLY;BYDAY=-1SU", "FREQ=MONTHLY",
-        "FREQ=MONTHLY;BYMONTHDAY=-1", "FREQ=MONTHLY;BYDAY=2SA", "FREQ=DAILY;BYDAY=MO,TU,WE"))
+    text = rng.choice(
+        (
+            "FREQ=DAILY",
+            "FREQ=DAILY;INTERVAL=2",
+            "FREQ=WEEKLY;BYDAY=MO,WE,SU",
+            "FREQ=WEEKLY",
+            "FREQ=WEEKLY;INTERVAL=2;BYDAY=SA,SU",
+            "FREQ=MONTHLY;BYDAY=-1SU",
+            "FREQ=MONTHLY",
+            "FREQ=MONTHLY;BYMONTHDAY=-1",
+            "FREQ=MONTHLY;BYDAY=2SA",
+            "FREQ=DAILY;BYDAY=MO,TU,WE",
+        )
+    )
     days = [first + (wall - first) // DAY * DAY + n * DAY for n in rng.sample(range(360), 6)]
-    return Rule("calendar", zone, text, first, (days[0] + 5400,), (days[1],),
-                ((days[2], days[2] + 3 * 3600), (days[3], None)))
+    return Rule(
+        "calendar",
+        zone,
+        text,
+        first,
+        (days[0] + 5400,),
+        (days[1],),
+        ((days[2], days[2] + 3 * 3600), (days[3], None)),
+    )
 
 
 def entries_of(count: int, seed: int, start: int) -> list[Entry]:
@@ -84,12 +110,26 @@
     found = []
     for n in range(count):
         zone = rng.choice(ZONES)
-        rule = (cron_rule(cron_text(rng), zone) if rng.random() < 0.75
-                else calendar_rule(rng, start, zone))
-        found.append(Entry(
-            f"{TEAM}/e{n:05d}", rule, TEMPLATE,
-            Policy(rng.choice(("allow", "allow", "skip", "queue")), "all", 2 * DAY,
-                   rng.choice((0, 0, 30))), born=start * 1000, shard=n // SHARD))
+        rule = (
+            cron_rule(cron_text(rng), zone)
+            if rng.random() < 0.75
+            else calendar_rule(rng, start, zone)
+        )
+        found.append(
+            Entry(
+                f"{TEAM}/e{n:05d}",
+                rule,
+                TEMPLATE,
+                Policy(
+                    rng.choice(("allow", "allow", "skip", "queue")),
+                    "all",
+                    2 * DAY,
+                    rng.choice((0, 0, 30)),
+                ),
+                born=start * 1000,
+                shard=n // SHARD,
+            )
+        )
     return found
 
 
@@ -97,15 +137,36 @@
     """Write the entries' records with both templates, and no role yet."""
     pairs: list[tuple[str, Any]] = []
     for name, priority in ((TEMPLATE, 1), (URGENT, 2)):
-        spec = JobSpec("l", TEAM, "array", priority, 1, 1.0, 0.0, 1.0, "i", 0.0, None, None,
-                       False, False, False, 60.0, 0.0, 0.0, None)
-        pairs.append((records.template_key(name),
-                      records.value_of(Template((Step("main", spec),)))))
+        spec = JobSpec(
+            "l",
+            TEAM,
+            "array",
+            priority,
+            1,
+            1.0,
+            0.0,
+            1.0,
+            "i",
+            0.0,
+            None,
+            None,
+            False,
+            False,
+            False,
+            60.0,
+            0.0,
+            0.0,
+            None,
+        )
+        pairs.append(
+            (records.template_key(name), records.value_of(Template((Step("main", spec),))))
+        )
     shards: dict[int, list] = {}
     for entry in entries:
         pairs.append((records.entry_key(entry.name), records.value_of(entry)))
-        shards.setdefault(entry.shard, []).append(records.value_of(
-            Slot(entry.name, mark_at(entry.rule, model.start - 1))))
+        shards.setdefault(entry.shard, []).append(
+            records.value_of(Slot(entry.name, mark_at(entry.rule, model.start - 1)))
+        )
     pairs += [(records.shard_key(n), rows) for n, rows in shards.items()]
     model.put(pairs)
 
@@ -136,16 +197,17 @@
             one = rng.choice(model.controllers)
             at(when, "crash", lambda one=one: model.crash(one, rng.uniform(2, 30)))
         one = rng.choice(model.controllers)
-        at(day + rng.uniform(0, DAY), "cut",
-           lambda one=one: model.cut(one, rng.uniform(5, 300)))
+        at(day + rng.uniform(0, DAY), "cut", lambda one=one: model.cut(one, rng.uniform(5, 300)))
         # The role changes hands at a full minute, in the middle of what is due.
         at(day + rng.randrange(1440) * 60 + rng.uniform(0.1, 0.4), "crash in a burst", lose)
         if rng.random() < 0.3:
-            at(day + rng.uniform(0, DAY), "outage",
-               lambda: model.outage(rng.uniform(5, 1800)))
+            at(day + rng.uniform(0, DAY), "outage", lambda: model.outage(rng.uniform(5, 1800)))
         if rng.random() < 0.1:  # over an awkward hour, UTC
-            at(day + rng.choice((0, 1, 2, 15, 16)) * 3600 - rng.uniform(10, 900), "night outage",
-               lambda: model.outage(rng.uniform(900, 4000)))
+            at(
+                day + rng.choice((0, 1, 2, 15, 16)) * 3600 - rng.uniform(10, 900),
+                "night outage",
+                lambda: model.outage(rng.uniform(900, 4000)),
+            )
         if rng.random() < 0.07:
             at(day + DAY - rng.uniform(10, 600), "all down", all_down)
         if rng.random() < 0.15:
@@ -171,8 +233,14 @@
     return judge(model, drawn, start, start + days * DAY, dict(troubles), begin)
 
 
-def judge(model: Model, entries: list[Entry], start: int, end: int, troubles: dict[str, int],
-          begin: float) -> Result:
+def judge(
+    model: Model,
+    entries: list[Entry],
+    start: int,
+    end: int,
+    troubles: dict[str, int],
+    begin: float,
+) -> Result:
     """Compare what was decided with what should have been."""
     lost, besides, doubled = [], [], list(model.doubled)
     histogram = HdrHistogram(1, 7 * DAY * 1000, 3)
@@ -205,10 +273,23 @@
             if records.QUEUED not in seen:
                 histogram.record_value(max(1, int(late)))
     besides += list(jobs)
-    late_ms = {name: histogram.get_value_at_percentile(share) for name, share in
-               (("p50", 50), ("p90", 90), ("p99", 99), ("p99.9", 99.9), ("most", 100))}
-    return Result(len(entries), turns, made, skipped, lost, besides, doubled, early, troubles,
-                  late_ms, time.monotonic() - begin)
+    late_ms = {
+        name: histogram.get_value_at_percentile(share)
+        for name, share in (("p50", 50), ("p90", 90), ("p99", 99), ("p99.9", 99.9), ("most", 100))
+    }
+    return Result(
+        len(entries),
+        turns,
+        made,
+        skipped,
+        lost,
+        besides,
+        doubled,
+        early,
+        troubles,
+        late_ms,
+        time.monotonic() - begin,
+    )
 
 
 def stamp(at: int) -> str:
@@ -233,8 +314,16 @@
     """Make so many entries due in one second, a tenth of them urgent, at a rate of changes."""
     model = Model(start, seed)
     rule = cron_rule("0 3 * * *", "UTC")
-    drawn = [Entry(f"{TEAM}/e{n:05d}", rule, TEMPLATE if n % 10 else URGENT, born=start * 1000,
-                   shard=n // SHARD) for n in range(entries)]
+    drawn = [
+        Entry(
+            f"{TEAM}/e{n:05d}",
+            rule,
+            TEMPLATE if n % 10 else URGENT,
+            born=start * 1000,
+            shard=n // SHARD,
+        )
+        for n in range(entries)
+    ]
     store(model, drawn)
     holder = model.controllers[0]
     holder.boot()
@@ -249,8 +338,13 @@
     whose = {records.job_id(entry, str(due), 0, 0): entry for entry in drawn}
     late = [(start + at - due, whose[job].template) for job, at in model.made.items()]
     ticks = sorted(1000 * spent for spent in model.tick_s)
-    return Burst(entries, rate, len(late), max(late)[0],
-                 max(by for by, template in late if template == URGENT),
-                 (model.changes - before) / len(late),
-                 {"p50": ticks[len(ticks) // 2], "p99": ticks[len(ticks) * 99 // 100],
-                  "most": ticks[-1]}, sum(planning))
+    return Burst(
+        entries,
+        rate,
+        len(late),
+        max(late)[0],
+        max(by for by, template in late if template == URGENT),
+        (model.changes - before) / len(late),
+        {"p50": ticks[len(ticks) // 2], "p99": ticks[len(ticks) * 99 // 100], "most": ticks[-1]},
+        sum(planning),
+    )
--- a/oakmux/schedules/shows.py
+++ b/oakmux/schedules/shows.py
@@ -36,15 +36,18 @@
     def team(self, name: Any) -> str:
         """Check a team's name."""
         if not isinstance(name, str) or name not in self.world.teams:
-            raise Refused(422, f"unknown team {str(name)[:constants.LOG_TEXT]!r}")
+            raise Refused(422, f"unknown team {str(name)[: constants.LOG_TEXT]!r}")
         return name
 
     def name(self, name: Any) -> str:
         """Check the name of an entry, `team/name` or `team/calendar/object`."""
         parts = name.split("/") if isinstance(name, str) else []
         if not 2 <= len(parts) <= 3 or not all(NAME.match(part) for part in parts):
-            raise Refused(422, f"{str(name)[:constants.LOG_TEXT]!r}: a name is TEAM/NAME, "
-                               "letters, digits and _.@+=-, 80 at most")
+            raise Refused(
+                422,
+                f"{str(name)[: constants.LOG_TEXT]!r}: a name is TEAM/NAME, "
+                "letters, digits and _.@+=-, 80 at most",
+            )
         if parts[0] not in self.world.teams and name not in self.store.entries:
             self.team(parts[0])
         return name
@@ -62,18 +65,22 @@
     def templates(self, rid: Any, args: dict) -> None:
         """Tell templates."""
         prefix = str(args.get("prefix", ""))
-        rows = [{"name": name, "steps": [[s.name, wire.job_words(s.spec), list(s.needs)]
-                                         for s in template.steps],
-                 "used_by": len(self.store.users.get(name, ()))}
-                for name, template in sorted(self.store.templates.items())
-                if name.startswith(prefix)]
-        self.say(rid, {"templates": rows[:constants.SHOW_TURNS]})
+        rows = [
+            {
+                "name": name,
+                "steps": [[s.name, wire.job_words(s.spec), list(s.needs)] for s in template.steps],
+                "used_by": len(self.store.users.get(name, ())),
+            }
+            for name, template in sorted(self.store.templates.items())
+            if name.startswith(prefix)
+        ]
+        self.say(rid, {"templates": rows[: constants.SHOW_TURNS]})
 
     def entries(self, rid: Any, args: dict) -> None:
         """Tell entries, a page at a time."""
         prefix, after = str(args.get("prefix", "")), str(args.get("after", ""))
         names = sorted(n for n in self.store.entries if n.startswith(prefix) and n > after)
-        rows = [self.row(self.store.entries[name]) for name in names[:constants.SHOW_TURNS]]
+        rows = [self.row(self.store.entries[name]) for name in names[: constants.SHOW_TURNS]]
         self.say(rid, {"entries": rows, "more": len(names) > len(rows)})
 
     def row(self, entry: Entry) -> dict:
@@ -81,12 +88,19 @@
         slot = self.store.slot(entry.name)
         last = slot.rows[-1] if slot is not None and slot.rows else None
         rule = entry.rule
-        return {"name": entry.name, "rule": rule.text or "once", "kind": rule.kind,
-                "zone": rule.zone, "template": entry.template, "paused": entry.paused,
-                "note": entry.note,
-                "next": [] if slot is None or entry.paused else self.turns(entry, slot.mark, 1),
-                "last": None if last is None else {"turn": last[0],
-                                                   "outcome": records.OUTCOMES[last[1]]}}
+        return {
+            "name": entry.name,
+            "rule": rule.text or "once",
+            "kind": rule.kind,
+            "zone": rule.zone,
+            "template": entry.template,
+            "paused": entry.paused,
+            "note": entry.note,
+            "next": [] if slot is None or entry.paused else self.turns(entry, slot.mark, 1),
+            "last": None
+            if last is None
+            else {"turn": last[0], "outcome": records.OUTCOMES[last[1]]},
+        }
 
     def turns(self, entry: Entry, mark: int, count: int) -> list[dict]:
         """Return the turns to come after a mark."""
@@ -94,31 +108,57 @@
         for turn in islice(turns(entry.rule, mark, True), count):
             if entry.until and turn.at > entry.until:
                 break
-            found.append({"at": turn.at, "why": turn.why,
-                          "local": zones.local(turn.at, entry.rule.zone).isoformat()})
+            found.append(
+                {
+                    "at": turn.at,
+                    "why": turn.why,
+                    "local": zones.local(turn.at, entry.rule.zone).isoformat(),
+                }
+            )
         return found
 
     def show(self, rid: Any, args: dict) -> None:
         """Tell all that an entry says."""
         entry, slot = self.entry(args)
         until = zones.local(entry.until, entry.rule.zone).isoformat() if entry.until else None
-        self.say(rid, {**self.row(entry), "policy": msgspec.structs.asdict(entry.policy),
-                        "until": until, "deadline_s": entry.deadline_s,
-                        "pending": slot.pending or None, "rule_record": value_of(entry.rule)})
+        self.say(
+            rid,
+            {
+                **self.row(entry),
+                "policy": msgspec.structs.asdict(entry.policy),
+                "until": until,
+                "deadline_s": entry.deadline_s,
+                "pending": slot.pending or None,
+                "rule_record": value_of(entry.rule),
+            },
+        )
 
     def next(self, rid: Any, args: dict) -> None:
         """Tell the turns to come, and what a change of clocks leaves out."""
         entry, slot = self.entry(args)
         count = max(1, min(int(args.get("count", 10)), constants.SHOW_TURNS))
-        mark = max(slot.mark, mark_at(entry.rule, int(args["since"]))) if "since" in args \
+        mark = (
+            max(slot.mark, mark_at(entry.rule, int(args["since"])))
+            if "since" in args
             else slot.mark
+        )
         rows = self.turns(entry, mark, count)
         gaps = []
         for one, other in zip(rows, rows[1:], strict=False):
-            gaps += [f"{zones.from_wall(wall):%Y-%m-%d %H:%M} is not shown: clocks go ahead"
-                     for wall in skipped(entry.rule, one["at"], other["at"])]
-        self.say(rid, {"name": entry.name, "zone": entry.rule.zone, "paused": entry.paused,
-                        "turns": rows, "skipped": gaps})
+            gaps += [
+                f"{zones.from_wall(wall):%Y-%m-%d %H:%M} is not shown: clocks go ahead"
+                for wall in skipped(entry.rule, one["at"], other["at"])
+            ]
+        self.say(
+            rid,
+            {
+                "name": entry.name,
+                "zone": entry.rule.zone,
+                "paused": entry.paused,
+                "turns": rows,
+                "skipped": gaps,
+            },
+        )
 
     def history(self, rid: Any, args: dict) -> None:
         """Tell the last decisions and their jobs."""
@@ -128,18 +168,34 @@
         for row in slot.rows:
             at, outcome, _, note = row
             ids = records.jobs_of(entry, row, steps)
-            rows.append({"turn": at, "local": zones.local(at, entry.rule.zone).isoformat(),
-                         "outcome": records.OUTCOMES[outcome], "note": "" if ids else note,
-                         "jobs": {name: jobs[name].state for name in ids if name in jobs}})
+            rows.append(
+                {
+                    "turn": at,
+                    "local": zones.local(at, entry.rule.zone).isoformat(),
+                    "outcome": records.OUTCOMES[outcome],
+                    "note": "" if ids else note,
+                    "jobs": {name: jobs[name].state for name in ids if name in jobs},
+                }
+            )
         self.say(rid, {"name": entry.name, "turns": rows})
 
     def calendars(self, rid: Any, args: dict) -> None:
         """Tell a team's calendars."""
         team = self.team(args["team"])
-        found = {name.partition("/")[2]: calendar for name, calendar
-                 in self.store.calendars.items() if name.startswith(team + "/")}
-        rows = [{"name": name, "title": calendar.title, "zone": calendar.zone,
-                 "template": calendar.template} for name, calendar in sorted(found.items())]
+        found = {
+            name.partition("/")[2]: calendar
+            for name, calendar in self.store.calendars.items()
+            if name.startswith(team + "/")
+        }
+        rows = [
+            {
+                "name": name,
+                "title": calendar.title,
+                "zone": calendar.zone,
+                "template": calendar.template,
+            }
+            for name, calendar in sorted(found.items())
+        ]
         self.say(rid, {"calendars": rows, "epoch": self.world.replica.epoch})
 
     def objects(self, rid: Any, args: dict) -> None:
@@ -148,8 +204,11 @@
         if calendar not in self.store.calendars:
             raise Refused(404, f"no calendar {calendar}")
         wanted = args.get("names")
-        names = (sorted(n for n in self.store.entries if n.startswith(calendar + "/"))
-                 if wanted is None else [f"{calendar}/{name}" for name in wanted])
+        names = (
+            sorted(n for n in self.store.entries if n.startswith(calendar + "/"))
+            if wanted is None
+            else [f"{calendar}/{name}" for name in wanted]
+        )
         rows = []
         for name in names:
             entry = self.store.entries.get(name)
@@ -163,9 +222,16 @@
                 raise Refused(503, "not all of an object has come yet")
             rows.append({"name": name.rpartition("/")[2], "etag": entry.etag, "text": text})
         template = self.store.calendars[calendar].template
-        self.say(rid, {"objects": rows, "epoch": self.world.replica.epoch,
-                        "zone": self.store.calendars[calendar].zone, "template": template,
-                        "title": self.store.calendars[calendar].title})
+        self.say(
+            rid,
+            {
+                "objects": rows,
+                "epoch": self.world.replica.epoch,
+                "zone": self.store.calendars[calendar].zone,
+                "template": template,
+                "title": self.store.calendars[calendar].title,
+            },
+        )
 
     def matches(self, entry: Entry, args: dict) -> bool:
         """Whether an object is of the component and has a turn in the span that are asked for."""
@@ -189,11 +255,15 @@
             raise Refused(404, f"no calendar {calendar}")
         if not self.store.log_since <= since <= self.world.replica.epoch:
             raise Refused(410, "changes since then are not known any more")
-        names = dict.fromkeys(name for stamp, name in self.store.log
-                              if stamp > since and name.startswith(calendar + "/"))
+        names = dict.fromkeys(
+            name
+            for stamp, name in self.store.log
+            if stamp > since and name.startswith(calendar + "/")
+        )
         rows = []
         for name in names:
             entry = self.store.entries.get(name)
-            rows.append({"name": name.rpartition("/")[2],
-                         "etag": None if entry is None else entry.etag})
+            rows.append(
+                {"name": name.rpartition("/")[2], "etag": None if entry is None else entry.etag}
+            )
         self.say(rid, {"objects": rows, "epoch": self.world.replica.epoch})
--- a/oakmux/schedules/templates.py
+++ b/oakmux/schedules/templates.py
@@ -32,15 +32,17 @@
         except (TypeError, ValueError):
             raise BadTemplate("a step is a name, a job and what it waits on") from None
         if not isinstance(name, str) or not NAME.match(name) or name in names:
-            raise BadTemplate(f"step {str(name)[:constants.LOG_TEXT]!r}: not a name of its own")
+            raise BadTemplate(f"step {str(name)[: constants.LOG_TEXT]!r}: not a name of its own")
         if not isinstance(job, dict) or not isinstance(needs, list):
             raise BadTemplate(f"{name}: not a job")
         if name in needs:
             raise BadTemplate(f"{name}: waits on itself")
         unknown = [need for need in needs if need not in names]
         if unknown:
-            raise BadTemplate(f"{name}: waits on {str(unknown[0])[:constants.LOG_TEXT]!r}, which "
-                              "is not a step before it")
+            raise BadTemplate(
+                f"{name}: waits on {str(unknown[0])[: constants.LOG_TEXT]!r}, which "
+                "is not a step before it"
+            )
         try:
             spec = wire.parse_job({**job, "id": "job-0"})
         except wire.Malformed as error:
@@ -74,8 +76,9 @@
         spec = msgspec.structs.replace(step.spec, waits_on=waits)
         size = value_bytes(job_value("queued", spec.team, spec, 10**13, spec.tasks))
         if size > value_limit(limits):
-            raise BadTemplate(f"{step.name}: description of {size} bytes: "
-                              f"a record holds {value_limit(limits)}")
+            raise BadTemplate(
+                f"{step.name}: description of {size} bytes: a record holds {value_limit(limits)}"
+            )
     size = value_bytes(value_of(template))
     if size > value_limit(limits):
         raise BadTemplate(f"template of {size} bytes: a record holds {value_limit(limits)}")
@@ -97,8 +100,9 @@
     return None
 
 
-def jobs(entry: Entry, template: Template, turn: str,
-         tries: int = 0) -> Iterator[tuple[str, JobSpec]]:
+def jobs(
+    entry: Entry, template: Template, turn: str, tries: int = 0
+) -> Iterator[tuple[str, JobSpec]]:
     """Yield (id, job) of a turn, each after those that it waits on."""
     ids = [job_id(entry, turn, n, tries) for n in range(len(template.steps))]
     for own, step in zip(ids, template.steps, strict=True):
@@ -110,8 +114,9 @@
         yield own, msgspec.structs.replace(step.spec, **changes) if changes else step.spec
 
 
-def submission(entry: Entry, template: Template, turn: str, order: int, tries: int = 0
-               ) -> tuple[list[str], dict[str, int], list[tuple]]:
+def submission(
+    entry: Entry, template: Template, turn: str, order: int, tries: int = 0
+) -> tuple[list[str], dict[str, int], list[tuple]]:
     """Return the ids of a turn's jobs, the guards that none is there, and their writes."""
     ids: list[str] = []
     guards: dict[str, int] = {}
@@ -119,6 +124,7 @@
     for name, spec in jobs(entry, template, turn, tries):
         ids.append(name)
         guards[job_key(name)] = 0
-        writes.append((job_key(name), job_value("queued", spec.team, spec, order, spec.tasks),
-                       None))
+        writes.append(
+            (job_key(name), job_value("queued", spec.team, spec, order, spec.tasks), None)
+        )
     return ids, guards, writes
--- a/oakmux/schedules/turns.py
+++ b/oakmux/schedules/turns.py
@@ -20,9 +20,15 @@
 from oakmux import constants
 from oakmux.schedules import zones
 
-ALIASES = {"@hourly": "0 * * * *", "@daily": "0 0 * * *", "@midnight": "0 0 * * *",
-           "@weekly": "0 0 * * 0", "@monthly": "0 0 1 * *", "@yearly": "0 0 1 1 *",
-           "@annually": "0 0 1 1 *"}
+ALIASES = {
+    "@hourly": "0 * * * *",
+    "@daily": "0 0 * * *",
+    "@midnight": "0 0 * * *",
+    "@weekly": "0 0 * * 0",
+    "@monthly": "0 0 1 * *",
+    "@yearly": "0 0 1 1 *",
+    "@annually": "0 0 1 1 *",
+}
 STEPS = {"HOURLY": timedelta(hours=1), "DAILY": timedelta(days=1), "WEEKLY": timedelta(weeks=1)}
 ONE = re.compile(r"\b(\d+)-\1(?!\d)(/\d+)?")
 WEEKDAYS = ("MO", "TU", "WE", "TH", "FR", "SA", "SU")
@@ -78,8 +84,7 @@
 
 def by_instant(rule: Rule) -> bool:
     """Whether the rule means "every so often" rather than certain times of the day."""
-    return rule.kind == "cron" and any(
-        field.startswith("*") for field in rule.text.split()[:2])
+    return rule.kind == "cron" and any(field.startswith("*") for field in rule.text.split()[:2])
 
 
 def mark_at(rule: Rule, at: int) -> int:
@@ -201,7 +206,7 @@
     for part in text.upper().split(";"):
         match = RULE_PART.match(part)
         if match is None:
-            raise BadRule(f"RRULE: {part[:constants.LOG_TEXT]!r} is not a part of a rule")
+            raise BadRule(f"RRULE: {part[: constants.LOG_TEXT]!r} is not a part of a rule")
         parts[match[1]] = match[2]
     return parts
 
@@ -222,8 +227,11 @@
     first = zones.from_wall(start).date()
     months = _numbers(parts.get("BYMONTH", ""))
     of_month = _numbers(parts.get("BYMONTHDAY", ""))
-    days = [(int(text[:-2] or 0), WEEKDAYS.index(text[-2:]))
-            for text in parts.get("BYDAY", "").split(",") if text]
+    days = [
+        (int(text[:-2] or 0), WEEKDAYS.index(text[-2:]))
+        for text in parts.get("BYDAY", "").split(",")
+        if text
+    ]
     if not (months or of_month or days) and freq not in ("MONTHLY", "YEARLY"):
         return True
     if not (of_month or days):
@@ -237,10 +245,19 @@
         day = first + timedelta(days=shift)
         phase, period = _period(freq, first, day)
         length = calendar.monthrange(day.year, day.month)[1]
-        if (phase % interval and freq != "HOURLY" or months and day.month not in months
-                or of_month and day.day not in of_month and day.day - length - 1 not in of_month
-                or days and not any(_is_nth(day, n, weekday, freq == "YEARLY" and not months)
-                                    for n, weekday in days)):
+        if (
+            phase % interval
+            and freq != "HOURLY"
+            or months
+            and day.month not in months
+            or of_month
+            and day.day not in of_month
+            and day.day - length - 1 not in of_month
+            or days
+            and not any(
+                _is_nth(day, n, weekday, freq == "YEARLY" and not months) for n, weekday in days
+            )
+        ):
             continue
         found[period] = found.get(period, 0) + times[0] * times[1]
         if found[period] >= place:
@@ -309,10 +326,12 @@
     """
     moved = dict(rule.moved)
     gone = set(rule.without)
-    extra = sorted({w for w in rule.more if w not in moved and w not in gone}
-                   | {new for new in moved.values() if new is not None})
+    extra = sorted(
+        {w for w in rule.more if w not in moved and w not in gone}
+        | {new for new in moved.values() if new is not None}
+    )
     reach = int(constants.FOLD_MOST_S)
-    regular = (_instances(rule, after - reach) if rule.text else iter([rule.start]))
+    regular = _instances(rule, after - reach) if rule.text else iter([rule.start])
     plain = (wall for wall in regular if wall not in moved and wall not in gone)
     last = after
     held: list[Turn] = []  # one that clocks skip may come after others that are later on paper
--- a/oakmux/schedules/zones.py
+++ b/oakmux/schedules/zones.py
@@ -21,7 +21,7 @@
     try:
         return zoneinfo.ZoneInfo(name)
     except (zoneinfo.ZoneInfoNotFoundError, ValueError, OSError):
-        raise UnknownZone(f"unknown time zone {name[:constants.LOG_TEXT]!r}") from None
+        raise UnknownZone(f"unknown time zone {name[: constants.LOG_TEXT]!r}") from None
 
 
 def local(at: int, name: str) -> datetime:
--- a/oakmux/service.py
+++ b/oakmux/service.py
@@ -32,8 +32,7 @@
 
     parts: Sequence[Callable[[World], Part]]
 
-    def paths(self, offer: Callable[[tuple], bool]
-              ) -> dict[str, Callable[[Request, str], None]]:
+    def paths(self, offer: Callable[[tuple], bool]) -> dict[str, Callable[[Request, str], None]]:
         """Return who serves further paths of the public address, by how they begin."""
 
     async def start(self, offer: Callable[[tuple], bool], most: int) -> None:
@@ -51,8 +50,9 @@
         self.plugins = plugins
         self.loop = asyncio.get_running_loop()
         wall = int(time.time() * 1000) - int(self.loop.time() * 1000)
-        self.core = Controller(conf, random.Random(), wall,
-                               [part for plugin in plugins for part in plugin.parts])
+        self.core = Controller(
+            conf, random.Random(), wall, [part for plugin in plugins for part in plugin.parts]
+        )
         self.commands: list[tuple] = []
         self.scheduled = False
         self.tasks: set[asyncio.Task] = set()
@@ -63,8 +63,10 @@
         self.cloud = Cloud(conf, self.put)
         self.workers = Workers(self.put)
         word = self.core.keeper.word
-        self.peers = {m.label: Peer(conf.label, m.label, m.peer_addr, self.put,
-                                    lambda: word.epoch) for m in conf.members}
+        self.peers = {
+            m.label: Peer(conf.label, m.label, m.peer_addr, self.put, lambda: word.epoch)
+            for m in conf.members
+        }
 
     def offer(self, command: tuple) -> bool:
         """Queue a command from outside unless too many wait."""
@@ -118,8 +120,9 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def listen(self, addr: str, handler: Callable[[Request], None], limit: int,
-                     max_body: int) -> None:
+    async def listen(
+        self, addr: str, handler: Callable[[Request], None], limit: int, max_body: int
+    ) -> None:
         """Serve an address with at most `limit` connections."""
         host, port = settings.split_addr(addr)
         live: set[ServerProtocol] = set()
@@ -133,8 +136,12 @@
         """Serve until killed."""
         most = int(self.conf.facts.resources.fd_limit * (1 - constants.OWN_SOCKETS_SHARE))
         await self.listen(self.conf.public_addr, self.front.public, most, constants.MAX_BODY)
-        await self.listen(self.conf.internal_addr, self.front.internal,
-                          constants.PEER_CONNECTIONS * 4 * self.conf.size, constants.PEER_BODY)
+        await self.listen(
+            self.conf.internal_addr,
+            self.front.internal,
+            constants.PEER_CONNECTIONS * 4 * self.conf.size,
+            constants.PEER_BODY,
+        )
         for plugin in self.plugins:
             await plugin.start(self.offer, most)
         log.info("event=started label=%s public=%s", self.conf.label, self.conf.public_addr)
@@ -156,8 +163,9 @@
 def set_up_logging() -> None:
     """Log to standard error at LOG_LEVEL."""
     level = LEVELS.get(os.environ.get("LOG_LEVEL", "error").lower(), logging.ERROR)
-    logging.basicConfig(stream=sys.stderr, level=level,
-                        format="%(levelname)s %(name)s %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr, level=level, format="%(levelname)s %(name)s %(message)s"
+    )
     logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
@@ -166,8 +174,9 @@
     try:
         from oakmux.schedules import plugin  # not needed, and not installed, where it is off
     except ImportError as error:
-        raise settings.SettingsError(f"{path}: schedules need {error.name}: "
-                                     "install requirements-schedules.txt") from None
+        raise settings.SettingsError(
+            f"{path}: schedules need {error.name}: install requirements-schedules.txt"
+        ) from None
     return plugin.load(path)
 
 
@@ -203,9 +212,13 @@
     """Parse the platform's command line."""
     parser = argparse.ArgumentParser(prog="run.py", description="Run an oakmux controller.")
     parser.add_argument("--config", required=True, help="the platform's settings file (TOML)")
-    parser.add_argument("--schedules", metavar="FILE",
-                        help="keep cron tables and calendars, by the operator's settings (INI)")
-    parser.add_argument("--spread", metavar="FILE",
-                        help="how load is spread, by the operator's settings (INI)")
+    parser.add_argument(
+        "--schedules",
+        metavar="FILE",
+        help="keep cron tables and calendars, by the operator's settings (INI)",
+    )
+    parser.add_argument(
+        "--spread", metavar="FILE", help="how load is spread, by the operator's settings (INI)"
+    )
     given = parser.parse_args(argv)
     return serve(given.config, given.schedules, given.spread)
--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -67,9 +67,11 @@
     @property
     def least(self) -> "StateLimits":
         """The smaller of the present and the coming limits: they change without notice."""
-        coming = {name: min(value, getattr(self, name))
-                  for name, value in msgspec.structs.asdict(self.next).items()
-                  if value is not None}
+        coming = {
+            name: min(value, getattr(self, name))
+            for name, value in msgspec.structs.asdict(self.next).items()
+            if value is not None
+        }
         return msgspec.structs.replace(self, **coming)
 
 
@@ -168,10 +170,16 @@
     facts = settings.facts
     positive = {
         **{f"facts.workers.{k}": v for k, v in msgspec.structs.asdict(facts.workers).items()},
-        **{f"facts.state.{k}": v for k, v in msgspec.structs.asdict(facts.state).items()
-           if k != "next"},
-        **{f"facts.state.next.{k}": v
-           for k, v in msgspec.structs.asdict(facts.state.next).items() if v is not None},
+        **{
+            f"facts.state.{k}": v
+            for k, v in msgspec.structs.asdict(facts.state).items()
+            if k != "next"
+        },
+        **{
+            f"facts.state.next.{k}": v
+            for k, v in msgspec.structs.asdict(facts.state.next).items()
+            if v is not None
+        },
         **{f"facts.cloud.{k}": v for k, v in msgspec.structs.asdict(facts.cloud).items()},
         "facts.resources.fd_limit": facts.resources.fd_limit,
         "facts.size": facts.size,
@@ -182,11 +190,14 @@
     for team in facts.teams:
         for name, value in msgspec.structs.asdict(team).items():
             if name != "name" and not 0 <= value < 1e12:
-                raise SettingsError(f"facts.teams.{team.name}.{name}: must be 0 or more, "
-                                    f"not {value}")
+                raise SettingsError(
+                    f"facts.teams.{team.name}.{name}: must be 0 or more, not {value}"
+                )
     if facts.state.least.txn_ops < MIN_TXN_OPS:
-        raise SettingsError(f"facts.state.txn_ops: must be at least {MIN_TXN_OPS}: a job that "
-                            "ends takes that many changes")
+        raise SettingsError(
+            f"facts.state.txn_ops: must be at least {MIN_TXN_OPS}: a job that "
+            "ends takes that many changes"
+        )
     if not facts.zones:
         raise SettingsError("facts.zones: at least one zone is needed")
     labels = [settings.label, *(m.label for m in settings.members)]
@@ -236,6 +247,8 @@
     except ValueError as error:
         raise SettingsError(f"{path}: [spread] {error}") from None
     if not 0 <= share <= constants.FLOOR_SHARE_MOST:
-        raise SettingsError(f"{path}: [spread] floor_share: must be from 0 to "
-                            f"{constants.FLOOR_SHARE_MOST}, not {share}")
+        raise SettingsError(
+            f"{path}: [spread] floor_share: must be from 0 to "
+            f"{constants.FLOOR_SHARE_MOST}, not {share}"
+        )
     return Spread(openings, share)
--- a/oakmux/wire.py
+++ b/oakmux/wire.py
@@ -39,16 +39,35 @@
 OPS = {"start": "launch", "stop": "halt", "forget": "forget"}
 # The words that our command line uses for a job's fields and their values.
 JOB_FIELDS = {
-    "id": "id", "class": "lane", "team": "owner", "kind": "shape", "priority": "rank",
-    "tasks": "pieces", "cpus": "vcpus", "gpus": "accelerators", "memory_gb": "memory_gb",
-    "image": "bundle", "image_gb": "size_gb", "types": "flavours", "zone": "site",
-    "one_zone": "together", "spread": "spread", "spot": "loaner", "estimate_s": "guess_s",
-    "checkpoint_s": "save_every_s", "save_s": "save_cost_s", "deadline_s": "due_s",
+    "id": "id",
+    "class": "lane",
+    "team": "owner",
+    "kind": "shape",
+    "priority": "rank",
+    "tasks": "pieces",
+    "cpus": "vcpus",
+    "gpus": "accelerators",
+    "memory_gb": "memory_gb",
+    "image": "bundle",
+    "image_gb": "size_gb",
+    "types": "flavours",
+    "zone": "site",
+    "one_zone": "together",
+    "spread": "spread",
+    "spot": "loaner",
+    "estimate_s": "guess_s",
+    "checkpoint_s": "save_every_s",
+    "save_s": "save_cost_s",
+    "deadline_s": "due_s",
     "waits_on": "waits_on",
 }
 KIND_WORDS = {inside: platform for platform, inside in KINDS.items()}
-PRIORITY_WORDS = {"production": "production", "high": "urgent", "normal": "standard",
-                  "low": "idle"}
+PRIORITY_WORDS = {
+    "production": "production",
+    "high": "urgent",
+    "normal": "standard",
+    "low": "idle",
+}
 
 PATH_JOBS = "/api/jobs"
 CANCEL = "/cancel"
@@ -208,8 +227,16 @@
         raw = msgspec.convert(value, _Submission)
     except (msgspec.ValidationError, TypeError, OverflowError) as error:
         raise Malformed(str(error)[:MAX_TEXT]) from None
-    for name in ("vcpus", "accelerators", "memory_gb", "size_gb", "guess_s", "save_every_s",
-                 "save_cost_s", "due_s"):
+    for name in (
+        "vcpus",
+        "accelerators",
+        "memory_gb",
+        "size_gb",
+        "guess_s",
+        "save_every_s",
+        "save_cost_s",
+        "due_s",
+    ):
         _amount(name, getattr(raw, name))
     for name in ("lane", "owner", "bundle"):
         if not 0 < len(getattr(raw, name)) <= MAX_TEXT:
@@ -230,10 +257,26 @@
     if not all(JOB_ID.match(name) for name in waits_on):
         raise Malformed("waits_on: not a job id")
     return JobSpec(
-        raw.lane, raw.owner, KINDS[raw.shape], PRIORITIES[raw.rank], raw.pieces, raw.vcpus,
-        raw.accelerators, raw.memory_gb, raw.bundle, raw.size_gb, raw.flavours or None, raw.site,
-        raw.together, raw.spread, raw.loaner, raw.guess_s, raw.save_every_s, raw.save_cost_s,
-        raw.due_s, waits_on,
+        raw.lane,
+        raw.owner,
+        KINDS[raw.shape],
+        PRIORITIES[raw.rank],
+        raw.pieces,
+        raw.vcpus,
+        raw.accelerators,
+        raw.memory_gb,
+        raw.bundle,
+        raw.size_gb,
+        raw.flavours or None,
+        raw.site,
+        raw.together,
+        raw.spread,
+        raw.loaner,
+        raw.guess_s,
+        raw.save_every_s,
+        raw.save_cost_s,
+        raw.due_s,
+        waits_on,
     )
 
 
@@ -262,8 +305,18 @@
             raise Malformed("piece: not a task") from None
         why = CAUSES.get(piece.cause or "", "error" if state == "exited" else "")
         tasks[(piece.piece, piece.attempt)] = (state, why, bool(piece.stored))
-    return Report(raw.box, raw.addr, raw.flavour, raw.site, raw.loaner, raw.tenure, raw.tick,
-                  raw.baton, raw.warning_s, tasks)
+    return Report(
+        raw.box,
+        raw.addr,
+        raw.flavour,
+        raw.site,
+        raw.loaner,
+        raw.tenure,
+        raw.tick,
+        raw.baton,
+        raw.warning_s,
+        tasks,
+    )
 
 
 def split_task(task: str) -> tuple[str, int]:
@@ -301,8 +354,13 @@
     if tag == "error":
         return {"error": answer[1]}
     if tag == "health":
-        return {"label": answer[1], "ready": answer[2], "term": answer[3], "teams": answer[4],
-                "machines": answer[5]}
+        return {
+            "label": answer[1],
+            "ready": answer[2],
+            "term": answer[3],
+            "teams": answer[4],
+            "machines": answer[5],
+        }
     if tag == "peer":
         return list(answer)
     if tag == "schedules":
@@ -386,10 +444,18 @@
     """Return the cloud's machine types."""
     try:
         return [
-            MachineType(t["sku"], float(t["vcpus"]), float(t["accelerators"]),
-                        float(t["memory_gb"]), float(t["local_gb"]),
-                        float(t["pull_gb_per_s"]), float(t["hourly"]), float(t["low_price"]),
-                        float(t["boot_s"]), [str(z) for z in t["sites"]])
+            MachineType(
+                t["sku"],
+                float(t["vcpus"]),
+                float(t["accelerators"]),
+                float(t["memory_gb"]),
+                float(t["local_gb"]),
+                float(t["pull_gb_per_s"]),
+                float(t["hourly"]),
+                float(t["low_price"]),
+                float(t["boot_s"]),
+                [str(z) for z in t["sites"]],
+            )
             for t in value["flavours"]
         ]
     except (TypeError, KeyError, ValueError):
@@ -418,8 +484,15 @@
     """Return ([(machine, addr, type, zone, spot, state, age_s)], more) of the machine list."""
     try:
         rows = [
-            (b["id"], b.get("addr", ""), b["flavour"], b["site"], bool(b["loaner"]), b["status"],
-             float(b["held_s"]))
+            (
+                b["id"],
+                b.get("addr", ""),
+                b["flavour"],
+                b["site"],
+                bool(b["loaner"]),
+                b["status"],
+                float(b["held_s"]),
+            )
             for b in value["boxes"]
         ]
         return rows, bool(value["has_next"])
@@ -448,17 +521,33 @@
 def job_words(spec: JobSpec) -> dict:
     """Return a job in the command line's words, without an id."""
     priority = {level: name for name, level in PRIORITIES.items()}[spec.priority]
-    row = {"lane": spec.lane, "owner": spec.team, "pieces": spec.tasks, "vcpus": spec.cpus,
-           "accelerators": spec.gpus, "memory_gb": spec.memory_gb, "bundle": spec.image,
-           "size_gb": spec.image_gb, "flavours": spec.types, "site": spec.zone,
-           "together": spec.one_zone, "spread": spec.spread, "loaner": spec.spot,
-           "guess_s": spec.estimate_s, "save_every_s": spec.checkpoint_s,
-           "save_cost_s": spec.save_s, "due_s": spec.deadline_s}
+    row = {
+        "lane": spec.lane,
+        "owner": spec.team,
+        "pieces": spec.tasks,
+        "vcpus": spec.cpus,
+        "accelerators": spec.gpus,
+        "memory_gb": spec.memory_gb,
+        "bundle": spec.image,
+        "size_gb": spec.image_gb,
+        "flavours": spec.types,
+        "site": spec.zone,
+        "together": spec.one_zone,
+        "spread": spec.spread,
+        "loaner": spec.spot,
+        "guess_s": spec.estimate_s,
+        "save_every_s": spec.checkpoint_s,
+        "save_cost_s": spec.save_s,
+        "due_s": spec.deadline_s,
+    }
     words = {platform: word for word, platform in JOB_FIELDS.items()}
     made = {words[name]: value for name, value in row.items() if value is not None}
     kind = {inside: platform for platform, inside in KINDS.items()}[spec.kind]
-    return {**made, "kind": {v: k for k, v in KIND_WORDS.items()}[kind],
-            "priority": {v: k for k, v in PRIORITY_WORDS.items()}[priority]}
+    return {
+        **made,
+        "kind": {v: k for k, v in KIND_WORDS.items()}[kind],
+        "priority": {v: k for k, v in PRIORITY_WORDS.items()}[priority],
+    }
 
 
 def job_state(value: Any) -> tuple[str, str, int, int]:
@@ -466,8 +555,12 @@
     if not isinstance(value, dict):
         return "?", "unknown", 0, 0
     words = {platform: inside for inside, platform in JOB_STATES.items()}
-    return (str(value.get("id")), words.get(value.get("status", ""), "unknown"),
-            value.get("done", 0), value.get("running", 0))
+    return (
+        str(value.get("id")),
+        words.get(value.get("status", ""), "unknown"),
+        value.get("done", 0),
+        value.get("running", 0),
+    )
 
 
 def job_waits(value: Any) -> list[str]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -40,24 +40,51 @@
 PLACED = ("waiting", "running", "saving")
 
 
-def settings_for(label: str, count: int = 3, coming: ComingLimits | None = None,
-                 teams: tuple[Team, ...] = TEAMS) -> Settings:
+def settings_for(
+    label: str, count: int = 3, coming: ComingLimits | None = None, teams: tuple[Team, ...] = TEAMS
+) -> Settings:
     """Return the settings of one controller of a small deployment."""
     members = [Member(f"h{i}", f"10.0.0.{i + 1}:81") for i in range(count) if f"h{i}" != label]
     return Settings(
-        label, "10.0.0.1:80", "10.0.0.1:81", External("10.2.0.2:1", "10.2.0.1:2"),
-        Facts(ZONES, list(teams),
-              Workers(REPORT_S, LEASE_S, GANG_WAIT_S, 3.0, CANCEL_S),
-              StateLimits(1000, 1000, 8, 12, coming or ComingLimits()), CloudLimits(5, 2), count),
-        members=members)
+        label,
+        "10.0.0.1:80",
+        "10.0.0.1:81",
+        External("10.2.0.2:1", "10.2.0.1:2"),
+        Facts(
+            ZONES,
+            list(teams),
+            Workers(REPORT_S, LEASE_S, GANG_WAIT_S, 3.0, CANCEL_S),
+            StateLimits(1000, 1000, 8, 12, coming or ComingLimits()),
+            CloudLimits(5, 2),
+            count,
+        ),
+        members=members,
+    )
 
 
 def spec(kind: str = "array", tasks: int = 1, team: str = "red", **more: Any) -> JobSpec:
     """Return a job of small tasks."""
     fields: dict[str, Any] = dict(
-        lane="l", team=team, kind=kind, priority=1, tasks=tasks, cpus=1.0, gpus=1.0,
-        memory_gb=4.0, image="i", image_gb=1.0, types=None, zone=None, one_zone=False,
-        spread=False, spot=False, estimate_s=5.0, checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+        lane="l",
+        team=team,
+        kind=kind,
+        priority=1,
+        tasks=tasks,
+        cpus=1.0,
+        gpus=1.0,
+        memory_gb=4.0,
+        image="i",
+        image_gb=1.0,
+        types=None,
+        zone=None,
+        one_zone=False,
+        spread=False,
+        spot=False,
+        estimate_s=5.0,
+        checkpoint_s=0.0,
+        save_s=0.0,
+        deadline_s=None,
+    )
     return JobSpec(**{**fields, **more})
 
 
@@ -100,8 +127,11 @@
         return getattr(self, kind)(*args)
 
     def txn(self, guards: list, writes: list, _: int) -> tuple[int, Any]:
-        if (len(writes) > self.txn_ops or len(guards) > 4 * self.txn_ops or any(
-                value_bytes(w[1]) > self.value_kb * 1024 for w in writes if len(w) > 1)):
+        if (
+            len(writes) > self.txn_ops
+            or len(guards) > 4 * self.txn_ops
+            or any(value_bytes(w[1]) > self.value_kb * 1024 for w in writes if len(w) > 1)
+        ):
             self.too_large += 1
             return 400, None
         failed = [k for k, stamp in guards if self.rows.get(k, (0, 0, 0))[1] != stamp]
@@ -175,9 +205,18 @@
     def snapshot(self) -> Report:
         self.advance()
         self.seq += 1
-        return Report(self.name, self.name, "big", self.zone, self.spot, self.session, self.seq,
-                      self.token, self.notice_s(),
-                      {k: (v[0], v[1], False) for k, v in self.tasks.items()})
+        return Report(
+            self.name,
+            self.name,
+            "big",
+            self.zone,
+            self.spot,
+            self.session,
+            self.seq,
+            self.token,
+            self.notice_s(),
+            {k: (v[0], v[1], False) for k, v in self.tasks.items()},
+        )
 
     def peek(self) -> Report:
         """Return the report that it would send now, and leave it as it is."""
@@ -298,12 +337,25 @@
         if sim.copies and sim.rng.random() < sim.copies:
             # To whom it may be, its answer goes nowhere; the machine may be gone by then.
             other = sim.rng.choice(sim.labels)
-            sim.after(sim.rng.uniform(0.5, 4 * LEASE_S), lambda: sim.command(
-                other, ("report", lambda *a: None, report)))
+            sim.after(
+                sim.rng.uniform(0.5, 4 * LEASE_S),
+                lambda: sim.command(other, ("report", lambda *a: None, report)),
+            )
         sim.after(ANSWER_S, lambda: self.awake(lost))
-        sim.pass_on(self.name, label, lambda: sim.command(
-            label, ("report", lambda *a: sim.pass_on(
-                label, self.name, lambda: self.awake(lambda: answered(*a))), report)))
+        sim.pass_on(
+            self.name,
+            label,
+            lambda: sim.command(
+                label,
+                (
+                    "report",
+                    lambda *a: sim.pass_on(
+                        label, self.name, lambda: self.awake(lambda: answered(*a))
+                    ),
+                    report,
+                ),
+            ),
+        )
 
     def orders(self, token: int, session: int, orders: list) -> tuple[str, Report]:
         self.advance()
@@ -337,9 +389,16 @@
 class Sim:
     """Controllers, fakes and the rules, checked whenever something happens."""
 
-    def __init__(self, seed: int = 1, count: int = 3, coming: ComingLimits | None = None,
-                 old: tuple[str, ...] = (), parts: tuple = (),
-                 spread: Spread | None = None, teams: tuple[Team, ...] = TEAMS) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        count: int = 3,
+        coming: ComingLimits | None = None,
+        old: tuple[str, ...] = (),
+        parts: tuple = (),
+        spread: Spread | None = None,
+        teams: tuple[Team, ...] = TEAMS,
+    ) -> None:
         self.parts = parts
         self.teams = {team.name: team for team in teams}
         self.spread = spread or Spread()
@@ -426,9 +485,16 @@
             if self.rng.random() < self.twice:
                 self.after(self.rng.uniform(0.01, 5.0), run)
 
-    def ask(self, a: str, b: str, serve: Callable[[], Any], done: Callable[[Any], None],
-            lost: Any, timeout: float,
-            when: Callable[[Callable[[], None]], None] = lambda run: run()) -> None:
+    def ask(
+        self,
+        a: str,
+        b: str,
+        serve: Callable[[], Any],
+        done: Callable[[Any], None],
+        lost: Any,
+        timeout: float,
+        when: Callable[[Callable[[], None]], None] = lambda run: run(),
+    ) -> None:
         """A request that is served once, perhaps late, and its answer or a time-out; `when` lets
         the server serve later."""
         state = {"open": True, "served": False}
@@ -476,8 +542,7 @@
     def boot(self, label: str) -> None:
         self.lives[label] += 1
         life = self.lives[label]
-        core = Controller(self.settings(label),
-                          random.Random(self.rng.random()), 0, self.parts)
+        core = Controller(self.settings(label), random.Random(self.rng.random()), 0, self.parts)
         if label in self.old:
             make_old(core)
         self.cores[label] = core
@@ -516,8 +581,9 @@
         if self.lives[label] != life:
             return
         state, asked = self.state, self.now
-        if not (state.down or label in state.refused or self.cut(label, "state")
-                or label in self.stuck):
+        if not (
+            state.down or label in state.refused or self.cut(label, "state") or label in self.stuck
+        ):
             state.expire()
             if since is None:
                 rows = [(k, v[0], v[1]) for k, v in state.rows.items()]
@@ -549,8 +615,9 @@
 
     def carry_out(self, label: str, life: int, effect: tuple) -> None:
         kind = effect[0]
-        if kind == "orders" or (kind == "answer" and effect[2] == 200
-                                and effect[3][0] == "orders"):
+        if kind == "orders" or (
+            kind == "answer" and effect[2] == 200 and effect[3][0] == "orders"
+        ):
             self.check_given(label, effect[5] if kind == "orders" else effect[3][2])
         if kind == "answer":
             effect[1](*effect[2:])
@@ -567,9 +634,19 @@
             _, _, addr, token, session, orders = effect
             worker = self.workers.get(addr)
             if worker is not None:
-                self.ask(label, addr, lambda: worker.orders(token, session, orders)
-                         if not worker.dead else ("lost", None), done, ("lost", None), 2.0,
-                         worker.awake)
+                self.ask(
+                    label,
+                    addr,
+                    lambda: (
+                        worker.orders(token, session, orders)
+                        if not worker.dead
+                        else ("lost", None)
+                    ),
+                    done,
+                    ("lost", None),
+                    2.0,
+                    worker.awake,
+                )
         elif kind == "cloud":
             self.ask(label, "cloud", lambda: self.cloud(*effect[2:]), done, (0, None), 5.0)
         else:
@@ -577,6 +654,7 @@
 
     def to_state(self, label: str, effect: tuple, done: Callable[[tuple], None]) -> None:
         """Carry an operation to the state service; some are carried out late and unanswered."""
+
         def serve() -> tuple[int, Any]:
             return self.state.serve(label, effect[0], *effect[2:])
 
@@ -605,8 +683,13 @@
                 return
             if word is None:
                 if message[0] == "view":
-                    self.after(0.5, lambda: self.lives[label] == life and self.command(
-                        label, ("resend", peer, [message[2]])))
+                    self.after(
+                        0.5,
+                        lambda: (
+                            self.lives[label] == life
+                            and self.command(label, ("resend", peer, [message[2]]))
+                        ),
+                    )
                 return
             new = self.peer_lives.get((label, life, peer)) != word[2]
             self.peer_lives[(label, life, peer)] = word[2]
@@ -621,14 +704,21 @@
         if key.startswith("ox/own/"):
             reports, self.for_next = self.for_next, []
             for report in reports:
-                self.after(self.rng.uniform(0.0, 1.0), lambda report=report: self.command(
-                    value[0], ("report", lambda *a: None, report)))
+                self.after(
+                    self.rng.uniform(0.0, 1.0),
+                    lambda report=report: self.command(
+                        value[0], ("report", lambda *a: None, report)
+                    ),
+                )
 
     # --- cloud ---
 
     def list_machines(self) -> None:
-        rows = [(w.name, w.name, "big", w.zone, w.spot, "running" if w.up else "booting", 1.0)
-                for w in self.workers.values() if not w.dead]
+        rows = [
+            (w.name, w.name, "big", w.zone, w.spot, "running" if w.up else "booting", 1.0)
+            for w in self.workers.values()
+            if not w.dead
+        ]
         self.history.append((self.now, rows))
         self.history = self.history[-40:]
         self.check_cancelled()
@@ -671,10 +761,15 @@
 
     def meet(self, key: tuple[str, int], row: list, job: JobSpec) -> None:
         """Start a task that has its image; those of a gang together, or none after a while."""
-        rows = [r for w in self.workers.values() if not w.dead and not w.hung
-                for (task, attempt), r in
-                w.tasks.items() if task.partition("/")[0] == key[0].partition("/")[0]
-                and attempt == key[1] and r[0] in ("waiting", "running")]
+        rows = [
+            r
+            for w in self.workers.values()
+            if not w.dead and not w.hung
+            for (task, attempt), r in w.tasks.items()
+            if task.partition("/")[0] == key[0].partition("/")[0]
+            and attempt == key[1]
+            and r[0] in ("waiting", "running")
+        ]
         if job.kind != "gang" or len(rows) == job.tasks:
             for one in rows if job.kind == "gang" else [row]:
                 one[0], one[2] = "running", self.now + self.run_s(key[0])
@@ -687,22 +782,32 @@
         job = self.specs[job_id]
         rows = [row]
         if job.kind == "gang":
-            rows = [r for w in self.workers.values() if not w.dead and not w.hung
-                    for (task, attempt), r in w.tasks.items()
-                    if task.startswith(job_id + "/") and attempt == key[1] and r[0] == "running"]
+            rows = [
+                r
+                for w in self.workers.values()
+                if not w.dead and not w.hung
+                for (task, attempt), r in w.tasks.items()
+                if task.startswith(job_id + "/") and attempt == key[1] and r[0] == "running"
+            ]
         whole = len(rows) == (job.tasks if job.kind == "gang" else 1)
         why = "error" if sick or job_id in self.broken else "done" if whole else "peers"
         for one in rows if why == "done" else [row]:
             one[:2] = ["exited", why]
         if why == "done":
-            self.completed.update(f"{job_id}/{i}" for i in range(job.tasks)
-                                  if job.kind == "gang" or f"{job_id}/{i}" == key[0])
+            self.completed.update(
+                f"{job_id}/{i}"
+                for i in range(job.tasks)
+                if job.kind == "gang" or f"{job_id}/{i}" == key[0]
+            )
 
     def submit(self, job_id: str, job: JobSpec) -> None:
         self.specs[job_id] = job
         self.submitted.setdefault(job_id, self.now)
-        self._user(job_id, lambda rid: ("submit", rid, job_id, job, ""),
-                   lambda s, a: s in (200, 201, 400, 422))
+        self._user(
+            job_id,
+            lambda rid: ("submit", rid, job_id, job, ""),
+            lambda s, a: s in (200, 201, 400, 422),
+        )
 
     def cancel(self, job_id: str) -> None:
         self.asked_cancel.add(job_id)
@@ -727,11 +832,15 @@
         """Right after a user was told something new, ask all controllers again and again within
         20 ms, and submit anew; some cancel at once."""
         for label in self.labels * 2:
-            self.after(self.rng.uniform(0.001, 0.02),
-                       lambda label=label: self.tell(label, "query", job_id))
+            self.after(
+                self.rng.uniform(0.001, 0.02),
+                lambda label=label: self.tell(label, "query", job_id),
+            )
         for label in self.labels:
-            self.after(self.rng.uniform(0.001, 0.02), lambda label=label: self.tell(
-                label, "submit", job_id, self.specs[job_id], ""))
+            self.after(
+                self.rng.uniform(0.001, 0.02),
+                lambda label=label: self.tell(label, "submit", job_id, self.specs[job_id], ""),
+            )
         if self.told[job_id] == "accepted" and self.rng.random() < 0.25:
             self.after(self.rng.uniform(0.001, 0.02), lambda: self.cancel(job_id))
 
@@ -749,14 +858,25 @@
         """Whether an accepted job lacks tasks for which there is room within all rules. A gang
         and a service's or array's next task are judged alike: by all that must start at once."""
         job = self.specs[job_id]
-        if (self.told.get(job_id) != "accepted" or job_id in self.broken
-                or any(self.told.get(name) != "done" for name in self.needs(job_id))):
+        if (
+            self.told.get(job_id) != "accepted"
+            or job_id in self.broken
+            or any(self.told.get(name) != "done" for name in self.needs(job_id))
+        ):
             return False
-        there = [(w, key[0], row) for w in self.workers.values() if w.up and not w.dead
-                 for key, row in w.tasks.items() if row[0] != "exited"]
+        there = [
+            (w, key[0], row)
+            for w in self.workers.values()
+            if w.up and not w.dead
+            for key, row in w.tasks.items()
+            if row[0] != "exited"
+        ]
         mine = {task for _, task, _ in there if task.startswith(job_id + "/")}
-        left = [i for i in range(job.tasks)
-                if (task := f"{job_id}/{i}") not in mine and task not in self.completed]
+        left = [
+            i
+            for i in range(job.tasks)
+            if (task := f"{job_id}/{i}") not in mine and task not in self.completed
+        ]
         if not left or (job.kind == "gang" and mine):
             return False
         count = job.tasks if job.kind == "gang" else 1
@@ -770,13 +890,24 @@
         room: dict[str, int] = {}
         for worker in self.workers.values():
             on = [self.specs[t.partition("/")[0]] for w, t, _ in there if w is worker]
-            if (worker.up and not worker.dead and not worker.hung
-                    and job.zone in (None, worker.zone) and (job.spot or not worker.spot)
-                    and (not job.one_zone or set(zones) <= {worker.zone})):
-                free = (TYPE.cpus - sum(s.cpus for s in on), TYPE.gpus - sum(s.gpus for s in on),
-                        TYPE.memory_gb - sum(s.memory_gb for s in on))
-                fit = min(int(have / need) for have, need in
-                          zip(free, (job.cpus, job.gpus, job.memory_gb), strict=True) if need)
+            if (
+                worker.up
+                and not worker.dead
+                and not worker.hung
+                and job.zone in (None, worker.zone)
+                and (job.spot or not worker.spot)
+                and (not job.one_zone or set(zones) <= {worker.zone})
+            ):
+                free = (
+                    TYPE.cpus - sum(s.cpus for s in on),
+                    TYPE.gpus - sum(s.gpus for s in on),
+                    TYPE.memory_gb - sum(s.memory_gb for s in on),
+                )
+                fit = min(
+                    int(have / need)
+                    for have, need in zip(free, (job.cpus, job.gpus, job.memory_gb), strict=True)
+                    if need
+                )
                 room[worker.zone] = room.get(worker.zone, 0) + fit
         if job.spread:
             most = (job.tasks + 1) // 2
@@ -792,8 +923,11 @@
             for job_id in self.told:
                 self.query(job_id)
             self.run(5)
-            found |= {job_id for job_id in self.told
-                      if self.now - max(begun, self.answered.get(job_id, 0.0)) >= 75}
+            found |= {
+                job_id
+                for job_id in self.told
+                if self.now - max(begun, self.answered.get(job_id, 0.0)) >= 75
+            }
         return found
 
     def begun_at(self, job_id: str) -> float | None:
@@ -811,8 +945,14 @@
         """Return which classes, teams and classes' largest jobs had less than half served, and
         which of the largest did not begin in time. Served is what began in time."""
         groups: dict[str, list[str]] = {}
-        jobs = {j: s for j, s in self.specs.items() if j in self.told and j not in self.broken
-                and self.told[j] != "cancelled" and self.submitted[j] <= self.now - begin_s}
+        jobs = {
+            j: s
+            for j, s in self.specs.items()
+            if j in self.told
+            and j not in self.broken
+            and self.told[j] != "cancelled"
+            and self.submitted[j] <= self.now - begin_s
+        }
         for job_id, job in jobs.items():
             groups.setdefault(f"class {job.lane}", []).append(job_id)
             groups.setdefault(f"team {job.team}", []).append(job_id)
@@ -820,8 +960,11 @@
                 groups.setdefault(f"largest {job.lane}", []).append(job_id)
         bad = []
         for name, ids in sorted(groups.items()):
-            begun = [j for j in ids if (at := self.begun_at(j)) is not None
-                     and at - self.submitted[j] <= begin_s]
+            begun = [
+                j
+                for j in ids
+                if (at := self.begun_at(j)) is not None and at - self.submitted[j] <= begin_s
+            ]
             if 2 * len(begun) < len(ids):
                 bad.append(f"{name}: {len(begun)} of {len(ids)}")
             elif name.startswith("largest") and len(begun) < len(ids):
@@ -872,8 +1015,9 @@
                     stack.append(name)
         return found
 
-    def heard(self, job_id: str, status: int, answer: tuple, before: str | None,
-              sent: float) -> None:
+    def heard(
+        self, job_id: str, status: int, answer: tuple, before: str | None, sent: float
+    ) -> None:
         """Check an answer against what the user had been told when the request was sent."""
         if status in (400, 404, 422):
             assert before is None, f"forgotten: {job_id}"
@@ -893,8 +1037,9 @@
             for name in self.needs(job_id):
                 assert sent <= self.cancelled_at.get(name, sent), f"orphaned: {job_id} by {name}"
         if state == "cancelled":
-            assert self.asked_cancel & {job_id, *self.needs(job_id)}, \
+            assert self.asked_cancel & {job_id, *self.needs(job_id)}, (
                 f"went_back: {job_id} was never cancelled"
+            )
             self.cancelled_at.setdefault(job_id, self.now)
         if self.told.get(job_id) not in ("done", "cancelled"):
             news = state if state in ("done", "cancelled") else "accepted"
@@ -915,8 +1060,9 @@
             worker.advance()
             for (task, _), row in worker.tasks.items():
                 at = self.cancelled_at.get(task.partition("/")[0])
-                assert row[0] not in PLACED or at is None or self.now - at <= CANCEL_S, \
+                assert row[0] not in PLACED or at is None or self.now - at <= CANCEL_S, (
                     f"ran_cancelled: {task}"
+                )
 
     def check_given(self, label: str, orders: list[dict]) -> None:
         """No controller gives a start of a job that it knows to be cancelled."""
@@ -925,8 +1071,9 @@
             if order["verb"] == "launch":
                 job_id = order["piece"].partition("/")[0]
                 self.given[(order["piece"], order["try"])] = self.now
-                assert core is None or not core.keeper.word.is_cancelled(job_id), \
+                assert core is None or not core.keeper.word.is_cancelled(job_id), (
                     f"start given though cancelled: {order['piece']}"
+                )
 
     def placed(self) -> list[tuple[FakeWorker, str, int]]:
         """Return the tasks that are on a machine by the rules' words: also while they wait for
@@ -935,8 +1082,11 @@
         for worker in self.workers.values():
             if not worker.dead:
                 worker.advance()
-                found += [(worker, task, attempt) for (task, attempt), row in worker.tasks.items()
-                          if row[0] in PLACED]
+                found += [
+                    (worker, task, attempt)
+                    for (task, attempt), row in worker.tasks.items()
+                    if row[0] in PLACED
+                ]
         return found
 
     def live(self) -> list[tuple[FakeWorker, str, int]]:
@@ -944,8 +1094,11 @@
         for worker in self.workers.values():
             if not worker.dead:
                 worker.advance()
-                found += [(worker, task, attempt) for (task, attempt), row in worker.tasks.items()
-                          if row[0] == "running"]
+                found += [
+                    (worker, task, attempt)
+                    for (task, attempt), row in worker.tasks.items()
+                    if row[0] == "running"
+                ]
         return found
 
     def started(self, worker: FakeWorker, key: tuple[str, int]) -> None:
@@ -972,15 +1125,18 @@
         mates = [self.specs[t.partition("/")[0]] for _, t, _ in others]
         mates = [mate for mate in mates if mate.team == job.team]
         limit = self.teams[job.team]
-        for used, most in ((job.cpus + sum(s.cpus for s in mates), limit.cpus_max),
-                           (job.gpus + sum(s.gpus for s in mates), limit.gpus_max)):
+        for used, most in (
+            (job.cpus + sum(s.cpus for s in mates), limit.cpus_max),
+            (job.gpus + sum(s.gpus for s in mates), limit.gpus_max),
+        ):
             assert not most or used <= most + 1e-6, f"quota: {job.team} {used}"
         zones = [w.zone for w, t, _ in others if t.partition("/")[0] == job_id]
         assert job.zone in (None, worker.zone), f"wrong_place: {task}"
         assert job.spot or not worker.spot, f"wrong_place: {task}"
         assert not job.one_zone or set(zones) <= {worker.zone}, f"wrong_place: {task}"
-        assert not job.spread or zones.count(worker.zone) < (job.tasks + 1) // 2, \
+        assert not job.spread or zones.count(worker.zone) < (job.tasks + 1) // 2, (
             f"wrong_place: {task}"
+        )
 
 
 def make_old(core: Controller) -> None:
@@ -1011,11 +1167,13 @@
         used[job.team] = used.get(job.team, 0.0) + bound
         ending[job.team] = ending.get(job.team, 0.0) + (0.0 if job.service else bound)
         mine[job.team] = mine.get(job.team, 0.0) + job.takes[1] * len(
-            core.owner.copies.bindings(job))
+            core.owner.copies.bindings(job)
+        )
     for team in world.teams:
         assert replica.used.get(team, (0, 0))[1] == pytest.approx(used.get(team, 0)), team
         assert sum(at[1] for at in replica.used_ending.get(team, {}).values()) == pytest.approx(
-            ending.get(team, 0)), team
+            ending.get(team, 0)
+        ), team
         if team in world.my_roles:
             assert core.owner.copies.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -32,13 +32,16 @@
 def write_settings(folder: Path, port: int, teams: list[str]) -> tuple[str, dict[str, str]]:
     """Write the operator's files; return the INI's path and a token for each team."""
     made = {team: tokens.make(team) for team in teams}
-    (folder / "tokens").write_text("# who may write\n" + "\n".join(
-        row for _, row in made.values()) + "\n")
+    (folder / "tokens").write_text(
+        "# who may write\n" + "\n".join(row for _, row in made.values()) + "\n"
+    )
     for suffix in ("pem", "key"):
         (folder / f"c.{suffix}").write_text((DATA / f"loopback-only.{suffix}").read_text())
     ini = folder / "schedules.ini"
-    ini.write_text(f"[schedules]\nenabled = yes\n[caldav]\nlisten = 127.0.0.1:{port}\n"
-                   "certificate = c.pem\nkey = c.key\ntokens = tokens\n")
+    ini.write_text(
+        f"[schedules]\nenabled = yes\n[caldav]\nlisten = 127.0.0.1:{port}\n"
+        "certificate = c.pem\nkey = c.key\ntokens = tokens\n"
+    )
     return str(ini), {team: token for team, (token, _) in made.items()}
 
 
@@ -70,7 +73,8 @@
     front.more.update(extra.paths(offer))
     live: set[ServerProtocol] = set()
     await asyncio.get_running_loop().create_server(
-        lambda: ServerProtocol(front.public, live, 100), "127.0.0.1", public)
+        lambda: ServerProtocol(front.public, live, 100), "127.0.0.1", public
+    )
     await extra.start(offer, 400)
     print(json.dumps({"dav": dav, "public": public, "tokens": made}), flush=True)
     begin, since = time.monotonic(), sim.now
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -46,11 +46,14 @@
 
 def pipeline(sim: Sim) -> None:
     """Submit a fan-out and a fan-in over two teams."""
-    chain(sim, (1, dict(tasks=3)),
-          (2, dict(tasks=6, waits_on=("job-1",))),
-          (3, dict(tasks=6, team="blue", waits_on=("job-1", "job-1"))),
-          (4, dict(tasks=2, kind="gang", one_zone=True, waits_on=("job-1",))),
-          (5, dict(tasks=2, team="blue", waits_on=("job-2", "job-3", "job-4"))))
+    chain(
+        sim,
+        (1, dict(tasks=3)),
+        (2, dict(tasks=6, waits_on=("job-1",))),
+        (3, dict(tasks=6, team="blue", waits_on=("job-1", "job-1"))),
+        (4, dict(tasks=2, kind="gang", one_zone=True, waits_on=("job-1",))),
+        (5, dict(tasks=2, team="blue", waits_on=("job-2", "job-3", "job-4"))),
+    )
 
 
 def test_a_fan_out_and_a_fan_in_run_in_their_order():
@@ -91,8 +94,9 @@
     sim.cancel(f"job-{cancelled}")
     sim.run(1.5)
     assert ask_all(sim, 2, 5) == ["cancelled"] * 2
-    assert all(core.world.replica.jobs["job-5"].state == "cancelled"
-               for core in sim.cores.values())  # written down, not only derived
+    assert all(
+        core.world.replica.jobs["job-5"].state == "cancelled" for core in sim.cores.values()
+    )  # written down, not only derived
     sim.run(40)
     assert not starts_of(sim, 5)
     assert ask_all(sim, 3, 4) == (["cancelled"] * 2 if cancelled == 1 else ["done"] * 2)
@@ -155,9 +159,13 @@
     sim.specs["job-2"] = small(waits_on=("job-1",))
     sim.asked_cancel.add("job-1")
     answers = []
-    commands = {"cancel": ("h0", ("cancel", lambda *a: answers.append(a), "job-1")),
-                "submit": ("h1", ("submit", lambda *a: answers.append(a), "job-2",
-                                  sim.specs["job-2"], ""))}
+    commands = {
+        "cancel": ("h0", ("cancel", lambda *a: answers.append(a), "job-1")),
+        "submit": (
+            "h1",
+            ("submit", lambda *a: answers.append(a), "job-2", sim.specs["job-2"], ""),
+        ),
+    }
     for name in sorted(commands, key=lambda name: name != first):
         sim.command(*commands[name])
     sim.run(1)
@@ -172,8 +180,7 @@
     sim = quiet(3)
     pipeline(sim)
     if trouble == "owner":
-        sim.crash(next(label for label, core in sim.cores.items()
-                       if "red" in core.world.my_roles))
+        sim.crash(next(label for label, core in sim.cores.items() if "red" in core.world.my_roles))
     elif trouble == "state":
         sim.state.outage(6)
     else:
@@ -209,8 +216,9 @@
     sim.run(1)
     assert answers == [201, 201]
     sim.state.down = True  # and what can't be decided now is answered so
-    sim.command("h2", ("submit", lambda *a: answers.append(a[0]), "job-3",
-                       small(waits_on=("job-77",)), ""))
+    sim.command(
+        "h2", ("submit", lambda *a: answers.append(a[0]), "job-3", small(waits_on=("job-77",)), "")
+    )
     sim.run(3)
     assert answers[2] == 503
 
@@ -235,10 +243,12 @@
 
 def test_priority_and_deadline_are_passed_on_and_taken_back():
     sim = quiet()
-    chain(sim, (1, dict(estimate_s=50.0)),
-          (2, dict(estimate_s=20.0, waits_on=("job-1",))),
-          (3, dict(estimate_s=5.0, team="blue", priority=2, deadline_s=100.0,
-                   waits_on=("job-2",))))
+    chain(
+        sim,
+        (1, dict(estimate_s=50.0)),
+        (2, dict(estimate_s=20.0, waits_on=("job-1",))),
+        (3, dict(estimate_s=5.0, team="blue", priority=2, deadline_s=100.0, waits_on=("job-2",))),
+    )
     jobs = sim.cores["h0"].world.replica.jobs
     order = jobs["job-3"].order
     assert [jobs[f"job-{n}"].priority for n in (1, 2, 3)] == [2, 2, 2]
@@ -284,9 +294,16 @@
     for number in range(24):
         others = [f"job-{n}" for n in range(number) if sim.told.get(f"job-{n}")]
         names = tuple(dice.sample(others, min(len(others), dice.randrange(3))))
-        sim.submit(f"job-{number}", small(
-            dice.choice([1, 3, 8]), dice.choice(["array", "array", "gang"]),
-            dice.choice(["red", "blue"]), waits_on=names, estimate_s=dice.uniform(1, 8)))
+        sim.submit(
+            f"job-{number}",
+            small(
+                dice.choice([1, 3, 8]),
+                dice.choice(["array", "array", "gang"]),
+                dice.choice(["red", "blue"]),
+                waits_on=names,
+                estimate_s=dice.uniform(1, 8),
+            ),
+        )
         if dice.random() < 0.15:
             sim.after(dice.uniform(0, 8), lambda n=number: sim.cancel(f"job-{n}"))
         trouble = dice.choice(["none", "none", "crash", "state", "cut", "die"])
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -35,8 +35,9 @@
 @pytest.fixture(scope="module")
 def service(tmp_path_factory):
     folder = str(tmp_path_factory.mktemp("loopback"))
-    process = subprocess.Popen([sys.executable, "-m", "tests.loopback", folder],
-                               stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tests.loopback", folder], stdout=subprocess.PIPE, text=True
+    )
     assert process.stdout is not None
     yield json.loads(process.stdout.readline())
     process.kill()
@@ -45,18 +46,30 @@
 
 
 def client(service: dict, team: str = "red", token: str | None = None) -> caldav.DAVClient:
-    return caldav.DAVClient(url=f"https://localhost:{service['dav']}/dav/", username=team,
-                            password=token or service["tokens"][team], ssl_verify_cert=CERT)
+    return caldav.DAVClient(
+        url=f"https://localhost:{service['dav']}/dav/",
+        username=team,
+        password=token or service["tokens"][team],
+        ssl_verify_cert=CERT,
+    )
 
 
-def raw(service: dict, method: str, path: str, body: bytes = b"", team: str = "red",
-        **headers: str) -> tuple[int, bytes]:
+def raw(
+    service: dict, method: str, path: str, body: bytes = b"", team: str = "red", **headers: str
+) -> tuple[int, bytes]:
     """Make a request of any kind; return status and body."""
     context = ssl.create_default_context(cafile=CERT)
     conn = HTTPSConnection("localhost", service["dav"], timeout=10, context=context)
     login = base64.b64encode(f"{team}:{service['tokens'][team]}".encode()).decode()
-    conn.request(method, path, body, {"Authorization": f"Basic {login}",
-                                      **{k.replace("_", "-"): v for k, v in headers.items()}})
+    conn.request(
+        method,
+        path,
+        body,
+        {
+            "Authorization": f"Basic {login}",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        },
+    )
     answer = conn.getresponse()
     data = answer.read()
     conn.close()
@@ -69,8 +82,9 @@
 
 def run(service: dict, *args: str, code: int = 0) -> str:
     """Run the command line; return what it printed."""
-    result = CliRunner().invoke(main, ["--server", f"127.0.0.1:{service['public']}", *args],
-                                catch_exceptions=False)
+    result = CliRunner().invoke(
+        main, ["--server", f"127.0.0.1:{service['public']}", *args], catch_exceptions=False
+    )
     assert result.exit_code == code, result.output
     return result.output
 
@@ -81,8 +95,12 @@
     assert [str(one.url) for one in principal.calendars()] == [str(calendar.url)]
     made = calendar.save_event(event("one"))
     assert [one.icalendar_component["UID"] for one in calendar.events()] == ["one"]
-    found = calendar.search(start=datetime.now(UTC), end=datetime.now(UTC) + timedelta(days=3),
-                            event=True, expand=False)
+    found = calendar.search(
+        start=datetime.now(UTC),
+        end=datetime.now(UTC) + timedelta(days=3),
+        event=True,
+        expand=False,
+    )
     assert len(found) == 1
     token = calendar.objects_by_sync_token(load_objects=False).sync_token
     second = calendar.save_event(event("two"))
@@ -121,16 +139,20 @@
     assert raw(service, "GET", path)[1].decode() == event()
 
 
-@pytest.mark.parametrize("text, status, word", [
-    ("rubbish", 400, "iCalendar"), ("\x00\x01", 400, "iCalendar"),
-    (EVENT.format(uid="x", template="nowhere"), 403, "no template"),
-    (event().replace("FREQ=DAILY", "FREQ=SECONDLY"), 403, "finest"),
-    (event().replace("FREQ=DAILY", "FREQ=DAILY;BYDAY=XX"), 400, ""),
-    (event().replace("Europe/Berlin", "Mars/Base"), 403, "zone"),
-    (event().replace("UID:a\n", ""), 403, "UID"),
-    (event().replace("VEVENT", "VJOURNAL"), 403, "VEVENT"),
-    (event() + "X" * 70_000, 413, ""),
-])
+@pytest.mark.parametrize(
+    "text, status, word",
+    [
+        ("rubbish", 400, "iCalendar"),
+        ("\x00\x01", 400, "iCalendar"),
+        (EVENT.format(uid="x", template="nowhere"), 403, "no template"),
+        (event().replace("FREQ=DAILY", "FREQ=SECONDLY"), 403, "finest"),
+        (event().replace("FREQ=DAILY", "FREQ=DAILY;BYDAY=XX"), 400, ""),
+        (event().replace("Europe/Berlin", "Mars/Base"), 403, "zone"),
+        (event().replace("UID:a\n", ""), 403, "UID"),
+        (event().replace("VEVENT", "VJOURNAL"), 403, "VEVENT"),
+        (event() + "X" * 70_000, 413, ""),
+    ],
+)
 def test_an_object_that_can_not_be_kept_is_refused_whole(service, text, status, word):
     raw(service, "MKCALENDAR", "/dav/red/bad/")
     got, body = raw(service, "PUT", "/dav/red/bad/a.ics", text.encode())
@@ -139,18 +161,29 @@
     assert json.loads(run(service, "--json", "schedule", "list", "red/bad/")) == []
 
 
-@pytest.mark.parametrize("method, path, body, status", [
-    ("PROPFIND", "/dav/red/", b"<a", 400),
-    ("PROPFIND", "/dav/red/", b'<!DOCTYPE a [<!ENTITY x "y">]><propfind xmlns="DAV:">&x;'
-     b"</propfind>", 400),
-    ("PROPFIND", "/dav/red/", b'<!DOCTYPE a SYSTEM "file:///etc/passwd"><a/>', 400),
-    ("PROPFIND", "/dav/red/", b"<a>" * 16_000, 400),
-    ("REPORT", "/dav/red/none/", b"<x/>", 400), ("GET", "/dav/red/%00/../..", b"", 404),
-    ("BREW", "/dav/red/", b"", 400), ("LOCK", "/dav/red/", b"", 501),
-    ("PUT", "/dav/red/none/a.ics", event().encode(), 404),
-    ("PUT", "/dav/red/long/" + "a" * 200, event().encode(), 403),
-    ("GET", "/dav/red/", b"", 405), ("DELETE", "/dav/red/", b"", 403), ("GET", "/x", b"", 404),
-])
+@pytest.mark.parametrize(
+    "method, path, body, status",
+    [
+        ("PROPFIND", "/dav/red/", b"<a", 400),
+        (
+            "PROPFIND",
+            "/dav/red/",
+            b'<!DOCTYPE a [<!ENTITY x "y">]><propfind xmlns="DAV:">&x;</propfind>',
+            400,
+        ),
+        ("PROPFIND", "/dav/red/", b'<!DOCTYPE a SYSTEM "file:///etc/passwd"><a/>', 400),
+        ("PROPFIND", "/dav/red/", b"<a>" * 16_000, 400),
+        ("REPORT", "/dav/red/none/", b"<x/>", 400),
+        ("GET", "/dav/red/%00/../..", b"", 404),
+        ("BREW", "/dav/red/", b"", 400),
+        ("LOCK", "/dav/red/", b"", 501),
+        ("PUT", "/dav/red/none/a.ics", event().encode(), 404),
+        ("PUT", "/dav/red/long/" + "a" * 200, event().encode(), 403),
+        ("GET", "/dav/red/", b"", 405),
+        ("DELETE", "/dav/red/", b"", 403),
+        ("GET", "/x", b"", 404),
+    ],
+)
 def test_a_bad_request_is_answered_and_nothing_ends(service, method, path, body, status):
     assert raw(service, "MKCALENDAR", "/dav/red/long/")[0] in (201, 405)  # there, or made now
     assert raw(service, method, path, body)[0] == status
@@ -204,14 +237,25 @@
     file = tmp_path / "t.toml"
     file.write_text('team = "red"\ncpus = 0.5\n')
     assert "stored, 1 job" in run(service, "schedule", "template", "put", "red/hand", str(file))
-    run(service, "schedule", "add", "red/once", "--at", "2031-01-01T10:00", "--template",
-        "red/hand", "--zone", "Africa/Nairobi")
+    run(
+        service,
+        "schedule",
+        "add",
+        "red/once",
+        "--at",
+        "2031-01-01T10:00",
+        "--template",
+        "red/hand",
+        "--zone",
+        "Africa/Nairobi",
+    )
     assert "2031-01-01T10:00:00+03:00" in run(service, "schedule", "next", "red/once")
     run(service, "schedule", "template", "remove", "red/hand", code=1)
     run(service, "schedule", "remove", "red/once")
     run(service, "schedule", "template", "remove", "red/hand")
     assert "red/t: main" in run(service, "schedule", "template", "list")
     file.write_text('team = "red"\ncpu = 1\n')
-    assert "unknown field cpu" in run(service, "schedule", "template", "put", "red/x", str(file),
-                                      code=2)
+    assert "unknown field cpu" in run(
+        service, "schedule", "template", "put", "red/x", str(file), code=2
+    )
     assert "token: " in run(service, "schedule", "token", "red")
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -19,11 +19,29 @@
 from oakmux.net.users import Front
 from tests.fakes import settings_for
 
-GOOD = {"id": "job-000412", "lane": "train", "owner": "vision", "shape": "ensemble",
-        "rank": "urgent", "pieces": 16, "vcpus": 8, "accelerators": 1.0, "memory_gb": 64.0,
-        "bundle": "img", "size_gb": 6.2, "flavours": ["g8"], "site": None, "together": True,
-        "spread": False, "loaner": True, "guess_s": 240.0, "save_every_s": 30.0,
-        "save_cost_s": 4.0, "due_s": 900.0, "colour": "unknown fields are ignored"}
+GOOD = {
+    "id": "job-000412",
+    "lane": "train",
+    "owner": "vision",
+    "shape": "ensemble",
+    "rank": "urgent",
+    "pieces": 16,
+    "vcpus": 8,
+    "accelerators": 1.0,
+    "memory_gb": 64.0,
+    "bundle": "img",
+    "size_gb": 6.2,
+    "flavours": ["g8"],
+    "site": None,
+    "together": True,
+    "spread": False,
+    "loaner": True,
+    "guess_s": 240.0,
+    "save_every_s": 30.0,
+    "save_cost_s": 4.0,
+    "due_s": 900.0,
+    "colour": "unknown fields are ignored",
+}
 CONFIG = """
 label = "h0"
 area = "a"
@@ -56,19 +74,42 @@
 
 def test_a_good_job_is_understood():
     job = wire.parse_job(GOOD)
-    assert (job.kind, job.priority, job.tasks, job.cpus, job.types) == (
-        "gang", 2, 16, 8.0, ["g8"])
-    assert [wire.parse_job({**GOOD, **more}).waits_on for more in (
-        {}, {"waits_on": None}, {"waits_on": []}, {"waits_on": ["job-2", "job-1", "job-2"]})] == [
-        (), (), (), ("job-2", "job-1")]
-
-
-@pytest.mark.parametrize(("field", "value"), [
-    ("pieces", 0), ("pieces", 100_001), ("pieces", 1.5), ("pieces", True), ("vcpus", -1.0),
-    ("vcpus", float("nan")), ("memory_gb", float("inf")), ("vcpus", "8"), ("shape", "blob"),
-    ("rank", "first"), ("flavours", "g8"), ("together", 1), ("owner", ""), ("due_s", -1),
-    ("lane", None), ("waits_on", "job-1"), ("waits_on", ["job-x"]), ("waits_on", [7]),
-    ("waits_on", {"job-1": 1})])
+    assert (job.kind, job.priority, job.tasks, job.cpus, job.types) == ("gang", 2, 16, 8.0, ["g8"])
+    assert [
+        wire.parse_job({**GOOD, **more}).waits_on
+        for more in (
+            {},
+            {"waits_on": None},
+            {"waits_on": []},
+            {"waits_on": ["job-2", "job-1", "job-2"]},
+        )
+    ] == [(), (), (), ("job-2", "job-1")]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("pieces", 0),
+        ("pieces", 100_001),
+        ("pieces", 1.5),
+        ("pieces", True),
+        ("vcpus", -1.0),
+        ("vcpus", float("nan")),
+        ("memory_gb", float("inf")),
+        ("vcpus", "8"),
+        ("shape", "blob"),
+        ("rank", "first"),
+        ("flavours", "g8"),
+        ("together", 1),
+        ("owner", ""),
+        ("due_s", -1),
+        ("lane", None),
+        ("waits_on", "job-1"),
+        ("waits_on", ["job-x"]),
+        ("waits_on", [7]),
+        ("waits_on", {"job-1": 1}),
+    ],
+)
 def test_a_bad_field_is_malformed(field, value):
     with pytest.raises(wire.Malformed):
         wire.parse_job({**GOOD, field: value})
@@ -81,12 +122,26 @@
 
 
 def test_a_bad_report_is_malformed():
-    good = {"box": "n-1", "addr": "10.1.0.1:9000", "flavour": "g8", "site": "a", "loaner": True,
-            "tenure": 1, "tick": 88, "baton": 41, "warning_s": None, "pieces": [
-                {"piece": "job-1/3", "try": 2, "status": "ended", "cause": "done"}]}
+    good = {
+        "box": "n-1",
+        "addr": "10.1.0.1:9000",
+        "flavour": "g8",
+        "site": "a",
+        "loaner": True,
+        "tenure": 1,
+        "tick": 88,
+        "baton": 41,
+        "warning_s": None,
+        "pieces": [{"piece": "job-1/3", "try": 2, "status": "ended", "cause": "done"}],
+    }
     assert wire.parse_report(good).tasks == {("job-1/3", 2): ("exited", "done", False)}
-    for field, value in (("tenure", -1), ("pieces", [{}]), ("box", ""), ("tick", "1"),
-                         ("pieces", [{"piece": "x", "try": 1, "status": "running"}])):
+    for field, value in (
+        ("tenure", -1),
+        ("pieces", [{}]),
+        ("box", ""),
+        ("tick", "1"),
+        ("pieces", [{"piece": "x", "try": 1, "status": "running"}]),
+    ):
         with pytest.raises(wire.Malformed):
             wire.parse_report({**good, field: value})
 
@@ -112,7 +167,7 @@
     transport = FakeTransport()
     proto.connection_made(transport)
     for byte in range(0, len(data), 50_000):
-        proto.data_received(data[byte:byte + 50_000])
+        proto.data_received(data[byte : byte + 50_000])
     return transport.data, commands, transport.closed
 
 
@@ -120,12 +175,19 @@
     return f"{method} {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"garbage\r\n\r\n", 400), (post("/nowhere", b""), 404),
-    (post("/api/jobs", b"", "PUT"), 405), (post("/api/jobs", b"\xff\xff"), 400),
-    (post("/api/jobs", wire.encode([1])), 400), (post("/agent/beat", wire.encode({})), 400),
-    (post("/api/jobs", wire.encode("x" * 70_000)), 400),
-    (post("/api/jobs/job-1/cancel", b"", "GET"), 405)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"garbage\r\n\r\n", 400),
+        (post("/nowhere", b""), 404),
+        (post("/api/jobs", b"", "PUT"), 405),
+        (post("/api/jobs", b"\xff\xff"), 400),
+        (post("/api/jobs", wire.encode([1])), 400),
+        (post("/agent/beat", wire.encode({})), 400),
+        (post("/api/jobs", wire.encode("x" * 70_000)), 400),
+        (post("/api/jobs/job-1/cancel", b"", "GET"), 405),
+    ],
+)
 def test_bad_requests_are_answered_and_reach_nobody(data, status):
     answer, commands, closed = talk(data)
     assert answer.startswith(f"HTTP/1.1 {status} ".encode())
@@ -147,11 +209,14 @@
     file = tmp_path / "c.toml"
     file.write_text(CONFIG)
     assert settings.load(str(file)).facts.teams[0].gpus_max == 4.0
-    for old, new, field in (("rps = 100", "rps = -1", "facts.state.rps"),
-                            ("[facts]", "[facts]\nsize = -1", "facts.size"),
-                            ("gpus_max = 4", "gpus_max = -4", "facts.teams.*gpus_max"),
-                            ("127.0.0.1:2", "nowhere", "external.state"),
-                            ("lease_s = 10", "", "lease_s"), ("[facts]", "[facts", "TOML")):
+    for old, new, field in (
+        ("rps = 100", "rps = -1", "facts.state.rps"),
+        ("[facts]", "[facts]\nsize = -1", "facts.size"),
+        ("gpus_max = 4", "gpus_max = -4", "facts.teams.*gpus_max"),
+        ("127.0.0.1:2", "nowhere", "external.state"),
+        ("lease_s = 10", "", "lease_s"),
+        ("[facts]", "[facts", "TOML"),
+    ):
         file.write_text(CONFIG.replace(old, new, 1))
         with pytest.raises(settings.SettingsError, match=field):
             settings.load(str(file))
@@ -164,10 +229,16 @@
     present = settings.load(str(file)).facts.state
     least = present.least
     assert (least.rps, least.write_rps, least.value_kb, least.txn_ops) == (
-        present.rps, present.write_rps, 2.0, 4)
-    for old, new, field in (("value_kb = 2.0", "value_kb = 0", "facts.state.next.value_kb"),
-                            ("txn_ops = 4", "txn_ops = 1", "txn_ops"),
-                            ("txn_ops = 4", "txn_ops = 'x'", "txn_ops")):
+        present.rps,
+        present.write_rps,
+        2.0,
+        4,
+    )
+    for old, new, field in (
+        ("value_kb = 2.0", "value_kb = 0", "facts.state.next.value_kb"),
+        ("txn_ops = 4", "txn_ops = 1", "txn_ops"),
+        ("txn_ops = 4", "txn_ops = 'x'", "txn_ops"),
+    ):
         file.write_text(CONFIG + coming.replace(old, new))
         with pytest.raises(settings.SettingsError, match=field):
             settings.load(str(file))
@@ -175,9 +246,13 @@
 
 def test_bad_settings_end_the_process_with_one_line_and_2(tmp_path):
     file = tmp_path / "c.toml"
-    file.write_text(CONFIG.replace("zones = [\"a\"]", "zones = []"))
-    done = subprocess.run([sys.executable, "run.py", "--config", str(file)], text=True,
-                          capture_output=True, check=False)
+    file.write_text(CONFIG.replace('zones = ["a"]', "zones = []"))
+    done = subprocess.run(
+        [sys.executable, "run.py", "--config", str(file)],
+        text=True,
+        capture_output=True,
+        check=False,
+    )
     assert done.returncode == 2
     assert done.stderr.count("\n") == 1 and "facts.zones" in done.stderr
 
@@ -196,8 +271,13 @@
         if path.endswith("job-404"):
             return 404, {"error": "unknown job"}
         if path.endswith("job-7"):
-            return 200, {"id": "job-7", "status": "queued", "done": 0, "running": 0,
-                         "waits_on": ["job-1", "job-5"]}
+            return 200, {
+                "id": "job-7",
+                "status": "queued",
+                "done": 0,
+                "running": 0,
+                "waits_on": ["job-1", "job-5"],
+            }
         return 200, {"id": "job-1", "status": "done", "done": 2, "running": 0}
 
     monkeypatch.setattr("oakmux.cli.ask_one", answer)
@@ -226,8 +306,9 @@
 def test_records_survive_their_encoding_and_keep_the_value_limit():
     zone = "z" * 40
     per = chunk_tasks(8.0)
-    bound = {i: Binding(2**40, f"n-{2**40}", 2**20, 2**40, zone)
-             for i in range(100_000 - per, 100_000)}
+    bound = {
+        i: Binding(2**40, f"n-{2**40}", 2**20, 2**40, zone) for i in range(100_000 - per, 100_000)
+    }
     chunk = Chunk(9, 7, (1 << 63) | 5, bound)
     value = wire.decode(wire.encode(chunk.to_value(1)))
     again = chunk_from(value, 9)
@@ -281,6 +362,7 @@
 
 def with_state(play):
     """Let a story play with a state client whose requests are only noted."""
+
     async def run():
         sent, put = [], []
         state = State(settings_for("h0", 3), put.append)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -21,8 +21,12 @@
     begun = sim.now
     for number in range(int(seconds)):
         team = ("red", "blue")[number % 2]
-        sim.after(number, lambda n=number, t=team: sim.submit(
-            f"job-9{n:03}", spec("array", 2, t, lane="small", **{"estimate_s": 8.0, **fields})))
+        sim.after(
+            number,
+            lambda n=number, t=team: sim.submit(
+                f"job-9{n:03}", spec("array", 2, t, lane="small", **{"estimate_s": 8.0, **fields})
+            ),
+        )
     assert sim.now == begun
 
 
@@ -58,8 +62,12 @@
     sim.capacity = 2
     sim.run(12)
     for number in range(110):  # each leaves a machine half empty for the next
-        sim.after(2.0 * number, lambda n=number: sim.submit(f"job-9{n:03}", spec(
-            "gang", 2, "blue", lane="pair", priority=2, estimate_s=6.0)))
+        sim.after(
+            2.0 * number,
+            lambda n=number: sim.submit(
+                f"job-9{n:03}", spec("gang", 2, "blue", lane="pair", priority=2, estimate_s=6.0)
+            ),
+        )
     sim.run(20)
     sim.submit("job-1", spec("gang", 8, "red", lane="book", priority=2, one_zone=False))
     sim.run(DAY_S)
@@ -72,8 +80,19 @@
     sim = Sim(6)
     sim.capacity = 2
     sim.run(12)
-    sim.submit("job-1", spec("array", 60, "red", lane="scan", priority=0, estimate_s=300.0,
-                             checkpoint_s=5.0, save_s=12.0))
+    sim.submit(
+        "job-1",
+        spec(
+            "array",
+            60,
+            "red",
+            lane="scan",
+            priority=0,
+            estimate_s=300.0,
+            checkpoint_s=5.0,
+            save_s=12.0,
+        ),
+    )
     sim.run(15)
     assert len(sim.live()) == 8
     sim.submit("job-9", spec("gang", 2, "blue", lane="press", priority=2))
@@ -87,13 +106,19 @@
 
 
 def test_without_elders_the_largest_may_wait_for_ever(monkeypatch):
-    for module in ("core.spread.order", "core.keeper.queue", "core.spread.lines",
-                   "core.owner.copies", "core.owner.gangs"):
+    for module in (
+        "core.spread.order",
+        "core.keeper.queue",
+        "core.spread.lines",
+        "core.owner.copies",
+        "core.owner.gangs",
+    ):
         monkeypatch.setattr(f"oakmux.{module}.elder", lambda world, job: False)
     with pytest.raises(AssertionError):
         for count in (3, 7):
             test_the_largest_begin_in_a_flood_of_smaller_ones_while_machines_and_controllers_fail(
-                count)
+                count
+            )
 
 
 def test_what_has_begun_is_no_elder_and_what_waits_is_one_in_time():
@@ -115,8 +140,15 @@
     made = {}
     for name, (age, fields) in jobs.items():
         described = spec(**fields)
-        made[name] = Job(name, described.team, "queued", 1, described,
-                         round(1000 * (world.now - age)), described.tasks)
+        made[name] = Job(
+            name,
+            described.team,
+            "queued",
+            1,
+            described,
+            round(1000 * (world.now - age)),
+            described.tasks,
+        )
         world.replica.jobs[name] = world.replica.active[name] = made[name]
     return world, made
 
@@ -150,8 +182,9 @@
 
 
 def test_what_is_older_but_has_begun_lets_an_elder_begin():
-    world, jobs = waiting(gang=(70.0, dict(kind="gang", tasks=8)),
-                          older=(80.0, dict(tasks=40, estimate_s=60.0)))
+    world, jobs = waiting(
+        gang=(70.0, dict(kind="gang", tasks=8)), older=(80.0, dict(tasks=40, estimate_s=60.0))
+    )
     openings = Openings(world)
     openings.take("gang", 1, jobs["gang"].since, ["m1"], 10.0)
     assert not openings.bars("m1", jobs["older"], jobs["older"].spec)
@@ -165,8 +198,11 @@
     sim.cloud_down = True  # nothing is rented: nothing of this can begin
     sim.submit("job-1", spec("array", 2, "red", lane="scan"))
     sim.run(DAY_S + 1)
-    assert sim.underserved(DAY_S) == ["class scan: 0 of 1", "largest scan: 0 of 1",
-                                      "team red: 0 of 1"]
+    assert sim.underserved(DAY_S) == [
+        "class scan: 0 of 1",
+        "largest scan: 0 of 1",
+        "team red: 0 of 1",
+    ]
 
 
 def test_the_check_of_a_day_tells_who_is_forgotten():
@@ -178,5 +214,6 @@
     for core in sim.cores.values():  # each answers, but never for this one
         query = core.desk.query
         core.handlers["query"] = lambda rid, job_id, query=query, core=core: (
-            core.desk.unavailable(rid, "busy") if job_id == "job-2" else query(rid, job_id))
+            core.desk.unavailable(rid, "busy") if job_id == "job-2" else query(rid, job_id)
+        )
     assert sim.silent() == {"job-2"}
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -26,14 +26,24 @@
     "job-3": spec("array", 8, "blue", gpus=0.0, cpus=1.0, memory_gb=30.0, image="x", spot=True),
 }
 
-report = st.tuples(st.just("report"), st.sampled_from(NAMES),
-                   st.sets(st.tuples(st.sampled_from(sorted(JOBS)), st.integers(0, 3),
-                                     st.sampled_from(["running", "fetching", "exited"])),
-                           max_size=3), st.booleans())
+report = st.tuples(
+    st.just("report"),
+    st.sampled_from(NAMES),
+    st.sets(
+        st.tuples(
+            st.sampled_from(sorted(JOBS)),
+            st.integers(0, 3),
+            st.sampled_from(["running", "fetching", "exited"]),
+        ),
+        max_size=3,
+    ),
+    st.booleans(),
+)
 change = st.one_of(
     report,
-    st.tuples(st.just("bind"), st.sampled_from(sorted(JOBS)), st.integers(0, 3),
-              st.sampled_from(NAMES)),
+    st.tuples(
+        st.just("bind"), st.sampled_from(sorted(JOBS)), st.integers(0, 3), st.sampled_from(NAMES)
+    ),
     st.tuples(st.just("unbind"), st.sampled_from(sorted(JOBS))),
     st.tuples(st.sampled_from(["drain", "undrain", "gone"]), st.sampled_from(NAMES)),
     st.tuples(st.just("wait"), st.floats(0.1, 9.0)),
@@ -60,10 +70,27 @@
     def report(self, name, tasks, notice):
         self.seq += 1
         number = int(name[1:])
-        states = {(f"{job}/{index}", 1): (state, "done" if state == "exited" else "", False)
-                  for job, index, state in sorted(tasks)}
-        take_report(self.world, Report(name, name, "big", ZONES[number % 3], number % 2 == 0, 1,
-                                       self.seq, 1, 9.0 if notice else None, states), "h0", 1)
+        states = {
+            (f"{job}/{index}", 1): (state, "done" if state == "exited" else "", False)
+            for job, index, state in sorted(tasks)
+        }
+        take_report(
+            self.world,
+            Report(
+                name,
+                name,
+                "big",
+                ZONES[number % 3],
+                number % 2 == 0,
+                1,
+                self.seq,
+                1,
+                9.0 if notice else None,
+                states,
+            ),
+            "h0",
+            1,
+        )
 
     def bind(self, job_id, index, name):
         self.write(chunk_key(job_id, 0), [1, "0", [[index, 1, name, 1, 1, "a", False]]])
@@ -104,8 +131,15 @@
         where = [key for key, ids in index.classes.items() if number in ids]
         assert len(where) <= 1
         if usable(world, machine):
-            assert where == [class_of(TYPE, machine.zone, machine.spot, room(world, machine),
-                                      machine.idle_since is not None)]
+            assert where == [
+                class_of(
+                    TYPE,
+                    machine.zone,
+                    machine.spot,
+                    room(world, machine),
+                    machine.idle_since is not None,
+                )
+            ]
         elif world.now - machine.heard < silent_s(world):
             assert where == []  # drained, noticed or sick; one that fell silent leaves when drawn
         held = {image for image, ids in index.holders.items() if number in ids}
@@ -114,17 +148,27 @@
 
 
 @settings(max_examples=150)
-@given(st.lists(change, max_size=30), st.sampled_from(sorted(JOBS)), st.integers(1, 5),
-       st.sets(st.sampled_from(ZONES)))
+@given(
+    st.lists(change, max_size=30),
+    st.sampled_from(sorted(JOBS)),
+    st.integers(1, 5),
+    st.sets(st.sampled_from(ZONES)),
+)
 def test_what_is_drawn_has_room_and_what_has_room_is_drawn(history, job_id, wanted, zones):
     place = after(history)
     world, job = place.world, JOBS[job_id]
     drawn = place.index.draw(job, zones, {"m5"}, wanted)
     names = [row.machine.name for row in drawn]
     assert len(set(names)) == len(names) and "m5" not in names
-    fitting = {m.name for m in world.machines.values()
-               if usable(world, m) and world.fits(job, m) and m.zone in zones
-               and m.name != "m5" and has_room(room(world, m), job)}
+    fitting = {
+        m.name
+        for m in world.machines.values()
+        if usable(world, m)
+        and world.fits(job, m)
+        and m.zone in zones
+        and m.name != "m5"
+        and has_room(room(world, m), job)
+    }
     assert set(names) <= fitting
     # With so few machines nothing that has room may be missed, unless there was enough.
     if sum(times(row.free, job) for row in drawn) < wanted:
@@ -134,8 +178,14 @@
 
 
 @settings(max_examples=300)
-@given(st.floats(0, 8), st.integers(0, 4), st.floats(0, 64), st.floats(0.1, 8),
-       st.sampled_from([0.0, 0.5, 1.0, 2.0, 4.0]), st.floats(0.1, 64))
+@given(
+    st.floats(0, 8),
+    st.integers(0, 4),
+    st.floats(0, 64),
+    st.floats(0.1, 8),
+    st.sampled_from([0.0, 0.5, 1.0, 2.0, 4.0]),
+    st.floats(0.1, 64),
+)
 def test_a_class_that_is_left_out_has_no_room(cpus, gpus, memory, need, need_gpus, need_memory):
     job = spec(cpus=need, gpus=need_gpus, memory_gb=need_memory)
     free = (cpus, float(gpus), memory)
@@ -161,8 +211,9 @@
             place.report(f"m{number}", set(), False)
         place.index.refresh()
         seen = []
-        monkeypatch.setattr(place.index, "_fresh", lambda n, s=seen, p=place: (
-            s.append(n), p.index.machines[n])[1])
+        monkeypatch.setattr(
+            place.index, "_fresh", lambda n, s=seen, p=place: (s.append(n), p.index.machines[n])[1]
+        )
         place.index.draw(JOBS["job-0"], ZONES, (), 4)
         looked.append(len(seen))
     assert looked[0] == pytest.approx(looked[1], abs=2) and looked[1] < 40
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,8 +13,10 @@
 
 def leader(sim: Sim) -> str:
     """Return the controller that most machines report to."""
-    return max((label for label, core in sim.cores.items() if core is not None),
-               key=lambda label: len(kept_by(sim, label)))
+    return max(
+        (label for label, core in sim.cores.items() if core is not None),
+        key=lambda label: len(kept_by(sim, label)),
+    )
 
 
 def kept_by(sim: Sim, label: str) -> list[str]:
@@ -247,8 +249,11 @@
         super().__init__(seed, count)
 
     def carry_out(self, label: str, life: int, effect: tuple) -> None:
-        if self.armed and effect[0] == "orders" and any(
-                order["verb"] == self.verb for order in effect[5]):
+        if (
+            self.armed
+            and effect[0] == "orders"
+            and any(order["verb"] == self.verb for order in effect[5])
+        ):
             self.held.append(self.now)
             worker = self.workers[effect[2]]
 
@@ -257,8 +262,13 @@
                     worker.orders(*effect[3:])
 
             self.after(self.seconds, arrive)
-            self.after(constants.ORDERS_TIMEOUT_S, lambda: self.lives[label] == life and
-                       self.command(label, ("done", effect[1], "lost", None)))
+            self.after(
+                constants.ORDERS_TIMEOUT_S,
+                lambda: (
+                    self.lives[label] == life
+                    and self.command(label, ("done", effect[1], "lost", None))
+                ),
+            )
             return
         super().carry_out(label, life, effect)
 
@@ -267,14 +277,16 @@
     monkeypatch.setattr(constants, "CANCELS_KEPT", 3)
     replica = Replica()
     for stamp, number in enumerate((4, 2, 7, 5, 1), 1):
-        replica.apply(job_key(f"job-{number}"),
-                      job_value("cancelled", "red", None, 0, 1), 10 * stamp)
+        replica.apply(
+            job_key(f"job-{number}"), job_value("cancelled", "red", None, 0, 1), 10 * stamp
+        )
     replica.apply(job_key("job-9"), job_value("done", "red", None, 0, 1), 25)
     assert replica.cancelled_since(0) == ["job-4", "job-2", "job-7", "job-5", "job-1"]
     assert replica.cancelled_since(30) == ["job-5", "job-1"]
     for stamp, number in enumerate((11, 12), 6):
-        replica.apply(job_key(f"job-{number}"),
-                      job_value("cancelled", "red", None, 0, 1), 10 * stamp)
+        replica.apply(
+            job_key(f"job-{number}"), job_value("cancelled", "red", None, 0, 1), 10 * stamp
+        )
     assert replica.cancelled_since(29) is None  # what was dropped must not look like nothing
     assert replica.cancelled_since(30) == ["job-5", "job-1", "job-11", "job-12"]
 
@@ -335,8 +347,14 @@
 
 def holder(sim: Sim, role: str) -> str:
     """Return the controller that holds a role."""
-    return next((label for label, core in sim.cores.items()
-                 if core is not None and role in core.world.my_roles), sim.labels[0])
+    return next(
+        (
+            label
+            for label, core in sim.cores.items()
+            if core is not None and role in core.world.my_roles
+        ),
+        sim.labels[0],
+    )
 
 
 @pytest.mark.parametrize("at", range(1, 200, 18))
@@ -392,8 +410,9 @@
 # --- a leader with only its workers and users ---
 
 
-@pytest.mark.parametrize("seconds", [
-    LEASE_S, CANCEL_S - LEASE_S - constants.CANCEL_MARGIN_S, CANCEL_S, 2.5 * CANCEL_S])
+@pytest.mark.parametrize(
+    "seconds", [LEASE_S, CANCEL_S - LEASE_S - constants.CANCEL_MARGIN_S, CANCEL_S, 2.5 * CANCEL_S]
+)
 def test_a_leader_with_only_workers_and_users_acts_on_nothing_that_another_undid(seconds):
     sim = busy(run_s=200.0)
     gather(sim, "h0")
@@ -403,8 +422,11 @@
     sim.run(0.3)
     cancel_by(sim, "h1", "job-0")
     sim.specs["job-7"] = sim.specs["job-8"] = spec("array", 2)
-    late = [sim.tell("h0", "submit", "job-7", spec("array", 2), ""),
-            sim.tell("h0", "query", "job-0"), sim.tell("h0", "cancel", "job-1")]
+    late = [
+        sim.tell("h0", "submit", "job-7", spec("array", 2), ""),
+        sim.tell("h0", "query", "job-0"),
+        sim.tell("h0", "cancel", "job-1"),
+    ]
     sim.asked_cancel.add("job-1")
     sim.submit("job-8", spec("array", 2))
     sim.run(seconds - 0.4)
@@ -561,7 +583,7 @@
         sim.run(0.02)
     before = sim.start_log[:]
     sim.run(20)
-    assert [row for row in sim.start_log[len(before):] if row[1].startswith("job-9")] == []
+    assert [row for row in sim.start_log[len(before) :] if row[1].startswith("job-9")] == []
     well(sim, 60)
 
 
@@ -594,9 +616,16 @@
     sim.late_writes = 0.1
     sim.run(12)
     for step in range(8):
-        sim.submit(f"job-{step}", spec(("array", "gang", "service")[step % 3], 3,
-                                       "red" if step % 2 else "blue", estimate_s=3.0,
-                                       waits_on=("job-0",) if step == 6 else ()))
+        sim.submit(
+            f"job-{step}",
+            spec(
+                ("array", "gang", "service")[step % 3],
+                3,
+                "red" if step % 2 else "blue",
+                estimate_s=3.0,
+                waits_on=("job-0",) if step == 6 else (),
+            ),
+        )
         if step in (0, 4):
             sim.cancel(f"job-{step}")
         if step in (3, 5):
@@ -655,8 +684,15 @@
     sim.run(10)
     sim.late_writes, sim.copies = 0.25, 0.3
     for step in range(14):
-        sim.submit(f"job-{step}", spec(("array", "gang", "array")[step % 3], 2 + step % 2,
-                                       "red" if step % 2 else "blue", estimate_s=4.0 + step))
+        sim.submit(
+            f"job-{step}",
+            spec(
+                ("array", "gang", "array")[step % 3],
+                2 + step % 2,
+                "red" if step % 2 else "blue",
+                estimate_s=4.0 + step,
+            ),
+        )
         if step % 4 == 1:
             sim.after(3.0, lambda n=step: sim.cancel(f"job-{n}"))  # type: ignore[misc]
         if step % 3 == 0:
--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -90,8 +90,11 @@
         for job_id in ("job-0", "job-3"):
             sim.cancel(job_id)
         sim.run(0.3)
-        labels = {"owners": {holder(sim, "red"), holder(sim, "blue")}, "leader": {leader(sim)},
-                  "all": set(sim.labels)}[who]
+        labels = {
+            "owners": {holder(sim, "red"), holder(sim, "blue")},
+            "leader": {leader(sim)},
+            "all": set(sim.labels),
+        }[who]
         for label in labels:
             sim.crash(label, 0.2)
         for number, team in enumerate(("red", "blue")):
@@ -107,8 +110,10 @@
 def test_what_is_bound_of_a_job_that_is_over_counts_whichever_record_came_first(order):
     replica = Replica()
     bound = Chunk(0, 1, 0, {0: Binding(1, "m", 1, 1, "a"), 1: Binding(1, "m", 1, 1, "a")})
-    rows = [(job_key("job-1"), job_value("cancelled", "red", spec(cpus=2.0), 0, 2), 5),
-            (chunk_key("job-1", 0), bound.to_value(2), 4)]
+    rows = [
+        (job_key("job-1"), job_value("cancelled", "red", spec(cpus=2.0), 0, 2), 5),
+        (chunk_key("job-1", 0), bound.to_value(2), 4),
+    ]
     replica.load(rows[::order], 5)
     assert replica.used == {"red": (4.0, 2.0)}
     assert replica.used_ending["red"][1] == (4.0, 2.0)
@@ -199,9 +204,13 @@
     chunk = Chunk(0, 5, 0, {0: theirs})
     state = sim.state
     mine, _, lease = state.rows[role_key("red")]
-    for key, value in ((role_key("red"), None), (role_key("red"), [other, 1]),
-                       (chunk_key("job-1", 0), chunk.to_value(2)), (role_key("red"), None),
-                       (role_key("red"), mine)):
+    for key, value in (
+        (role_key("red"), None),
+        (role_key("red"), [other, 1]),
+        (chunk_key("job-1", 0), chunk.to_value(2)),
+        (role_key("red"), None),
+        (role_key("red"), mine),
+    ):
         state.epoch += 1
         if value is None:
             state.drop(key)
@@ -271,8 +280,15 @@
             sim.after(3.0, sim.state.refused.clear)
         elif how == "lost":
             sim.lost_answers = 0.4
-        sim.submit(f"job-{step}", spec(("array", "gang")[step % 2], 1 + step % 3,
-                                       "red" if step % 2 else "blue", estimate_s=1.5))
+        sim.submit(
+            f"job-{step}",
+            spec(
+                ("array", "gang")[step % 2],
+                1 + step % 3,
+                "red" if step % 2 else "blue",
+                estimate_s=1.5,
+            ),
+        )
         if step % 4 == 2:
             sim.after(sim.rng.uniform(0.0, 3.0), lambda n=step: sim.cancel(f"job-{n}"))
         for number in range(step):
@@ -341,8 +357,12 @@
         sim.armed = True
         sim.crash(holder(sim, "red"), 0.4)
         for step in range(5):
-            sim.submit(f"job-{step}", spec(("array", "gang")[step % 2], 2,
-                                           "red" if step % 2 else "blue", estimate_s=2.0))
+            sim.submit(
+                f"job-{step}",
+                spec(
+                    ("array", "gang")[step % 2], 2, "red" if step % 2 else "blue", estimate_s=2.0
+                ),
+            )
             if step in (1, 3):
                 sim.after(1.2, lambda n=step, sim=sim: sim.cancel(f"job-{n}"))
             sim.run(2)
@@ -364,14 +384,15 @@
     starts though its giver could know, a limit given out twice, a job that comes back."""
     sim = at_limits(count)
     for step in range(12):
-        sim.submit(f"job-{step + 10}", spec("array", 2, "red" if step % 2 else "blue",
-                                            priority=2, estimate_s=30.0))
+        sim.submit(
+            f"job-{step + 10}",
+            spec("array", 2, "red" if step % 2 else "blue", priority=2, estimate_s=30.0),
+        )
     sim.run(4)
     owner = holder(sim, "red")
     if how == "yield":
         core = sim.cores[owner]
-        core.membership._yield({"red": owner, "blue": owner, "#fleet": owner},
-                               sorted(sim.labels))
+        core.membership._yield({"red": owner, "blue": owner, "#fleet": owner}, sorted(sim.labels))
         sim.step(owner, [])
     elif how == "expiry":
         sim.state.refused = {owner}
@@ -404,8 +425,15 @@
         sim.run(6)
         sim.late_writes, sim.lost_answers = 0.3, 0.2
         for number in range(6):
-            sim.submit(f"job-{number}", spec(("array", "gang", "service")[number % 3], 3,
-                                             "red" if number % 2 else "blue", estimate_s=6.0))
+            sim.submit(
+                f"job-{number}",
+                spec(
+                    ("array", "gang", "service")[number % 3],
+                    3,
+                    "red" if number % 2 else "blue",
+                    estimate_s=6.0,
+                ),
+            )
         sim.run(at * 0.1)
         sim.crash(holder(sim, "#fleet"), back)
         sim.run(1.0)
@@ -425,8 +453,9 @@
     sim = Sim(5, count)
     sim.run(12)
     for number in range(4):
-        sim.submit(f"job-{number}", spec("array", 3, "red" if number < 2 else "blue",
-                                         estimate_s=300.0))
+        sim.submit(
+            f"job-{number}", spec("array", 3, "red" if number < 2 else "blue", estimate_s=300.0)
+        )
     old = []
     for step in range(5):
         sim.run(3)
@@ -489,8 +518,10 @@
     sim.submit("job-0", spec("service", 2, "blue"))
     sim.run(8)
     for number in range(1, 241):
-        sim.submit(f"job-{number}", spec("array", 1, ("red", "blue")[number % 2], cpus=0.5,
-                                         gpus=0.25, estimate_s=3.0))
+        sim.submit(
+            f"job-{number}",
+            spec("array", 1, ("red", "blue")[number % 2], cpus=0.5, gpus=0.25, estimate_s=3.0),
+        )
         if number % 4 == 0:
             sim.after(sim.rng.uniform(0.0, 5.0), lambda n=number: sim.cancel(f"job-{n}"))
         if number == 120:
@@ -499,8 +530,11 @@
             sim.late_writes = 0.1
         sim.run(0.25)
     assert len(running(sim, "job-0")) == 2
-    waits = [at - sim.submitted[f"job-{n}"] for n in range(1, 241)
-             if (at := sim.begun_at(f"job-{n}")) is not None]
+    waits = [
+        at - sim.submitted[f"job-{n}"]
+        for n in range(1, 241)
+        if (at := sim.begun_at(f"job-{n}")) is not None
+    ]
     assert len(waits) >= 180 and sorted(waits)[len(waits) // 2] < 6.0 and max(waits) < 30.0
     sim.late_writes = 0.0
     well(sim, 60)
@@ -509,9 +543,16 @@
 # --- what is accepted ---
 
 NEVER = [
-    spec(team="nobody"), spec(zone="z"), spec(types=["none"]), spec(cpus=9.0), spec(gpus=5.0),
-    spec(memory_gb=65.0), spec("gang", 9), spec("service", 9),
-    spec("gang", 2, spread=True, one_zone=True), spec("service", 2, spread=True, zone="a"),
+    spec(team="nobody"),
+    spec(zone="z"),
+    spec(types=["none"]),
+    spec(cpus=9.0),
+    spec(gpus=5.0),
+    spec(memory_gb=65.0),
+    spec("gang", 9),
+    spec("service", 9),
+    spec("gang", 2, spread=True, one_zone=True),
+    spec("service", 2, spread=True, zone="a"),
 ]
 
 
@@ -527,8 +568,10 @@
     sim.submit("job-1", spec())
     sim.run(1)
     for label in sim.labels:  # known by now: its state, whatever the body says
-        answers = [*sim.tell(label, "submit", "job-1", job, ""),
-                   *sim.tell(label, "submit", "job-1", None, "pieces: missing")]
+        answers = [
+            *sim.tell(label, "submit", "job-1", job, ""),
+            *sim.tell(label, "submit", "job-1", None, "pieces: missing"),
+        ]
         sim.run(0.5)
         assert sim.told["job-1"] == "accepted"
     sim.run(30)
@@ -564,8 +607,11 @@
         with pytest.raises(AssertionError, match="ran_twice"):
             other.obey(other.token, [order])
     worker.tasks[(task, attempt)][0] = "running"
-    for kind, more in (("quota", {"gpus": 1.0, "team": "red"}), ("quota", {"cpus": 1.0}),
-                       ("wrong_place", {"zone": "z", "gpus": 0.0, "cpus": 0.0})):
+    for kind, more in (
+        ("quota", {"gpus": 1.0, "team": "red"}),
+        ("quota", {"cpus": 1.0}),
+        ("wrong_place", {"zone": "z", "gpus": 0.0, "cpus": 0.0}),
+    ):
         sim.specs["job-9"] = spec(**more)
         sim.teams["red"] = Team("red", cpus_max=8, gpus_max=8)
         with pytest.raises(AssertionError, match=kind):
--- a/tests/test_meetings_page.py
+++ b/tests/test_meetings_page.py
@@ -86,8 +86,10 @@
     if outage:
         sim.after(30.0, lambda: sim.state.outage(20.0))
     for step in range(10):
-        sim.submit(f"job-{step + 10}", spec(("array", "gang")[step % 2], 2,
-                                            "red" if step % 2 else "blue", estimate_s=4.0))
+        sim.submit(
+            f"job-{step + 10}",
+            spec(("array", "gang")[step % 2], 2, "red" if step % 2 else "blue", estimate_s=4.0),
+        )
         if step % 3 == 0:
             sim.cancel(f"job-{step + 10}")
         sim.run(2.0)
@@ -111,9 +113,17 @@
     sim.slow, sim.loss = 0.02, 0.01
     sim.run(10)
     for step in range(30):
-        sim.submit(f"job-{step}", spec(
-            ("array", "gang", "array")[step % 3], 2 + step % 4, ("red", "blue")[step % 2],
-            priority=step % 3, lane=f"l{step % 3}", estimate_s=6.0))
+        sim.submit(
+            f"job-{step}",
+            spec(
+                ("array", "gang", "array")[step % 3],
+                2 + step % 4,
+                ("red", "blue")[step % 2],
+                priority=step % 3,
+                lane=f"l{step % 3}",
+                estimate_s=6.0,
+            ),
+        )
         sim.run(4)
     sim.slow = sim.loss = 0.0
     sim.run(200)
--- a/tests/test_oncall.py
+++ b/tests/test_oncall.py
@@ -89,8 +89,9 @@
 
 def moved(world: World, machine: Machine, keeper: str, session: int = 1, token: int = 0) -> None:
     """Take the next report of a machine, as a controller hears of it."""
-    report = Report(machine.name, "a:1", "big", "a", False, session, machine.seq + 1, token, None,
-                    {})
+    report = Report(
+        machine.name, "a:1", "big", "a", False, session, machine.seq + 1, token, None, {}
+    )
     hearing.next_word(world, machine, report, keeper, 5)
     machine.take(report, world.now)
     machine.keeper = keeper
@@ -196,8 +197,12 @@
     sim.submit("job-1", spec("service", 6, "blue"))
     sim.submit("job-2", spec("service", 6, "red"))
     sim.run(12)
-    alone = max(sim.labels, key=lambda label: sum(
-        1 for m in sim.cores[label].world.machines.values() if m.keeper == label))
+    alone = max(
+        sim.labels,
+        key=lambda label: sum(
+            1 for m in sim.cores[label].world.machines.values() if m.keeper == label
+        ),
+    )
     sim.isolate(alone, 3 * CANCEL_S)
     for name in up(sim):  # the others can't hear its workers either: they stay as long as they may
         for label in sim.labels:
@@ -251,8 +256,9 @@
                 for one in [label, *others][: self.who]:
                     self.crash(one, self.back)
                 if not self.served:  # carried out late, when its sender is back
-                    self.after(self.back + 0.3, lambda: self.state.serve(
-                        label, effect[0], *effect[2:]))
+                    self.after(
+                        self.back + 0.3, lambda: self.state.serve(label, effect[0], *effect[2:])
+                    )
                 return
         super().carry_out(label, life, effect)
 
@@ -380,8 +386,7 @@
     sim = busy(run_s=500.0)
     sim.capacity = len(up(sim))  # full: what it needs has to be stopped for it, at first
     sim.broken.add("job-7")
-    sim.submit("job-7", spec("array", 8, "red", priority=2, estimate_s=0.5, gpus=0.0,
-                             cpus=6.0))
+    sim.submit("job-7", spec("array", 8, "red", priority=2, estimate_s=0.5, gpus=0.0, cpus=6.0))
     sim.run(20)
     assert len({name for _, task, _, name in sim.start_log if task.startswith("job-7/")}) >= 3
     caplog.clear()
@@ -389,8 +394,9 @@
     sim.run(140)
     tries = sorted(at for at, task, _, _ in sim.start_log[before:] if task.startswith("job-7/"))
     assert "by=job-7" not in caplog.text
-    assert all(later - at > constants.RETRY_FIRST_S
-               for at, later in zip(tries, tries[1:], strict=False))
+    assert all(
+        later - at > constants.RETRY_FIRST_S for at, later in zip(tries, tries[1:], strict=False)
+    )
 
 
 def test_a_machine_is_given_back_as_sick_only_if_that_still_stands_after_a_while():
@@ -449,11 +455,17 @@
     carry_out = sim.carry_out
     sim.carry_out = lambda label, life, effect: (  # type: ignore[method-assign]
         calls.append(effect) if effect[0] == "txn" and not effect[3] else None,
-        carry_out(label, life, effect))
+        carry_out(label, life, effect),
+    )
     answers: list[int] = []
     for _ in range(10):
-        sim.step("h0", [("query", lambda status, _: answers.append(status), f"job-{n % 60}")
-                        for n in range(400)])
+        sim.step(
+            "h0",
+            [
+                ("query", lambda status, _: answers.append(status), f"job-{n % 60}")
+                for n in range(400)
+            ],
+        )
         sim.run(1.0)
     assert answers == [200] * 4000
     assert len(calls) == 10
@@ -466,16 +478,27 @@
     sim.run(10)
     sim.cuts.add(frozenset(("h0", "state")))  # its records are behind, and it does not know
     sim.asked_cancel.add("job-7")
-    sim.command("h1", ("cancel", lambda s, a: sim.heard("job-7", s, a, "accepted", sim.now),
-                       "job-7"))
+    sim.command(
+        "h1", ("cancel", lambda s, a: sim.heard("job-7", s, a, "accepted", sim.now), "job-7")
+    )
     sim.run(3)
     assert sim.told["job-7"] == "cancelled"
     sim.cuts.clear()
     before = sim.answered["job-7"]
     for number in range(60):
-        sim.step("h0", [("query", lambda s, a, n=number: sim.heard(
-            f"job-{n}", s, a, sim.told.get(f"job-{n}"), sim.now), f"job-{number}")
-            for _ in range(4)])
+        sim.step(
+            "h0",
+            [
+                (
+                    "query",
+                    lambda s, a, n=number: sim.heard(
+                        f"job-{n}", s, a, sim.told.get(f"job-{n}"), sim.now
+                    ),
+                    f"job-{number}",
+                )
+                for _ in range(4)
+            ],
+        )
     sim.run(2)
     assert sim.answered["job-7"] > before  # and the fakes compared what was said
 
--- a/tests/test_opening.py
+++ b/tests/test_opening.py
@@ -31,8 +31,9 @@
             free = [have - want for have, want in zip(free, takes, strict=True)]
             ready = dice.choice([0.0, 0.0, round(dice.uniform(1, 100)), math.inf])
             held.append(Held(takes, ready, round(dice.uniform(1, 60)) if not ready else 0.0))
-        sites.append(Site(f"m{number}", dice.choice("ab"), (free[0], free[1], free[2]),
-                          tuple(held)))
+        sites.append(
+            Site(f"m{number}", dice.choice("ab"), (free[0], free[1], free[2]), tuple(held))
+        )
     return sites, dice.randint(1, 6)
 
 
@@ -45,8 +46,10 @@
         count = model.addIntegral(lb=0, ub=tasks)
         ended = [(model.addBinary(), held) for held in site.held if held.ready_s <= by]
         for kind in range(3):
-            model.addConstr(NEED[kind] * count <= site.free[kind]
-                            + sum(held.takes[kind] * var for var, held in ended))
+            model.addConstr(
+                NEED[kind] * count
+                <= site.free[kind] + sum(held.takes[kind] * var for var, held in ended)
+            )
         placed.append(count)
         cost += [held.lost_s * var for var, held in ended]
     model.addConstr(sum(placed) >= tasks)
@@ -83,8 +86,10 @@
         for site in sites:  # never what is protected, never more than there is
             if site.name in opening.machines:
                 assert site.zone == opening.zone
-                room = [have + sum(h.takes[k] for h in site.held if h.ready_s <= opening.ready_s)
-                        for k, have in enumerate(site.free)]
+                room = [
+                    have + sum(h.takes[k] for h in site.held if h.ready_s <= opening.ready_s)
+                    for k, have in enumerate(site.free)
+                ]
                 assert fits(NEED, tuple(room)) >= opening.machines[site.name]
         bound = best([s for s in sites if s.zone == opening.zone], tasks, opening.ready_s)
         assert opening.lost_s >= bound - 1e-6
@@ -118,8 +123,13 @@
     dice = random.Random(seed)
     sim.run_s = lambda task: 5.0 + (int(task[4:].split("/")[0]) * 7) % 9
     for number in range(1, 90):
-        sim.after(number * 0.7, lambda n=number: sim.submit(f"job-{n}", spec(
-            "gang", 2, dice.choice(["red", "blue"]), priority=2, gpus=1.0, cpus=1.0)))
+        sim.after(
+            number * 0.7,
+            lambda n=number: sim.submit(
+                f"job-{n}",
+                spec("gang", 2, dice.choice(["red", "blue"]), priority=2, gpus=1.0, cpus=1.0),
+            ),
+        )
     sim.run(30)
     return sim
 
@@ -143,8 +153,12 @@
         sim.freeze(owner, 12.0)
         sim.kill(alive[0])
     elif trouble == "zone":
-        cut = {frozenset((label, name)) for label in sim.labels for name in alive
-               if sim.workers[name].zone == "a"}
+        cut = {
+            frozenset((label, name))
+            for label in sim.labels
+            for name in alive
+            if sim.workers[name].zone == "a"
+        }
         sim.cuts |= cut
         sim.after(15.0, lambda: sim.cuts.difference_update(cut))
         sim.kill(alive[-1])
@@ -167,13 +181,23 @@
         return openings.bars("m1", other, other.spec)
 
     openings.take("job-2", 2, 50.0, ["m1", "m2"], 30.0)
-    older, younger = (job(name, since, kind="gang", priority=2, estimate_s=25.0)
-                      for name, since in (("job-1", 40), ("job-3", 60)))
+    older, younger = (
+        job(name, since, kind="gang", priority=2, estimate_s=25.0)
+        for name, since in (("job-1", 40), ("job-3", 60))
+    )
     assert not barred(job("job-7", 60, kind="gang", priority=2, estimate_s=10.0))  # ends in time
-    above, array, service = job("job-4", 60, priority=3), job("job-5", 60), job(
-        "job-6", 60, kind="service")
+    above, array, service = (
+        job("job-4", 60, priority=3),
+        job("job-5", 60),
+        job("job-6", 60, kind="service"),
+    )
     assert [barred(j) for j in (older, younger, above, array, service)] == [
-        False, True, False, False, True]
+        False,
+        True,
+        False,
+        False,
+        True,
+    ]
     assert not openings.bars("m3", younger, younger.spec)
     openings.take("job-1", 2, 40.0, ["m1"], 30.0)  # the older has what both name
     assert openings.by_machine == {"m1": "job-1", "m2": "job-2"}
@@ -189,8 +213,12 @@
     world = World(settings_for("h0"), random.Random(1), 0)
     openings = Openings(world)
     jobs = {}
-    for name, since, priority in (("job-1", 40, 2), ("job-2", 50, 2), ("job-3", 60, 2),
-                                  ("job-4", 60, 1)):
+    for name, since, priority in (
+        ("job-1", 40, 2),
+        ("job-2", 50, 2),
+        ("job-3", 60, 2),
+        ("job-4", 60, 1),
+    ):
         jobs[name] = Job(name, "red", "queued", 1, spec("gang", 4, priority=priority), 0, 4)
         jobs[name].since = since
     openings.take("job-1", 2, 40.0, ["m1"], 30.0)
@@ -206,8 +234,10 @@
     sim = quiet(seed=3)
     sim.run_s = lambda task: 5.0 + (int(task[4:].split("/")[0]) * 7) % 9
     for number in range(1, 120):
-        sim.after(number * 0.7, lambda n=number: sim.submit(f"job-{n}", spec(
-            "gang", 2, "blue", priority=2)))
+        sim.after(
+            number * 0.7,
+            lambda n=number: sim.submit(f"job-{n}", spec("gang", 2, "blue", priority=2)),
+        )
     sim.run(30)
     sim.submit("job-200", spec("gang", 6, "blue", priority=2))
     sim.run(80)  # some thirty are older
@@ -223,8 +253,10 @@
     assert others
     for _ in range(40):
         for label in sim.labels:
-            sim.command(label, ("peer", lambda *a: None, "h9", [
-                ["opening", "job-9", 2, 0.0, [first], 30.0]]))
+            sim.command(
+                label,
+                ("peer", lambda *a: None, "h9", [["opening", "job-9", 2, 0.0, [first], 30.0]]),
+            )
         sim.run(2)
     assert not sim.workers[first].dead and all(sim.workers[name].dead for name in others)
     sim.run(30)
--- a/tests/test_plugin.py
+++ b/tests/test_plugin.py
@@ -14,18 +14,26 @@
 ROOT = Path(__file__).parent.parent
 
 
-@pytest.mark.parametrize("text, word", [
-    ("[caldav]\nlisten = 127.0.0.1:1\n", "tokens: is missing"),
-    ("[caldav]\nlisten = nowhere\ntokens = tokens\nplain = yes\n", "not an address"),
-    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = none\nplain = yes\n", "tokens"),
-    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = bad\nplain = yes\n", "line 2: not TEAM SALT"),
-    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\n", "say plain = yes"),
-    ("[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\ncertificate = tokens\nkey = tokens\n",
-     "certificate or key"),
-    ("[schedules]\nenabled = no\n", "start without"), ("[schedules]\nenabled = 7\n", "boolean"),
-    ("[schedule]\n", "unknown section"), ("[schedules]\ncolour = red\n", "unknown setting"),
-    ("enabled = yes\n", "no section"),
-])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        ("[caldav]\nlisten = 127.0.0.1:1\n", "tokens: is missing"),
+        ("[caldav]\nlisten = nowhere\ntokens = tokens\nplain = yes\n", "not an address"),
+        ("[caldav]\nlisten = 127.0.0.1:1\ntokens = none\nplain = yes\n", "tokens"),
+        ("[caldav]\nlisten = 127.0.0.1:1\ntokens = bad\nplain = yes\n", "line 2: not TEAM SALT"),
+        ("[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\n", "say plain = yes"),
+        (
+            "[caldav]\nlisten = 127.0.0.1:1\ntokens = tokens\ncertificate = tokens\n"
+            "key = tokens\n",
+            "certificate or key",
+        ),
+        ("[schedules]\nenabled = no\n", "start without"),
+        ("[schedules]\nenabled = 7\n", "boolean"),
+        ("[schedule]\n", "unknown section"),
+        ("[schedules]\ncolour = red\n", "unknown setting"),
+        ("enabled = yes\n", "no section"),
+    ],
+)
 def test_settings_that_can_not_work_are_told_in_one_line(tmp_path, text, word):
     write_settings(tmp_path, 1, ["red"])
     (tmp_path / "bad").write_text("# one\nred salt hash\n")
@@ -49,18 +57,25 @@
 
 def test_without_schedules_nothing_of_them_is_loaded():
     """A controller that keeps no schedules runs with requirements.txt alone."""
-    code = ("import sys, oakmux.service, oakmux.cli; bad = [m for m in sys.modules if "
-            "m.split('.')[0] in ('cronsim', 'dateutil', 'icalendar', 'lark', 'defusedxml') or "
-            "m.startswith('oakmux.schedules')]; sys.exit(', '.join(bad) or 0)")
+    code = (
+        "import sys, oakmux.service, oakmux.cli; bad = [m for m in sys.modules if "
+        "m.split('.')[0] in ('cronsim', 'dateutil', 'icalendar', 'lark', 'defusedxml') or "
+        "m.startswith('oakmux.schedules')]; sys.exit(', '.join(bad) or 0)"
+    )
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode == 0
 
 
-
-@pytest.mark.parametrize("text, word", [
-    ("[spread]\nopenings = perhaps\n", "boolean"), ("[spread]\nfloor_share = 0.9\n", "0.5"),
-    ("[spread]\nfloor_share = much\n", "float"), ("[spread]\nfloors = 1\n", "unknown setting"),
-    ("[spreads]\n", "unknown section"), ("openings = yes\n", "no section"),
-])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        ("[spread]\nopenings = perhaps\n", "boolean"),
+        ("[spread]\nfloor_share = 0.9\n", "0.5"),
+        ("[spread]\nfloor_share = much\n", "float"),
+        ("[spread]\nfloors = 1\n", "unknown setting"),
+        ("[spreads]\n", "unknown section"),
+        ("openings = yes\n", "no section"),
+    ],
+)
 def test_settings_for_spreading_load_that_can_not_work_are_told_in_one_line(tmp_path, text, word):
     path = tmp_path / "spread.ini"
     path.write_text(text)
@@ -71,4 +86,5 @@
 
 def test_the_file_under_deploy_is_good_and_says_what_it_switches_on():
     assert settings.load_spread(str(ROOT / "deploy" / "spread.ini")) == settings.Spread(
-        openings=True)
+        openings=True
+    )
--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -34,7 +34,8 @@
 def test_a_fall_names_the_day_and_its_weakest_aim():
     found = regress.judge(recorded(GOOD), base(0.70, troubles=0.75))
     assert [row.text for row in found if row.bad] == [
-        "umoja-giving-arusha-grown: 0.700 (0) -> 0.632 (ba8a545f): fell"]
+        "umoja-giving-arusha-grown: 0.700 (0) -> 0.632 (ba8a545f): fell"
+    ]
     assert any("day troubles: 0.75 -> 0.63; weakest guarantee 5 s" in row.text for row in found)
     assert any("processor time 100 s -> " in row.text for row in found)
 
@@ -49,11 +50,14 @@
     assert any("day rough: failed: too slow" in text for text in bad(recorded(SLOW)))
 
 
-@pytest.mark.parametrize("change, word", [
-    ({"restarts": 2.0}, "2 controllers ended by themselves"),
-    ({"score": None}, "not played"),
-    ({"rules": {"quota": 1}}, "rule quota broken 1 times"),
-])
+@pytest.mark.parametrize(
+    "change, word",
+    [
+        ({"restarts": 2.0}, "2 controllers ended by themselves"),
+        ({"score": None}, "not played"),
+        ({"rules": {"quota": 1}}, "rule quota broken 1 times"),
+    ],
+)
 def test_a_day_that_went_wrong_fails_whatever_the_figure(change, word):
     entry = recorded(GOOD)
     entry["days"][0].update(change)
@@ -84,8 +88,10 @@
     assert result.exit_code == 1 and "fell" in result.output
     baseline.write_text("[[site]]\nname = 3\n")
     assert CliRunner().invoke(regress.main, [*args, "check"]).exit_code == 2
-    assert CliRunner().invoke(regress.main, ["quick", "--why", "x"],
-                              env={"OAKMUX_KIT": ""}).exit_code == 2
+    assert (
+        CliRunner().invoke(regress.main, ["quick", "--why", "x"], env={"OAKMUX_KIT": ""}).exit_code
+        == 2
+    )
 
 
 def test_the_baseline_in_the_repository_names_entries_of_the_journal():
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -27,9 +27,17 @@
     def careless(self, batch):
         call = self.world.call
         self.world.call = lambda then, kind, guards, writes, rank: call(
-            then, kind, [g for g in guards if not g[0].startswith(PREFIX + dropped)
-                         and not (dropped == "s/m/" and g[0].startswith(
-                             (PREFIX + "j/", PREFIX + "own/")))], writes, rank)
+            then,
+            kind,
+            [
+                g
+                for g in guards
+                if not g[0].startswith(PREFIX + dropped)
+                and not (dropped == "s/m/" and g[0].startswith((PREFIX + "j/", PREFIX + "own/")))
+            ],
+            writes,
+            rank,
+        )
         try:
             send(self, batch)
         finally:
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -34,7 +34,7 @@
     sim = settled("2026-12-01T02:59:40+00:00")
     assert sim.cron("red/nightly", "0 3 * * *")[0] == 200
     sim.run(40)
-    (at, job), = sim.made
+    ((at, job),) = sim.made
     assert 0 <= at - seconds("2026-12-01T03:00:00+00:00") < 0.6
     assert sim.past("red/nightly") == [("2026-12-01T03:00", "made")]
     sim.run(15)
@@ -43,10 +43,13 @@
     assert sim.told[job] == "done"
 
 
-@pytest.mark.parametrize("start, before, turn", [
-    ("2026-03-29T00:59:30+00:00", "2026-03-29", "03:00"),  # 02:30 is not shown that day
-    ("2026-10-25T00:29:30+00:00", "2026-10-25", "02:30"),  # shown twice: the first counts
-])
+@pytest.mark.parametrize(
+    "start, before, turn",
+    [
+        ("2026-03-29T00:59:30+00:00", "2026-03-29", "03:00"),  # 02:30 is not shown that day
+        ("2026-10-25T00:29:30+00:00", "2026-10-25", "02:30"),  # shown twice: the first counts
+    ],
+)
 def test_a_change_of_clocks_neither_loses_nor_doubles_a_turn(start, before, turn):
     sim = settled(start)
     sim.cron("red/night", "30 2 * * *", "Europe/Berlin")
@@ -115,7 +118,8 @@
     assert made["red/last"] == 1 and made["red/none"] == 1
     assert ("2026-12-01T23:59", "missed: too late to catch up") in sim.past("red/n000")
     assert [row for row in sim.past("red/last") if row[1] == "made"] == [
-        ("2026-12-02T00:02", "made")]
+        ("2026-12-02T00:02", "made")
+    ]
 
 
 def test_years_of_missed_turns_are_passed_over_at_once():
@@ -128,16 +132,25 @@
     sim.run(90)
     rows = sim.past("red/n000")
     assert [row for row in rows if "missed" in row[1]][0] == (
-        "2026-12-01T10:01", "missed: too late to catch up")
+        "2026-12-01T10:01",
+        "missed: too late to catch up",
+    )
     assert [row[1] for row in rows[-3:]] == ["made"] * 3
     assert rows[-1][0].startswith("2028-01-05")
 
 
-@pytest.mark.parametrize("overlap, outcomes", [
-    ("skip", ["made", "skipped: the one before still ran", "skipped: the one before still ran"]),
-    ("queue", ["made", "skipped: the one before still ran", "made"]),
-    ("allow", ["made", "made", "made"]), ("replace", ["made", "made", "made"]),
-])
+@pytest.mark.parametrize(
+    "overlap, outcomes",
+    [
+        (
+            "skip",
+            ["made", "skipped: the one before still ran", "skipped: the one before still ran"],
+        ),
+        ("queue", ["made", "skipped: the one before still ran", "made"]),
+        ("allow", ["made", "made", "made"]),
+        ("replace", ["made", "made", "made"]),
+    ],
+)
 def test_a_turn_that_meets_the_one_before(overlap, outcomes):
     sim = settled("2026-12-01T03:00:30+00:00")
     sim.template("red/long", guess_s=140.0)
@@ -191,8 +204,10 @@
     sim.until("2026-12-01T03:00:00+00:00")
     for n in range(10):
         for label, what in zip(sim.labels, ("pause", "remove", "run-now"), strict=True):
-            sim.command(label, ("schedules", lambda *a: None, what,
-                                {"name": f"red/n{n:03d}", "word": f"w{n}"}))
+            sim.command(
+                label,
+                ("schedules", lambda *a: None, what, {"name": f"red/n{n:03d}", "word": f"w{n}"}),
+            )
         sim.run(0.02)
     sim.run(10)
     counts = Counter(job for _, job in sim.made)
@@ -230,8 +245,11 @@
     sim.cron("red/night", "0 2,5 * * *", "Asia/Jakarta")
     sim.run(60)
     real = zones.zone
-    monkeypatch.setattr(zones, "zone", lambda name: ZoneInfo("Asia/Dhaka")
-                        if name == "Asia/Jakarta" else real(name))
+    monkeypatch.setattr(
+        zones,
+        "zone",
+        lambda name: ZoneInfo("Asia/Dhaka") if name == "Asia/Jakarta" else real(name),
+    )
     for label in sim.labels:
         sim.crash(label)
     for _ in range(5):  # at the new rules' 02:00, an hour on, nothing is made again
@@ -285,7 +303,7 @@
     sim.state.epoch += 1
     sim.state.put(job_key(taken), job_value("queued", "red", old, 0, 1), None)
     sim.run(50)
-    (_, job), = sim.made
+    ((_, job),) = sim.made
     assert job != taken and sim.past("red/n") == [("2026-12-01T03:00", "made")]
 
 
@@ -296,7 +314,7 @@
     sim.submit("job-97", spec(gpus=0.0))  # of fewer digits: as good as any
     sim.run(45)
     assert sim.refusals == {"job-970000000000000001": 422}
-    (_, job), = sim.made
+    ((_, job),) = sim.made
     sim.submit(job, spec())  # who asks for a turn's job is told its state
     sim.run(5)
     assert job not in sim.refusals
@@ -319,8 +337,10 @@
 def test_a_chain_waits_for_an_upgrade_and_holds_up_no_other():
     sim = Timed("2026-12-01T02:59:20+00:00", old=("h2",))
     sim.run(14)
-    for name, steps in (("red/chain", (["first", JOB, []], ["then", JOB, ["first"]])),
-                        ("red/t", (["main", JOB, []],))):
+    for name, steps in (
+        ("red/chain", (["first", JOB, []], ["then", JOB, ["first"]])),
+        ("red/t", (["main", JOB, []],)),
+    ):
         assert sim.template(name, *steps)[0] == 200
     for n in range(6):  # in more shards than can be written at a time
         sim.cron(f"red/c{n}", "0 3 * * *", template="red/chain")
@@ -344,29 +364,45 @@
     assert sim.past("red/n")[-1][1] == "by hand"
 
 
-@pytest.mark.parametrize("what, status, word", [
-    (dict(name="green/t", steps=[["a", {**JOB, "owner": "green"}, []]]), 422, "unknown team"),
-    (dict(name="red/t2", steps=[["a", {**JOB, "vcpus": 99.0}, []]]), 422, "fits no"),
-    (dict(name="red/t2", steps=[["a", {**JOB, "accelerators": 4.0, "shape": "ensemble",
-                                       "pieces": 3}, []]]), 422, "limit"),
-    (dict(name="red/t2", steps=[["a", JOB, ["a"]]]), 422, "itself"),
-    (dict(name="red/t2", steps=[["a", JOB, ["b"]], ["b", JOB, ["a"]]]), 422, "before it"),
-    (dict(name="red/t2", steps=[[str(n), JOB, []] for n in range(9)]), 422, "a turn can make"),
-    (dict(name="red/t2", steps=[]), 422, "one job"),
-    (dict(name="red/t2"), 400, "steps"),
-])
+@pytest.mark.parametrize(
+    "what, status, word",
+    [
+        (dict(name="green/t", steps=[["a", {**JOB, "owner": "green"}, []]]), 422, "unknown team"),
+        (dict(name="red/t2", steps=[["a", {**JOB, "vcpus": 99.0}, []]]), 422, "fits no"),
+        (
+            dict(
+                name="red/t2",
+                steps=[["a", {**JOB, "accelerators": 4.0, "shape": "ensemble", "pieces": 3}, []]],
+            ),
+            422,
+            "limit",
+        ),
+        (dict(name="red/t2", steps=[["a", JOB, ["a"]]]), 422, "itself"),
+        (dict(name="red/t2", steps=[["a", JOB, ["b"]], ["b", JOB, ["a"]]]), 422, "before it"),
+        (dict(name="red/t2", steps=[[str(n), JOB, []] for n in range(9)]), 422, "a turn can make"),
+        (dict(name="red/t2", steps=[]), 422, "one job"),
+        (dict(name="red/t2"), 400, "steps"),
+    ],
+)
 def test_a_template_that_could_never_run_is_refused_when_it_is_stored(what, status, word):
     sim = settled("2026-12-01T03:00:30+00:00")
     got, body = sim.ask_for("template", **what)
     assert got == status and word in body
 
 
-@pytest.mark.parametrize("text, zone, more, word", [
-    ("61 * * * *", "UTC", {}, "minute"), ("@reboot", "UTC", {}, "booted"),
-    ("0 0 30 2 *", "UTC", {}, "day"), ("* * * *", "UTC", {}, "five"),
-    ("0 3 * * *", "Mars/Base", {}, "zone"), ("0 3 * * *", "UTC", {"overlap": "no"}, "overlap"),
-    ("0 3 * * *", "UTC", {"window_s": 0}, "window"), ("0 3 * * *", "UTC", {"t": 1}, "template"),
-])
+@pytest.mark.parametrize(
+    "text, zone, more, word",
+    [
+        ("61 * * * *", "UTC", {}, "minute"),
+        ("@reboot", "UTC", {}, "booted"),
+        ("0 0 30 2 *", "UTC", {}, "day"),
+        ("* * * *", "UTC", {}, "five"),
+        ("0 3 * * *", "Mars/Base", {}, "zone"),
+        ("0 3 * * *", "UTC", {"overlap": "no"}, "overlap"),
+        ("0 3 * * *", "UTC", {"window_s": 0}, "window"),
+        ("0 3 * * *", "UTC", {"t": 1}, "template"),
+    ],
+)
 def test_an_entry_that_could_never_run_is_refused(text, zone, more, word):
     sim = settled("2026-12-01T03:00:30+00:00")
     template = "red/none" if more.pop("t", None) else "red/t"
@@ -402,7 +438,10 @@
     last = int((sim.start + sim.now) // 60 * 60)
     first = int(sim.start // 60 * 60 + 60)
     store = next(core for core in sim.cores.values() if core).parts[0].store
-    expected = {records.job_id(entry, str(at), 0, 0) for entry in store.entries.values()
-                for at in range(first, last + 1, 60)}
+    expected = {
+        records.job_id(entry, str(at), 0, 0)
+        for entry in store.entries.values()
+        for at in range(first, last + 1, 60)
+    }
     made = [job for _, job in sim.made]
     assert len(made) == len(set(made)) and set(made) == expected
