--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -16,8 +16,12 @@
 from tests.fakes import TYPE, Sim, settings_for, spec
 from tests.test_stories import quiet
 
-JOBS = st.lists(st.tuples(st.integers(0, 20), st.integers(0, 2), st.sampled_from([1.0, 1.1, 4.0]),
-                          st.integers(0, 3)), max_size=60)
+JOBS = st.lists(
+    st.tuples(
+        st.integers(0, 20), st.integers(0, 2), st.sampled_from([1.0, 1.1, 4.0]), st.integers(0, 3)
+    ),
+    max_size=60,
+)
 
 
 @given(JOBS)
@@ -39,7 +43,8 @@
     for shape, place in expected.values():
         by_line.setdefault(shape, []).append(place)
     assert {shape: list(line) for shape, line in lines.lines.items()} == {
-        shape: sorted(places) for shape, places in by_line.items()}
+        shape: sorted(places) for shape, places in by_line.items()
+    }
 
 
 def samples(sim: Sim, seconds: float) -> list[str]:
@@ -48,7 +53,9 @@
     for core in sim.cores.values():
         real = core.owner.sampler._sample_job
         core.owner.sampler._sample_job = lambda job, spec, state, real=real: (
-            found.append(job.id), real(job, spec, state))
+            found.append(job.id),
+            real(job, spec, state),
+        )
     sim.run(seconds)
     return found
 
@@ -59,8 +66,9 @@
     sim.submit("job-0", spec("array", 10, "blue", estimate_s=500.0))
     sim.run(15)
     for number in range(1, 301):
-        sim.submit(f"job-{number}", spec("array", 1, "blue", cpus=1.0 + number % 2,
-                                         estimate_s=1.0))
+        sim.submit(
+            f"job-{number}", spec("array", 1, "blue", cpus=1.0 + number % 2, estimate_s=1.0)
+        )
     sim.run(15)
     assert len(samples(sim, 20.0)) < 20 / constants.RESAMPLE_S * 2 * 1.5  # two lines at the limit
 
@@ -71,8 +79,9 @@
     sim.submit("job-0", spec("service", 4, "blue"))
     sim.run(15)
     for number in range(1, 301):
-        sim.submit(f"job-{number}", spec("array", 1, "blue", cpus=1.0 + number % 2,
-                                         estimate_s=1.0))
+        sim.submit(
+            f"job-{number}", spec("array", 1, "blue", cpus=1.0 + number % 2, estimate_s=1.0)
+        )
     sim.run(15)
     assert len(samples(sim, 20.0)) <= 2 * (20 / constants.LINE_MOST_S + 2)
 
@@ -124,8 +133,10 @@
     sim = quiet(seed=seed)
     dice = random.Random(seed)
     for number in range(80):
-        sim.submit(f"job-{number}", spec("array", dice.choice([1, 3, 6]), "blue",
-                                         estimate_s=dice.uniform(2, 8)))
+        sim.submit(
+            f"job-{number}",
+            spec("array", dice.choice([1, 3, 6]), "blue", estimate_s=dice.uniform(2, 8)),
+        )
     sim.run(15)
     for name in dice.sample(sorted(n for n, w in sim.workers.items() if not w.dead), 2):
         sim.kill(name)
@@ -135,8 +146,9 @@
         at = sim.now
         sim.submit(f"job-{number}", spec("array", 2, "red", estimate_s=3.0))
         sim.run(6)
-        waits += [when - at for when, task, _, _ in sim.start_log
-                  if task.startswith(f"job-{number}/")]
+        waits += [
+            when - at for when, task, _, _ in sim.start_log if task.startswith(f"job-{number}/")
+        ]
     assert len(waits) >= 18 and sorted(waits)[len(waits) // 2] < 3.0
     assert sim.unfinished(250) == set()
 
@@ -166,8 +178,12 @@
     sim = quiet(seed=seed)
     sim.capacity = 3
     for number in range(1, 500):
-        sim.after(number * 0.2, lambda n=number: sim.submit(f"job-{n}", spec(
-            "array", 1, ("red", "blue")[n % 2], priority=2, estimate_s=3.5)))
+        sim.after(
+            number * 0.2,
+            lambda n=number: sim.submit(
+                f"job-{n}", spec("array", 1, ("red", "blue")[n % 2], priority=2, estimate_s=3.5)
+            ),
+        )
     sim.run(40)
     sim.submit("job-0", spec("array", 6, "blue", priority=0, estimate_s=2.0))
     sim.run(4)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -12,8 +12,10 @@
 from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, TEAMS, Sim, spec
 
 # Limits of CPUs that bind before those of GPUs for one team, and the other way for the other.
-TIGHT = (Team("red", cpus_max=6, gpus=4, gpus_max=8),
-         Team("blue", cpus_max=20, gpus=2, gpus_max=6))
+TIGHT = (
+    Team("red", cpus_max=6, gpus=4, gpus_max=8),
+    Team("blue", cpus_max=20, gpus=2, gpus_max=6),
+)
 
 
 def quiet(seconds: float = 12.0, seed: int = 1) -> Sim:
@@ -185,8 +187,9 @@
     sim.run(3)
     core = next(c for c in sim.cores.values() if c.keeper.ward.kept)
     term = core.world.term
-    name, machine = next((n, m) for n, m in core.world.machines.items()
-                         if m.keeper == core.world.label)
+    name, machine = next(
+        (n, m) for n, m in core.world.machines.items() if m.keeper == core.world.label
+    )
     core.keeper.ward.kept[name].starting[("job-5/0", 1)] = term
     core.keeper.orders._ordered(name, [("job-5/0", 1)], term, "lost", None)
     assert core.keeper.reports.shown(machine)[("job-5/0", 1)][0] == "starting"
@@ -230,17 +233,50 @@
     for number in range(int(seconds / 5)):
         kind = dice.choice(["array", "array", "gang", "service"])
         tasks = dice.choice([1, 2, 3, 6]) if kind != "service" else dice.choice([1, 2])
-        sim.submit(f"job-{number}", spec(
-            kind, tasks, dice.choice(["red", "blue"]),
-            one_zone=dice.random() < 0.3 and kind != "service",  # spread in one zone: never
-            spread=kind == "service", spot=dice.random() < 0.3,
-            estimate_s=dice.uniform(2, 12)))
+        sim.submit(
+            f"job-{number}",
+            spec(
+                kind,
+                tasks,
+                dice.choice(["red", "blue"]),
+                one_zone=dice.random() < 0.3 and kind != "service",  # spread in one zone: never
+                spread=kind == "service",
+                spot=dice.random() < 0.3,
+                estimate_s=dice.uniform(2, 12),
+            ),
+        )
         if dice.random() < 0.3:
             sim.after(dice.uniform(0, 20), lambda n=number: sim.cancel(f"job-{n}"))
-        trouble = dice.choice(["none", "crash", "all", "state", "refused", "cut", "machine",
-                               "peers", "die", "cloud", "deaf", "copies", "alone", "blink",
-                               "broken", "boots", "freeze", "late", "slow", "gap", "hang",
-                               "mute", "answers", "next", "close", "now"])
+        trouble = dice.choice(
+            [
+                "none",
+                "crash",
+                "all",
+                "state",
+                "refused",
+                "cut",
+                "machine",
+                "peers",
+                "die",
+                "cloud",
+                "deaf",
+                "copies",
+                "alone",
+                "blink",
+                "broken",
+                "boots",
+                "freeze",
+                "late",
+                "slow",
+                "gap",
+                "hang",
+                "mute",
+                "answers",
+                "next",
+                "close",
+                "now",
+            ]
+        )
         if trouble == "crash":
             sim.crash(dice.choice(sim.labels), dice.uniform(1, 6))
         elif trouble == "all" and dice.random() < 0.5:
@@ -252,8 +288,10 @@
             sim.state.refused = {dice.choice(sim.labels)}
             sim.after(dice.uniform(2, 12), lambda: setattr(sim.state, "refused", set()))
         elif trouble in ("cut", "peers", "machine"):
-            ends = {"cut": [dice.choice(sim.labels), "state"],
-                    "peers": dice.sample(sim.labels, 2)}.get(trouble)
+            ends = {
+                "cut": [dice.choice(sim.labels), "state"],
+                "peers": dice.sample(sim.labels, 2),
+            }.get(trouble)
             if ends is None and sim.workers:
                 name = dice.choice(sorted(sim.workers))
                 pairs = [frozenset((label, name)) for label in sim.labels]
@@ -274,14 +312,21 @@
             for label in sim.labels if dice.random() < 0.2 else dice.sample(sim.labels, 1):
                 sim.crash(label, dice.uniform(0.05, 0.5))
                 if dice.random() < 0.5:
-                    sim.after(dice.uniform(0.3, 1.5),
-                              lambda la=label: sim.crash(la, dice.uniform(0.05, 0.5)))
+                    sim.after(
+                        dice.uniform(0.3, 1.5),
+                        lambda la=label: sim.crash(la, dice.uniform(0.05, 0.5)),
+                    )
         elif trouble == "broken":
             sim.broken.add(f"job-{number}")
             sim.after(dice.uniform(10, 60), lambda n=number: sim.cancel(f"job-{n}"))
         elif trouble == "boots":
-            sim.boot_s = dice.choice([lambda: 0.05, lambda: sim.rng.uniform(3.0, 15.0),
-                                      lambda: sim.rng.choice([None, 2.0])])
+            sim.boot_s = dice.choice(
+                [
+                    lambda: 0.05,
+                    lambda: sim.rng.uniform(3.0, 15.0),
+                    lambda: sim.rng.choice([None, 2.0]),
+                ]
+            )
         elif trouble == "freeze":
             label = dice.choice(sim.labels)
             if label not in sim.frozen and sim.cores[label] is not None:
@@ -314,8 +359,9 @@
             sim.state.refused = {dice.choice(sim.labels)}
             for _ in range(3):
                 sim.cancel(f"job-{dice.randrange(number + 1)}")
-            sim.after(dice.uniform(0.2, 3), lambda: sim.state.outage(
-                dice.uniform(0.5, 2) * CANCEL_S))
+            sim.after(
+                dice.uniform(0.2, 3), lambda: sim.state.outage(dice.uniform(0.5, 2) * CANCEL_S)
+            )
             sim.after(4.0, lambda: setattr(sim.state, "refused", set()))
         elif trouble == "cloud":
             sim.cloud_down = True
@@ -362,8 +408,9 @@
     def hasty(world, machine, task, binding, shown):
         if machine is not None and machine.session == binding.session and task not in shown:
             return "lost", False
-        return real(world, machine, task, binding, {
-            k: v for k, v in shown.items() if v[0] != "starting"})
+        return real(
+            world, machine, task, binding, {k: v for k, v in shown.items() if v[0] != "starting"}
+        )
 
     monkeypatch.setattr("oakmux.core.owner.binding.gone", hasty)
     with pytest.raises(AssertionError, match="ran_twice|quota|wrong_place"):
@@ -414,8 +461,7 @@
 
 def test_task_with_checkpoints_saves_before_a_spot_machine_is_taken():
     sim = quiet()
-    sim.submit("job-1", spec("gang", 1, spot=True, checkpoint_s=30.0, save_s=1.0,
-                             estimate_s=60.0))
+    sim.submit("job-1", spec("gang", 1, spot=True, checkpoint_s=30.0, save_s=1.0, estimate_s=60.0))
     sim.run(20)
     worker = sim.live()[0][0]
     assert worker.spot
@@ -428,8 +474,10 @@
 
 def test_a_gang_saves_as_a_whole_before_a_spot_machine_is_taken():
     sim = quiet()
-    sim.submit("job-1", spec("gang", 4, cpus=8.0, spot=True, checkpoint_s=30.0, save_s=1.0,
-                             estimate_s=60.0))
+    sim.submit(
+        "job-1",
+        spec("gang", 4, cpus=8.0, spot=True, checkpoint_s=30.0, save_s=1.0, estimate_s=60.0),
+    )
     sim.run(20)
     assert len(sim.live()) == 4
     worker = sim.live()[0][0]
@@ -444,16 +492,27 @@
     sim = Sim(3, 7)
     sim.run(12)
     for number in range(1, 7):
-        sim.submit(f"job-{number}", spec(
-            ["array", "gang", "service"][number % 3], 2, ["red", "blue"][number % 2],
-            one_zone=number % 3 == 1, estimate_s=8.0))
+        sim.submit(
+            f"job-{number}",
+            spec(
+                ["array", "gang", "service"][number % 3],
+                2,
+                ["red", "blue"][number % 2],
+                one_zone=number % 3 == 1,
+                estimate_s=8.0,
+            ),
+        )
     sim.run(6)
     assert len(sim.told) == 6
     sim.state.outage(8.0)
     for label in sim.labels:
         sim.after(2.0, lambda name=label: sim.crash(name, 4.0))
-    pairs = {frozenset((label, w.name)) for label in sim.labels
-             for w in sim.workers.values() if w.zone == "a"}
+    pairs = {
+        frozenset((label, w.name))
+        for label in sim.labels
+        for w in sim.workers.values()
+        if w.zone == "a"
+    }
     sim.cuts |= pairs
     sim.after(25.0, lambda: sim.cuts.difference_update(pairs))
     sim.run(120)
@@ -473,8 +532,9 @@
     sim.run(20)
     for core in sim.cores.values():  # no more machines, so that only preemption helps
         core.fleet.demand._rent = lambda *a: None
-    sim.submit("job-2", spec("gang", 2, "blue", one_zone=True, priority=2, gpus=2.0,
-                             estimate_s=300.0))
+    sim.submit(
+        "job-2", spec("gang", 2, "blue", one_zone=True, priority=2, gpus=2.0, estimate_s=300.0)
+    )
     sim.run(15)
     placed = [w for w, task, _ in sim.live() if task.startswith("job-2/")]
     assert len(placed) == 2 and {w.zone for w in placed} == {"a"}
@@ -522,8 +582,9 @@
     sim.submit("job-1", spec("array", 1, "red", cpus=8.0, image="rare", estimate_s=3.0))
     sim.submit("job-2", spec("array", 1, "blue", cpus=8.0, estimate_s=3.0))
     sim.run(14)
-    sim.submit("job-3", spec("gang", 1, "red", gpus=3.0, image="rare", one_zone=True,
-                             estimate_s=60.0))
+    sim.submit(
+        "job-3", spec("gang", 1, "red", gpus=3.0, image="rare", one_zone=True, estimate_s=60.0)
+    )
     sim.run(2)
     at = {task: name for _, task, _, name in sim.start_log}
     assert at["job-3/0"] == at["job-1/0"] != at["job-2/0"]
@@ -567,8 +628,9 @@
     sim = quiet()
     sim.submit("job-1", spec("service", 1, "blue"))
     sim.run(10)
-    sim.crash(next(label for label, core in sim.cores.items()
-                   if "#fleet" in core.world.my_roles), 2.0)
+    sim.crash(
+        next(label for label, core in sim.cores.items() if "#fleet" in core.world.my_roles), 2.0
+    )
     sim.run(20)
     [(worker, _, _)] = sim.live()
     fleet = next(core.fleet for core in sim.cores.values() if "#fleet" in core.world.my_roles)
@@ -631,8 +693,12 @@
     assert len(core.owner.open) > 900
     assert len(sampled) <= 40
     assert all(len(k.queue) <= 64 for c in sim.cores.values() for k in c.keeper.ward.kept.values())
-    assert sum(len(c.world.replica.by_machine.get(m, {})) for c in [core]
-               for m in core.world.machines) <= 18  # both teams' limits
+    assert (
+        sum(
+            len(c.world.replica.by_machine.get(m, {})) for c in [core] for m in core.world.machines
+        )
+        <= 18
+    )  # both teams' limits
 
 
 def test_fault_in_one_part_does_not_end_the_others():
@@ -711,7 +777,8 @@
 
 
 def test_a_machine_that_was_listed_and_vanishes_is_proven_gone_without_a_lease_of_silence(
-        monkeypatch):
+    monkeypatch,
+):
     # Once listed it stays listed until it is gone: newer lists are proof enough (PROTOCOL).
     lease_s = 12.0
     monkeypatch.setattr("tests.fakes.LEASE_S", lease_s)
@@ -753,8 +820,9 @@
     sim.run(20)
     sim.submit("job-3", spec("gang", 2, "blue", image="x", spread=True))
     sim.run(25)
-    zones = {sim.workers[name].zone for _, task, _, name in sim.start_log
-             if task.startswith("job-3/")}
+    zones = {
+        sim.workers[name].zone for _, task, _, name in sim.start_log if task.startswith("job-3/")
+    }
     assert len(zones) == 2
 
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -33,26 +33,43 @@
 
 def test_gpu_time_and_who_gave_way_are_counted_from_a_log():
     load = spread.Load(events(LOG.splitlines()), [4.0, 15.0])
-    assert load.spent == {("x", "fetch"): 3.0, ("x", "ended: stopped"): 4.5, ("x", "ran"): 9.0,
-                          ("y", "fetch"): 8.0, ("y", "ran"): 40.0}
+    assert load.spent == {
+        ("x", "fetch"): 3.0,
+        ("x", "ended: stopped"): 4.5,
+        ("x", "ran"): 9.0,
+        ("y", "fetch"): 8.0,
+        ("y", "ran"): 40.0,
+    }
     assert load.waits == {("x", 0): [0.5, 1.5], ("y", 2): [5.0, 5.0]}
     assert load.gave_way == {("x", "y"): 1}
     assert [(at, dict(used)) for at, _, used in load.rows] == [(4.0, {2: 1}), (15.0, {2: 2})]
 
 
 def test_who_began_in_time_is_told_for_classes_teams_and_the_largest():
-    late = [f"{200 + n}.000 h0 INFO oakmux.core event=accepted job=job-{10 + n} lane=z kind=gang "
-            f"tasks={2 + n // 2} gpus=1.0 priority=2 team=t" for n in range(4)]
+    late = [
+        f"{200 + n}.000 h0 INFO oakmux.core event=accepted job=job-{10 + n} lane=z kind=gang "
+        f"tasks={2 + n // 2} gpus=1.0 priority=2 team=t"
+        for n in range(4)
+    ]
     late.append("220.000 h1 INFO oakmux.core event=cancelled job=job-13")
-    late += [f"{start}.000 h0 INFO oakmux.core event={name} task=job-{job}/{task} attempt=1 "
-             f"machine=m1" for job, tasks, start in ((10, 2, 300), (12, 2, 501))
-             for task in range(tasks) for name in ("bind", "running")]
+    late += [
+        f"{start}.000 h0 INFO oakmux.core event={name} task=job-{job}/{task} attempt=1 machine=m1"
+        for job, tasks, start in ((10, 2, 300), (12, 2, 501))
+        for task in range(tasks)
+        for name in ("bind", "running")
+    ]
     late.append("600.000 h0 INFO oakmux.core event=roles roles=none")
     load = spread.Load(events(LOG.splitlines() + late), [])
     assert list(load.served()) == [
-        ("class x", 1, 1, 2.5), ("class y", 1, 1, 7.0), ("class z", 3, 1, 399.0),
-        ("largest x (2)", 1, 1, 2.5), ("largest y (2)", 1, 1, 7.0),
-        ("largest z (3)", 1, 0, 398.0), ("team t", 3, 1, 399.0), ("team unknown", 2, 2, 7.0)]
+        ("class x", 1, 1, 2.5),
+        ("class y", 1, 1, 7.0),
+        ("class z", 3, 1, 399.0),
+        ("largest x (2)", 1, 1, 2.5),
+        ("largest y (2)", 1, 1, 7.0),
+        ("largest z (3)", 1, 0, 398.0),
+        ("team t", 3, 1, 399.0),
+        ("team unknown", 2, 2, 7.0),
+    ]
 
 
 def test_on_paper_a_gang_starts_once_all_its_room_is_free_and_knows_no_fetch():
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,25 +12,48 @@
 from oakmux.schedules.replay.oracle import expected, minutes
 from oakmux.schedules.turns import BadRule, Rule, check_recurrence, cron_rule, mark_at, turns
 
-ZONES = ["UTC", "Europe/Berlin", "America/New_York", "Australia/Lord_Howe", "Asia/Jakarta",
-         "America/Santiago", "Africa/Casablanca", "Asia/Kathmandu", "Pacific/Apia",
-         "Australia/Adelaide"]
+ZONES = [
+    "UTC",
+    "Europe/Berlin",
+    "America/New_York",
+    "Australia/Lord_Howe",
+    "Asia/Jakarta",
+    "America/Santiago",
+    "Africa/Casablanca",
+    "Asia/Kathmandu",
+    "Pacific/Apia",
+    "Australia/Adelaide",
+]
 # Days round changes of clocks in those zones, and others.
-DAYS = ["2026-03-28", "2026-10-24", "2026-03-07", "2026-10-31", "2026-04-03", "2026-10-02",
-        "2026-09-05", "2026-02-14", "2026-03-20", "2026-06-30", "2028-02-27"]
+DAYS = [
+    "2026-03-28",
+    "2026-10-24",
+    "2026-03-07",
+    "2026-10-31",
+    "2026-04-03",
+    "2026-10-02",
+    "2026-09-05",
+    "2026-02-14",
+    "2026-03-20",
+    "2026-06-30",
+    "2028-02-27",
+]
 
 
 def part(low: int, high: int):
     number = st.integers(low, high)
     span = st.tuples(number, number).map(lambda p: f"{min(p)}-{max(p)}")
     step = st.integers(1, high)
-    return st.one_of(number.map(str), span, st.tuples(span, step).map(lambda p: f"{p[0]}/{p[1]}"),
-                     step.map(lambda s: f"*/{s}"))
+    return st.one_of(
+        number.map(str),
+        span,
+        st.tuples(span, step).map(lambda p: f"{p[0]}/{p[1]}"),
+        step.map(lambda s: f"*/{s}"),
+    )
 
 
 def field(low: int, high: int):
-    return st.one_of(st.just("*"), st.lists(part(low, high), min_size=1, max_size=3)
-                     .map(",".join))
+    return st.one_of(st.just("*"), st.lists(part(low, high), min_size=1, max_size=3).map(",".join))
 
 
 @cache
@@ -48,8 +71,11 @@
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
-       st.sampled_from(ZONES), st.sampled_from(DAYS))
+@given(
+    st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
+    st.sampled_from(ZONES),
+    st.sampled_from(DAYS),
+)
 def test_turns_of_an_expression_are_those_of_the_oracle(fields, zone, day):
     start = int(datetime.fromisoformat(day).replace(tzinfo=UTC).timestamp())
     end = start + 2 * 86_400
@@ -61,8 +87,18 @@
 
 
 @pytest.mark.parametrize("day", ["2026-04-03", "2026-10-02"])
-@pytest.mark.parametrize("text", ["20 */2 * * *", "2 */4 * * *", "*/30 8-18 * * *",
-                                  "49 * * * *", "15,45 1-2 * * *", "50 1 * * *", "* * * * *"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "20 */2 * * *",
+        "2 */4 * * *",
+        "*/30 8-18 * * *",
+        "49 * * * *",
+        "15,45 1-2 * * *",
+        "50 1 * * *",
+        "* * * * *",
+    ],
+)
 def test_a_change_of_clocks_by_half_an_hour(text, day):
     """Found by the replayed year: the library, given the zone, lost the turn after it."""
     rule = cron_rule(text, "Australia/Lord_Howe")
@@ -70,24 +106,42 @@
     for shift in (0, 86_400 + 14 * 3600, 86_400 + 15 * 3600 + 600, 86_400 + 16 * 3600):
         span = (start + shift, start + 3 * 86_400)
         assert between(rule, *span) == {
-            at for at in expected(rule, known(rule.zone, start - 86_400, span[1]))
-            if at >= span[0]}
+            at for at in expected(rule, known(rule.zone, start - 86_400, span[1])) if at >= span[0]
+        }
 
 
 RECURRENCES = st.one_of(
     st.tuples(st.integers(1, 3), st.sampled_from(["", ";BYDAY=MO,WE,SA", ";COUNT=9"])).map(
-        lambda p: f"FREQ=DAILY;INTERVAL={p[0]}{p[1]}"),
-    st.tuples(st.integers(1, 3), st.sampled_from(["", ";BYDAY=MO,SU", ";BYDAY=TU,SA;COUNT=7",
-                                                  ";UNTIL=20261101T000000"])).map(
-        lambda p: f"FREQ=WEEKLY;INTERVAL={p[0]}{p[1]}"),
-    st.sampled_from(["FREQ=MONTHLY", "FREQ=MONTHLY;BYDAY=-1SU", "FREQ=MONTHLY;BYDAY=2SA,1MO",
-                     "FREQ=MONTHLY;BYMONTHDAY=-1,29", "FREQ=MONTHLY;INTERVAL=2",
-                     "FREQ=YEARLY", "FREQ=YEARLY;BYMONTH=3,10", ""]))
+        lambda p: f"FREQ=DAILY;INTERVAL={p[0]}{p[1]}"
+    ),
+    st.tuples(
+        st.integers(1, 3),
+        st.sampled_from(["", ";BYDAY=MO,SU", ";BYDAY=TU,SA;COUNT=7", ";UNTIL=20261101T000000"]),
+    ).map(lambda p: f"FREQ=WEEKLY;INTERVAL={p[0]}{p[1]}"),
+    st.sampled_from(
+        [
+            "FREQ=MONTHLY",
+            "FREQ=MONTHLY;BYDAY=-1SU",
+            "FREQ=MONTHLY;BYDAY=2SA,1MO",
+            "FREQ=MONTHLY;BYMONTHDAY=-1,29",
+            "FREQ=MONTHLY;INTERVAL=2",
+            "FREQ=YEARLY",
+            "FREQ=YEARLY;BYMONTH=3,10",
+            "",
+        ]
+    ),
+)
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(RECURRENCES, st.sampled_from(ZONES), st.sampled_from(DAYS), st.integers(-500, 2),
-       st.integers(0, 47), st.booleans())
+@given(
+    RECURRENCES,
+    st.sampled_from(ZONES),
+    st.sampled_from(DAYS),
+    st.integers(-500, 2),
+    st.integers(0, 47),
+    st.booleans(),
+)
 def test_turns_of_a_recurrence_are_those_of_the_oracle(text, zone, day, shift, half, moves):
     start = int(datetime.fromisoformat(day).replace(tzinfo=UTC).timestamp())
     first = zones.from_wall(start) + timedelta(days=shift, minutes=30 * half)
@@ -101,8 +155,10 @@
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
-       st.text(st.characters(codec="ascii", exclude_characters="\n\r\\%"), min_size=1))
+@given(
+    st.tuples(field(0, 59), field(0, 23), field(1, 31), field(1, 12), field(0, 6)),
+    st.text(st.characters(codec="ascii", exclude_characters="\n\r\\%"), min_size=1),
+)
 def test_what_is_printed_is_read_again(fields, command):
     assume(command.strip())
     text = " ".join(fields) + " " + command.strip()
@@ -127,14 +183,48 @@
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.sampled_from(
-    ["DTSTART", "DTSTART;TZID=Europe/Berlin", "DTSTART;VALUE=DATE", "DUE", "RRULE", "EXDATE",
-     "RDATE", "RECURRENCE-ID", "STATUS", "UID", "X-OAKMUX-WINDOW-S", "DURATION", "CATEGORIES"]),
-    st.one_of(st.sampled_from(["20260101T100000", "20260101T100000Z", "20260101", "FREQ=DAILY",
-                               "FREQ=DAILY;COUNT=0", "FREQ=WEEKLY;BYDAY=MO;UNTIL=20260301",
-                               "PT1H", "u", "FREQ=YEARLY;BYWEEKNO=1", "20261332T990000"]),
-              st.text(st.characters(codec="ascii", exclude_characters="\n\r"), max_size=12))),
-    max_size=8), st.sampled_from(["VEVENT", "VTODO"]))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [
+                    "DTSTART",
+                    "DTSTART;TZID=Europe/Berlin",
+                    "DTSTART;VALUE=DATE",
+                    "DUE",
+                    "RRULE",
+                    "EXDATE",
+                    "RDATE",
+                    "RECURRENCE-ID",
+                    "STATUS",
+                    "UID",
+                    "X-OAKMUX-WINDOW-S",
+                    "DURATION",
+                    "CATEGORIES",
+                ]
+            ),
+            st.one_of(
+                st.sampled_from(
+                    [
+                        "20260101T100000",
+                        "20260101T100000Z",
+                        "20260101",
+                        "FREQ=DAILY",
+                        "FREQ=DAILY;COUNT=0",
+                        "FREQ=WEEKLY;BYDAY=MO;UNTIL=20260301",
+                        "PT1H",
+                        "u",
+                        "FREQ=YEARLY;BYWEEKNO=1",
+                        "20261332T990000",
+                    ]
+                ),
+                st.text(st.characters(codec="ascii", exclude_characters="\n\r"), max_size=12),
+            ),
+        ),
+        max_size=8,
+    ),
+    st.sampled_from(["VEVENT", "VTODO"]),
+)
 def test_any_properties_make_a_rule_or_a_reason(rows, kind):
     lines = "\r\n".join(f"{name}:{value}" for name, value in [("UID", "u"), *rows])
     text = f"BEGIN:VCALENDAR\r\nBEGIN:{kind}\r\n{lines}\r\nEND:{kind}\r\nEND:VCALENDAR\r\n"
@@ -147,26 +237,39 @@
 
 def calendar(*lines: str, kind: str = "VEVENT", more: str = "") -> str:
     body = "\r\n".join(["UID:u", *lines])
-    return (f"BEGIN:VCALENDAR\r\nBEGIN:{kind}\r\n{body}\r\nEND:{kind}\r\n{more}"
-            "END:VCALENDAR\r\n")
+    return f"BEGIN:VCALENDAR\r\nBEGIN:{kind}\r\n{body}\r\nEND:{kind}\r\n{more}END:VCALENDAR\r\n"
 
 
 def locals_of(text: str, count: int, zone: str = "Asia/Jakarta") -> list[str]:
     rule = calendars.parse(text, zone).rule
-    return [zones.local(turn.at, rule.zone).isoformat()[:16] for turn, _ in zip(
-        turns(rule, 0), range(count), strict=False)]
+    return [
+        zones.local(turn.at, rule.zone).isoformat()[:16]
+        for turn, _ in zip(turns(rule, 0), range(count), strict=False)
+    ]
 
 
 def test_what_a_calendar_says_of_its_instances():
-    moved = ("BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID;TZID=Europe/Berlin:20260107T100000\r\n"
-             "DTSTART;TZID=Europe/Berlin:20260107T153000\r\nEND:VEVENT\r\n"
-             "BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID:20260108T090000Z\r\n"
-             "STATUS:CANCELLED\r\nEND:VEVENT\r\n")
-    text = calendar("DTSTART;TZID=Europe/Berlin:20260105T100000",
-                    "RRULE:FREQ=DAILY;UNTIL=20260111T090000Z", "EXDATE:20260106T090000Z",
-                    "RDATE;TZID=Europe/Berlin:20260106T120000", more=moved)
-    assert locals_of(text, 20) == ["2026-01-05T10:00", "2026-01-06T12:00", "2026-01-07T15:30",
-                                   "2026-01-09T10:00", "2026-01-10T10:00", "2026-01-11T10:00"]
+    moved = (
+        "BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID;TZID=Europe/Berlin:20260107T100000\r\n"
+        "DTSTART;TZID=Europe/Berlin:20260107T153000\r\nEND:VEVENT\r\n"
+        "BEGIN:VEVENT\r\nUID:u\r\nRECURRENCE-ID:20260108T090000Z\r\n"
+        "STATUS:CANCELLED\r\nEND:VEVENT\r\n"
+    )
+    text = calendar(
+        "DTSTART;TZID=Europe/Berlin:20260105T100000",
+        "RRULE:FREQ=DAILY;UNTIL=20260111T090000Z",
+        "EXDATE:20260106T090000Z",
+        "RDATE;TZID=Europe/Berlin:20260106T120000",
+        more=moved,
+    )
+    assert locals_of(text, 20) == [
+        "2026-01-05T10:00",
+        "2026-01-06T12:00",
+        "2026-01-07T15:30",
+        "2026-01-09T10:00",
+        "2026-01-10T10:00",
+        "2026-01-11T10:00",
+    ]
 
 
 def test_times_without_a_zone_days_and_utc():
@@ -175,17 +278,27 @@
     made = calendars.parse(calendar("DTSTART:20260105T100000Z"), "Asia/Jakarta")
     assert made.rule.zone == "UTC"
     assert locals_of(calendar("DTSTART;TZID=Europe/Berlin:20260329T023000"), 2) == [
-        "2026-03-29T03:30"]  # never shown: as long after the gap
+        "2026-03-29T03:30"
+    ]  # never shown: as long after the gap
 
 
 def test_a_to_do_has_its_deadline():
-    made = calendars.parse(calendar("DTSTART:20260105T100000Z", "DUE:20260105T120000Z",
-                                    "X-OAKMUX-OVERLAP:queue", "CATEGORIES:oakmux:print",
-                                    kind="VTODO"), "UTC")
+    made = calendars.parse(
+        calendar(
+            "DTSTART:20260105T100000Z",
+            "DUE:20260105T120000Z",
+            "X-OAKMUX-OVERLAP:queue",
+            "CATEGORIES:oakmux:print",
+            kind="VTODO",
+        ),
+        "UTC",
+    )
     assert (made.component, made.deadline_s, made.template) == ("VTODO", 7200.0, "print")
     assert made.policy == {"overlap": "queue"}
-    for lines, word in ((("DUE:20260105T120000Z",), "DTSTART"),
-                        (("DTSTART:20260105T100000Z", "DUE:20260105T090000Z"), "after")):
+    for lines, word in (
+        (("DUE:20260105T120000Z",), "DTSTART"),
+        (("DTSTART:20260105T100000Z", "DUE:20260105T090000Z"), "after"),
+    ):
         with pytest.raises(calendars.BadCalendar, match=word):
             calendars.parse(calendar(*lines, kind="VTODO"), "UTC")
     assert calendars.parse(calendar("DTSTART:20260105T100000Z", "STATUS:CANCELLED"), "UTC").off
@@ -200,23 +313,42 @@
     assert (first.mark - since) % (5 * 3600) == 0
 
 
-@pytest.mark.parametrize("text", [
-    "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "FREQ=HOURLY;BYMONTH=2;BYMONTHDAY=30",
-    "FREQ=DAILY;BYMONTH=4;BYMONTHDAY=31", "FREQ=MONTHLY;BYDAY=MO;BYSETPOS=6",
-    "FREQ=YEARLY;INTERVAL=4;BYMONTH=2;BYMONTHDAY=29", "FREQ=MONTHLY;INTERVAL=12;BYMONTH=7"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30",
+        "FREQ=HOURLY;BYMONTH=2;BYMONTHDAY=30",
+        "FREQ=DAILY;BYMONTH=4;BYMONTHDAY=31",
+        "FREQ=MONTHLY;BYDAY=MO;BYSETPOS=6",
+        "FREQ=YEARLY;INTERVAL=4;BYMONTH=2;BYMONTHDAY=29",
+        "FREQ=MONTHLY;INTERVAL=12;BYMONTH=7",
+    ],
+)
 def test_a_recurrence_that_never_comes_is_refused_at_once(text):
     """The library goes to the year 9999 for some of these, while a controller stands still."""
     with pytest.raises(BadRule, match="no instance"):
         check_recurrence(text, zones.as_wall(datetime(1990, 1, 1, 3, 30)))
 
 
-@pytest.mark.parametrize("text", [
-    "FREQ=MONTHLY;BYDAY=MO,TU,WE,TH,FR;BYSETPOS=-1", "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29",
-    "FREQ=MONTHLY;BYDAY=5FR", "FREQ=YEARLY;BYDAY=20MO", "FREQ=YEARLY;BYDAY=-1SU;BYMONTH=10",
-    "FREQ=WEEKLY;INTERVAL=3;BYDAY=SA", "FREQ=DAILY;BYMONTH=2", "FREQ=MONTHLY;BYMONTHDAY=-31",
-    "FREQ=HOURLY;BYHOUR=9,17", "FREQ=MONTHLY;BYDAY=FR;BYMONTHDAY=13"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "FREQ=MONTHLY;BYDAY=MO,TU,WE,TH,FR;BYSETPOS=-1",
+        "FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29",
+        "FREQ=MONTHLY;BYDAY=5FR",
+        "FREQ=YEARLY;BYDAY=20MO",
+        "FREQ=YEARLY;BYDAY=-1SU;BYMONTH=10",
+        "FREQ=WEEKLY;INTERVAL=3;BYDAY=SA",
+        "FREQ=DAILY;BYMONTH=2",
+        "FREQ=MONTHLY;BYMONTHDAY=-31",
+        "FREQ=HOURLY;BYHOUR=9,17",
+        "FREQ=MONTHLY;BYDAY=FR;BYMONTHDAY=13",
+    ],
+)
 def test_recurrences_that_are_rare_are_kept(text):
     start = zones.as_wall(datetime(1990, 1, 1, 3, 30))
     check_recurrence(text, start)
-    assert len(list(zip(range(4), turns(Rule("calendar", "UTC", text, start), start),
-                        strict=False))) == 4
+    assert (
+        len(list(zip(range(4), turns(Rule("calendar", "UTC", text, start), start), strict=False)))
+        == 4
+    )
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -70,8 +70,13 @@
     replica = first_replica()
     assert replica.format == 1 and replica.per_chunk is None and not replica.bad
     states = {job_id: job.state for job_id, job in replica.jobs.items()}
-    assert states == {"job-1": "queued", "job-2": "queued", "job-3": "done", "job-4": "done",
-                      "job-5": "cancelled"}
+    assert states == {
+        "job-1": "queued",
+        "job-2": "queued",
+        "job-3": "done",
+        "job-4": "done",
+        "job-5": "cancelled",
+    }
     for job in replica.active.values():
         written = job_value(job.state, job.team, job.spec, job.order, job.tasks)
         assert written == FIRST["rows"][job_key(job.id)][0]
@@ -85,16 +90,22 @@
 
 def test_messages_of_the_first_version_are_understood_and_ours_have_their_form(caplog):
     core = Controller(settings_for("h1"), random.Random(1), 0)
-    core.step(0.0, [("catalogue", [TYPE]), ("snapshot", [
-        (key, *row) for key, row in FIRST["rows"].items()], 30, 0.0)])
+    core.step(
+        0.0,
+        [
+            ("catalogue", [TYPE]),
+            ("snapshot", [(key, *row) for key, row in FIRST["rows"].items()], 30, 0.0),
+        ],
+    )
     for sender, message in FIRST["messages"].values():
         batch = parse_batch(wire.encode(["batch", sender, [message]]))
         effects = core.step(1.0, [("peer", None, batch.label, batch.messages, batch.since)])
         answers = [wire.encode(wire.answer_body(e[3])) for e in effects if e[0] == "answer"]
         old = msgspec.convert(wire.decode(answers[0]), OldAnswer)
         assert (old.label, batch.since) == ("h1", -1)
-        assert old.cancelled == [j.id for j in core.world.replica.jobs.values()
-                                 if j.state == "cancelled"]
+        assert old.cancelled == [
+            j.id for j in core.world.replica.jobs.values() if j.state == "cancelled"
+        ]
     assert "message_failed" not in caplog.text and "m1" in core.world.machines
     sim, forms = Sim(1), {}
     send = sim.send
@@ -118,9 +129,17 @@
     dice = random.Random(seed)
     sim.run(12)
     for number in range(6):
-        sim.submit(f"job-{number}", dice.choice([
-            small(40, estimate_s=30.0), spec("gang", 3, "blue", estimate_s=12.0),
-            spec("array", 5, "blue", estimate_s=8.0), spec("service", 2, "red")]))
+        sim.submit(
+            f"job-{number}",
+            dice.choice(
+                [
+                    small(40, estimate_s=30.0),
+                    spec("gang", 3, "blue", estimate_s=12.0),
+                    spec("array", 5, "blue", estimate_s=8.0),
+                    spec("service", 2, "red"),
+                ]
+            ),
+        )
     sim.run(8)
     for label in ALL:
         assert FORMAT_KEY not in sim.state.rows  # not before the last of them is new
@@ -174,8 +193,11 @@
     sim.run(2)
     upgrade(sim, *ALL)
     sim.run(3)
-    kept = {key: row[:2] for key, row in sim.state.rows.items()
-            if key.startswith(("ox/j/", "ox/t/", "ox/own/", "ox/format", "ox/term"))}
+    kept = {
+        key: row[:2]
+        for key, row in sim.state.rows.items()
+        if key.startswith(("ox/j/", "ox/t/", "ox/own/", "ox/format", "ox/term"))
+    }
     assert len(sent) > 5
     for args in sent:
         sim.state.txn(*args)
@@ -273,8 +295,16 @@
 
 
 def test_full_records_keep_within_the_coming_limit():
-    bound = {i: Binding(250 + i, f"n-{123000 + i:06d}", 3, 4100 + i % 7,
-                        ["tembalang", "candisari", "genuk"][i % 3]) for i in range(64)}
+    bound = {
+        i: Binding(
+            250 + i,
+            f"n-{123000 + i:06d}",
+            3,
+            4100 + i % 7,
+            ["tembalang", "candisari", "genuk"][i % 3],
+        )
+        for i in range(64)
+    }
     assert value_bytes(Chunk(0, 314, 2**64 - 1, bound).to_value(2)) <= 2048
 
 
@@ -298,8 +328,11 @@
     rows = [(version_key("h1"), 3, 1), (FORMAT_KEY, [3, "other"], 2), (job_key("job-1"), {}, 3)]
     with caplog.at_level(logging.ERROR):
         core.step(0.0, [("catalogue", [TYPE]), ("snapshot", rows, 3, 0.0)])
-        effects = core.step(1.0, [("watch", rows, 4, 1.0), ("health", "a"),
-                                  ("query", "b", "job-1")])
+        effects = core.step(
+            1.0, [("watch", rows, 4, 1.0), ("health", "a"), ("query", "b", "job-1")]
+        )
     assert [line.split()[0] for line in caplog.messages] == [
-        "event=unknown_format", "event=bad_record"]
+        "event=unknown_format",
+        "event=bad_record",
+    ]
     assert [(e[1], e[2]) for e in effects if e[0] == "answer"] == [("a", 503), ("b", 503)]
--- a/tests/timed.py
+++ b/tests/timed.py
@@ -12,10 +12,24 @@
 from tests.fakes import Sim
 
 SKEW_MS, WARM_S = 100.0, 14
-JOB = {"lane": "l", "owner": "red", "shape": "array", "rank": "standard", "pieces": 1,
-       "vcpus": 0.5, "accelerators": 0.0, "memory_gb": 1.0, "bundle": "i", "size_gb": 0.0,
-       "together": False, "spread": False, "loaner": False, "guess_s": 3.0, "save_every_s": 0.0,
-       "save_cost_s": 0.0}
+JOB = {
+    "lane": "l",
+    "owner": "red",
+    "shape": "array",
+    "rank": "standard",
+    "pieces": 1,
+    "vcpus": 0.5,
+    "accelerators": 0.0,
+    "memory_gb": 1.0,
+    "bundle": "i",
+    "size_gb": 0.0,
+    "together": False,
+    "spread": False,
+    "loaner": False,
+    "guess_s": 3.0,
+    "save_every_s": 0.0,
+    "save_cost_s": 0.0,
+}
 
 
 def seconds(text: str) -> int:
@@ -57,8 +71,9 @@
         for turn in range(20):
             box: list[tuple] = []
             to = label or self.labels[turn % len(self.labels)]
-            self.command(to, ("schedules", lambda *answer, box=box: box.append(answer),
-                              operation, args))
+            self.command(
+                to, ("schedules", lambda *answer, box=box: box.append(answer), operation, args)
+            )
             end = self.now + 3
             while not box and self.now < end:
                 self.run(0.1)
@@ -71,11 +86,27 @@
         rows = list(steps) or [["main", {**JOB, "owner": name.partition("/")[0], **fields}, []]]
         return self.ask_for("template", name=name, steps=rows)
 
-    def cron(self, name: str, text: str, zone: str = "UTC", template: str = "red/t",
-             until: int = 0, **policy: Any) -> tuple[int, Any]:
-        return self.ask_for("put", entries=[{
-            "name": name, "rule": {"cron": text, "zone": zone}, "template": template,
-            "policy": policy, "until": until}])
+    def cron(
+        self,
+        name: str,
+        text: str,
+        zone: str = "UTC",
+        template: str = "red/t",
+        until: int = 0,
+        **policy: Any,
+    ) -> tuple[int, Any]:
+        return self.ask_for(
+            "put",
+            entries=[
+                {
+                    "name": name,
+                    "rule": {"cron": text, "zone": zone},
+                    "template": template,
+                    "policy": policy,
+                    "until": until,
+                }
+            ],
+        )
 
     def past(self, name: str) -> list[tuple[str, str]]:
         """Return (local time without its offset, outcome) of an entry's last turns."""
@@ -84,16 +115,23 @@
 
     def holder(self) -> str:
         """Return which controller makes the turns."""
-        held = [label for label, core in self.cores.items() if core is not None
-                and "#clock" in core.world.my_roles and not self.cut(label, "state")]
+        held = [
+            label
+            for label, core in self.cores.items()
+            if core is not None
+            and "#clock" in core.world.my_roles
+            and not self.cut(label, "state")
+        ]
         assert len(held) <= 1
         return held[0] if held else ""
 
-
     def settings(self, label: str) -> Settings:
         conf = super().settings(label)
-        facts = msgspec.structs.replace(conf.facts, skew_ms=SKEW_MS, teams=[
-            team for team in conf.facts.teams if team.name not in self.gone_teams])
+        facts = msgspec.structs.replace(
+            conf.facts,
+            skew_ms=SKEW_MS,
+            teams=[team for team in conf.facts.teams if team.name not in self.gone_teams],
+        )
         return msgspec.structs.replace(conf, facts=facts)
 
     def until(self, text: str) -> None:
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -41,13 +41,30 @@
 
 def job_spec(rng: random.Random, number: int) -> JobSpec:
     """Return a job of one of the classes that the deployments have."""
-    kind, tasks, cpus, gpus = rng.choice((
-        ("array", 35, 10.0, 1.0), ("gang", 4, 21.0, 2.0), ("service", 4, 8.0, 1.0)))
+    kind, tasks, cpus, gpus = rng.choice(
+        (("array", 35, 10.0, 1.0), ("gang", 4, 21.0, 2.0), ("service", 4, 8.0, 1.0))
+    )
     return JobSpec(
-        lane="l", team=rng.choice(("red", "blue")), kind=kind, priority=1, tasks=tasks, cpus=cpus,
-        gpus=gpus, memory_gb=43.0, image=f"i{number % IMAGES}", image_gb=4.0, types=None,
-        zone=None, one_zone=kind == "gang", spread=kind == "service", spot=kind == "array",
-        estimate_s=60.0, checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+        lane="l",
+        team=rng.choice(("red", "blue")),
+        kind=kind,
+        priority=1,
+        tasks=tasks,
+        cpus=cpus,
+        gpus=gpus,
+        memory_gb=43.0,
+        image=f"i{number % IMAGES}",
+        image_gb=4.0,
+        types=None,
+        zone=None,
+        one_zone=kind == "gang",
+        spread=kind == "service",
+        spot=kind == "array",
+        estimate_s=60.0,
+        checkpoint_s=0.0,
+        save_s=0.0,
+        deadline_s=None,
+    )
 
 
 class Bench:
@@ -56,10 +73,20 @@
     def __init__(self, machines: int, kept: bool, seed: int) -> None:
         self.rng = random.Random(seed)
         settings = Settings(
-            "h0", "10.0.0.1:80", "10.0.0.1:81", External("10.2.0.2:1", "10.2.0.1:2"),
-            Facts(ZONES, [Team("red", gpus=1e6), Team("blue", gpus=1e6)],
-                  Workers(REPORT_S, 15.0, 30.0, 8.0, 35.0), StateLimits(1e6, 1e6, 8, 48),
-                  CloudLimits(5, 5), 2), members=[Member("h1", "10.0.0.2:81")])
+            "h0",
+            "10.0.0.1:80",
+            "10.0.0.1:81",
+            External("10.2.0.2:1", "10.2.0.1:2"),
+            Facts(
+                ZONES,
+                [Team("red", gpus=1e6), Team("blue", gpus=1e6)],
+                Workers(REPORT_S, 15.0, 30.0, 8.0, 35.0),
+                StateLimits(1e6, 1e6, 8, 48),
+                CloudLimits(5, 5),
+                2,
+            ),
+            members=[Member("h1", "10.0.0.2:81")],
+        )
         self.core = Controller(settings, random.Random(seed), 0)
         self.now, self.epoch, self.kept = 0.0, 0, kept
         self.sent: list[tuple] = []
@@ -110,12 +137,45 @@
         self.seq[name] += 1
         zone, spot = ZONES[number % 3], number % 5 == 0
         if self.kept:
-            return ("report", number, Report(name, "10.1.0.1:1", "big", zone, spot, 1,
-                                             self.seq[name], self.core.world.term, None,
-                                             dict(self.tasks[name])))
+            return (
+                "report",
+                number,
+                Report(
+                    name,
+                    "10.1.0.1:1",
+                    "big",
+                    zone,
+                    spot,
+                    1,
+                    self.seq[name],
+                    self.core.world.term,
+                    None,
+                    dict(self.tasks[name]),
+                ),
+            )
         images = [[f"i{(number + step) % IMAGES}", 4.0] for step in range(3)]
-        return ("peer", number, "h1", [["view", 1, name, "10.1.0.1:1", "big", zone, spot, 1,
-                                        self.seq[name], 1, None, [], images]])
+        return (
+            "peer",
+            number,
+            "h1",
+            [
+                [
+                    "view",
+                    1,
+                    name,
+                    "10.1.0.1:1",
+                    "big",
+                    zone,
+                    spot,
+                    1,
+                    self.seq[name],
+                    1,
+                    None,
+                    [],
+                    images,
+                ]
+            ],
+        )
 
     def fill(self) -> None:
         """Give each machine one service that takes all of it."""
@@ -123,10 +183,26 @@
         for number, name in enumerate(self.names):
             self.epoch += 1
             spec = JobSpec(
-                lane="l", team="red", kind="service", priority=3, tasks=1, cpus=TYPE.cpus,
-                gpus=TYPE.gpus, memory_gb=TYPE.memory_gb, image="i0", image_gb=4.0, types=None,
-                zone=None, one_zone=False, spread=False, spot=True, estimate_s=0.0,
-                checkpoint_s=0.0, save_s=0.0, deadline_s=None)
+                lane="l",
+                team="red",
+                kind="service",
+                priority=3,
+                tasks=1,
+                cpus=TYPE.cpus,
+                gpus=TYPE.gpus,
+                memory_gb=TYPE.memory_gb,
+                image="i0",
+                image_gb=4.0,
+                types=None,
+                zone=None,
+                one_zone=False,
+                spread=False,
+                spot=True,
+                estimate_s=0.0,
+                checkpoint_s=0.0,
+                save_s=0.0,
+                deadline_s=None,
+            )
             job_id = f"job-9{number:06}"
             rows.append((job_key(job_id), job_value("queued", "red", spec, 0, 1), self.epoch))
             chunk = Chunk(last=1, bound={0: Binding(1, name, 1, 1, ZONES[number % 3])})
@@ -139,8 +215,13 @@
         for number in range(jobs):
             self.epoch += 1
             spec = job_spec(self.rng, number)
-            rows.append((job_key(f"job-{number}"),
-                         job_value("queued", spec.team, spec, number, spec.tasks), self.epoch))
+            rows.append(
+                (
+                    job_key(f"job-{number}"),
+                    job_value("queued", spec.team, spec, number, spec.tasks),
+                    self.epoch,
+                )
+            )
         self.step([("watch", rows, self.epoch, self.now)])
 
 
@@ -208,9 +289,13 @@
         spec = job_spec(rng, number) if state == "queued" else None
         rows.append((job_key(job_id), job_value(state, "red", spec, number, 35), number + 1))
         if spec is not None:
-            chunk = Chunk(last=35, bound={
-                index: Binding(index + 1, f"n-{rng.randrange(600):06}", 1, 1, "a")
-                for index in range(35)})
+            chunk = Chunk(
+                last=35,
+                bound={
+                    index: Binding(index + 1, f"n-{rng.randrange(600):06}", 1, 1, "a")
+                    for index in range(35)
+                },
+            )
             rows.append((chunk_key(job_id, 0), chunk.to_value(2), number + 1))
     bench = Bench(0, False, seed)
     before = resident_mb()
@@ -242,24 +327,46 @@
 
 
 @click.command(help=__doc__)
-@click.option("--machines", "sizes", type=int, multiple=True, default=(600, 2000, 6000),
-              show_default=True)
+@click.option(
+    "--machines", "sizes", type=int, multiple=True, default=(600, 2000, 6000), show_default=True
+)
 @click.option("--jobs", default=200, show_default=True, help="Jobs that wait.")
 @click.option("--ticks", default=40, show_default=True, help="Ticks, passes and reports / 10.")
-@click.option("--records", type=int, multiple=True, default=(1000, 10_000), show_default=True,
-              help="Jobs in the records that a controller takes at its start.")
-@click.option("--waiting", "lines", type=int, multiple=True, default=(4000, 40_000),
-              show_default=True, help="Jobs that wait in a full fleet.")
+@click.option(
+    "--records",
+    type=int,
+    multiple=True,
+    default=(1000, 10_000),
+    show_default=True,
+    help="Jobs in the records that a controller takes at its start.",
+)
+@click.option(
+    "--waiting",
+    "lines",
+    type=int,
+    multiple=True,
+    default=(4000, 40_000),
+    show_default=True,
+    help="Jobs that wait in a full fleet.",
+)
 @click.option("--seed", default=1, show_default=True)
-def main(sizes: tuple[int, ...], jobs: int, ticks: int, records: tuple[int, ...],
-         lines: tuple[int, ...], seed: int) -> None:
+def main(
+    sizes: tuple[int, ...],
+    jobs: int,
+    ticks: int,
+    records: tuple[int, ...],
+    lines: tuple[int, ...],
+    seed: int,
+) -> None:
     """Print the table."""
     click.echo("machines  what          mean ms  median ms  p99 ms")
 
     def show(size: int, what: str, found: HdrHistogram) -> None:
-        click.echo(f"{size:8}  {what:12} {found.get_mean_value() / 1000:8.3f} "
-                   f"{found.get_value_at_percentile(50) / 1000:10.3f} "
-                   f"{found.get_value_at_percentile(99) / 1000:7.3f}")
+        click.echo(
+            f"{size:8}  {what:12} {found.get_mean_value() / 1000:8.3f} "
+            f"{found.get_value_at_percentile(50) / 1000:10.3f} "
+            f"{found.get_value_at_percentile(99) / 1000:7.3f}"
+        )
 
     for size in sizes:
         show(size, "burst tick", burst(size, jobs, ticks, seed))
--- a/tools/paper.py
+++ b/tools/paper.py
@@ -84,9 +84,17 @@
                     ran = self.ran.get(task, self.end - self.first[task])
                     tasks.append((self.fetched[task] if fetches else 0.0, ran))
             if tasks:
-                rows.append(Work(name, fields["lane"], int(fields.get("priority", 1)),
-                                 fields["kind"], float(fields.get("gpus", 1)),
-                                 self.accepted[name], tasks))
+                rows.append(
+                    Work(
+                        name,
+                        fields["lane"],
+                        int(fields.get("priority", 1)),
+                        fields["kind"],
+                        float(fields.get("gpus", 1)),
+                        self.accepted[name],
+                        tasks,
+                    )
+                )
         return rows
 
     def capacity(self, gpus: float) -> list[tuple[float, float]]:
@@ -102,7 +110,8 @@
     waits: dict[str, list[float]] = defaultdict(list)
     # (time, order, GPUs that come free or go, job that arrives)
     due: list[tuple[float, int, float, Work | None]] = [
-        (at, number, change, None) for number, (at, change) in enumerate(capacity)]
+        (at, number, change, None) for number, (at, change) in enumerate(capacity)
+    ]
     due += [(job.at, len(due) + number, 0.0, job) for number, job in enumerate(work)]
     heapq.heapify(due)
     serial, free = len(due), 0.0
@@ -113,8 +122,9 @@
         if arrived is not None:
             size = arrived.gpus * sum(ran for _, ran in arrived.tasks)
             serial += 1
-            heapq.heappush(waiting, (-arrived.priority, size, serial, arrived,
-                                     list(arrived.tasks)))
+            heapq.heappush(
+                waiting, (-arrived.priority, size, serial, arrived, list(arrived.tasks))
+            )
         if due and due[0][0] == at:
             continue
         kept = []
@@ -152,24 +162,37 @@
         if job in day.jobs:
             was[day.jobs[job]["lane"]].append(at - day.accepted[job])
     capacity = day.capacity(gpus)
-    found = {"as it was": was, "on paper, fetches": replay(day.work(True), capacity),
-             "on paper": replay(day.work(False), capacity)}
+    found = {
+        "as it was": was,
+        "on paper, fetches": replay(day.work(True), capacity),
+        "on paper": replay(day.work(False), capacity),
+    }
     marks = list(within)
-    yield ("class               what               tasks   to running p50 p90 max (s)   within "
-           + " ".join(f"{mark:g}" for mark in marks) + " s")
+    yield (
+        "class               what               tasks   to running p50 p90 max (s)   within "
+        + " ".join(f"{mark:g}" for mark in marks)
+        + " s"
+    )
     for lane in sorted(was):
         for what, waits in found.items():
             row = waits.get(lane, [])
-            shares = " ".join(f"{sum(wait <= mark for wait in row) / max(1, len(row)):.2f}"
-                              for mark in marks)
+            shares = " ".join(
+                f"{sum(wait <= mark for wait in row) / max(1, len(row)):.2f}" for mark in marks
+            )
             yield f"{lane:18}  {what:17} {len(row):6}   {spread(histogram(row))}   {shares}"
 
 
 @click.command(help=__doc__)
 @click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--gpus", type=float, required=True, help="GPUs of a machine.")
-@click.option("--within", type=float, multiple=True, default=(10.0, 30.0, 50.0, 120.0, 250.0),
-              show_default=True, help="Seconds for which the share of tasks is shown.")
+@click.option(
+    "--within",
+    type=float,
+    multiple=True,
+    default=(10.0, 30.0, 50.0, 120.0, 250.0),
+    show_default=True,
+    help="Seconds for which the share of tasks is shown.",
+)
 def main(log: Path, gpus: float, within: tuple[float, ...]) -> None:
     """Print the table."""
     with log.open(errors="replace") as rows:
--- a/tools/recovery.py
+++ b/tools/recovery.py
@@ -97,8 +97,9 @@
     """Return median, p90 and greatest of a distribution, in seconds."""
     if not found.get_total_count():
         return "     -      -      -"
-    return " ".join(f"{found.get_value_at_percentile(share) / 1000:6.1f}"
-                    for share in (50, 90, 100))
+    return " ".join(
+        f"{found.get_value_at_percentile(share) / 1000:6.1f}" for share in (50, 90, 100)
+    )
 
 
 def starts(history: History, window_s: float) -> Iterator[str]:
@@ -114,11 +115,15 @@
             if ran is not None and ran.running is not None:
                 row[1].append(ran.running - ran.bound)
                 row[2].append(ran.running - history.accepted[job])
-    yield ("class               from s  tasks  to bound p50 p90 max   bound to running"
-           "       to running")
+    yield (
+        "class               from s  tasks  to bound p50 p90 max   bound to running"
+        "       to running"
+    )
     for (lane, window), waits in sorted(rows.items()):
-        yield (f"{lane:18} {window * window_s:7.0f} {len(waits[0]):6}  "
-               + "   ".join(spread(histogram(wait)) for wait in waits))
+        yield (
+            f"{lane:18} {window * window_s:7.0f} {len(waits[0]):6}  "
+            + "   ".join(spread(histogram(wait)) for wait in waits)
+        )
 
 
 def losses(history: History, at: float, until: float) -> Iterator[str]:
@@ -127,32 +132,56 @@
     for task, attempts in history.tasks.items():
         order = list(attempts.values())
         for index, attempt in enumerate(order):
-            if (attempt.running is not None and attempt.running <= at and attempt.gone is not None
-                    and at < attempt.gone <= until and attempt.why in ("lost", "peers", "alone")):
-                later = order[index + 1:]
+            if (
+                attempt.running is not None
+                and attempt.running <= at
+                and attempt.gone is not None
+                and at < attempt.gone <= until
+                and attempt.why in ("lost", "peers", "alone")
+            ):
+                later = order[index + 1 :]
                 again = next((a.running for a in later if a.running is not None), None)
                 rows[history.lane(task)].append(
-                    (attempt.gone - at, later[0].bound - at if later else None,
-                     None if again is None else again - at))
-    yield "class               lost  not yet again   to proof p50 p90 max   to new binding"\
-          "        running again 50% 95% all"
+                    (
+                        attempt.gone - at,
+                        later[0].bound - at if later else None,
+                        None if again is None else again - at,
+                    )
+                )
+    yield (
+        "class               lost  not yet again   to proof p50 p90 max   to new binding"
+        "        running again 50% 95% all"
+    )
     for lane, found in sorted(rows.items()):
         back = sorted(row[2] for row in found if row[2] is not None)
-        marks = [back[max(0, int(len(found) * share) - 1)] if len(back) >= len(found) * share
-                 else None for share in (0.5, 0.95, 1.0)]
-        yield (f"{lane:18} {len(found):5} {len(found) - len(back):13}   "
-               f"{spread(histogram(row[0] for row in found))}   "
-               f"{spread(histogram(row[1] for row in found if row[1] is not None))}   "
-               + " ".join("     -" if mark is None else f"{mark:6.1f}" for mark in marks))
+        marks = [
+            back[max(0, int(len(found) * share) - 1)] if len(back) >= len(found) * share else None
+            for share in (0.5, 0.95, 1.0)
+        ]
+        yield (
+            f"{lane:18} {len(found):5} {len(found) - len(back):13}   "
+            f"{spread(histogram(row[0] for row in found))}   "
+            f"{spread(histogram(row[1] for row in found if row[1] is not None))}   "
+            + " ".join("     -" if mark is None else f"{mark:6.1f}" for mark in marks)
+        )
 
 
 @click.command(help=__doc__)
 @click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--window", default=30.0, show_default=True, help="Seconds of a window of starts.")
-@click.option("--loss-at", "moments", type=float, multiple=True,
-              help="A moment at which machines were lost (s); may be repeated.")
-@click.option("--within", default=90.0, show_default=True,
-              help="Seconds after it within which the losses count.")
+@click.option(
+    "--loss-at",
+    "moments",
+    type=float,
+    multiple=True,
+    help="A moment at which machines were lost (s); may be repeated.",
+)
+@click.option(
+    "--within",
+    default=90.0,
+    show_default=True,
+    help="Seconds after it within which the losses count.",
+)
 def main(log: Path, window: float, moments: tuple[float, ...], within: float) -> None:
     """Print the tables."""
     with log.open(errors="replace") as lines:
--- a/tools/regress.py
+++ b/tools/regress.py
@@ -61,8 +61,15 @@
             raise ValueError("not an entry")
         return entry
     except (OSError, ValueError) as error:
-        return {"id": path.stem.rpartition("-")[2], "cmd": "score", "ok": False, "site": None,
-                "error": f"unreadable: {error}", "days": [], "argv": []}
+        return {
+            "id": path.stem.rpartition("-")[2],
+            "cmd": "score",
+            "ok": False,
+            "site": None,
+            "error": f"unreadable: {error}",
+            "days": [],
+            "argv": [],
+        }
 
 
 def read_baseline(path: Path) -> dict[tuple[str, str], Base]:
@@ -71,8 +78,12 @@
     try:
         for row in tomllib.loads(path.read_text()).get("site", []):
             found[(row["name"], row["run"])] = Base(
-                float(row["figure"]), str(row["entry"]), str(row["commit"]),
-                dict(row.get("days", {})), float(row.get("cpu_s", 0.0)))
+                float(row["figure"]),
+                str(row["entry"]),
+                str(row["commit"]),
+                dict(row.get("days", {})),
+                float(row.get("cpu_s", 0.0)),
+            )
     except (OSError, tomllib.TOMLDecodeError, KeyError, TypeError) as error:
         raise ValueError(f"{path}: {error!r}") from None
     return found
@@ -130,8 +141,9 @@
     site, figure = entry.get("site"), entry.get("score")
     if figure is not None:
         if base is None:
-            found.append(Finding(3, f"{site}: {figure:.3f}, no baseline for a {run_kind(entry)} "
-                                    "run"))
+            found.append(
+                Finding(3, f"{site}: {figure:.3f}, no baseline for a {run_kind(entry)} run")
+            )
         else:
             found += compare(entry, base, figure)
     return sorted(found, key=lambda row: row.rank)
@@ -141,13 +153,17 @@
     """Compare an entry with its baseline: the site, then the days behind a fall."""
     site = entry["site"]
     fell = base.figure - figure > NOISE
-    yield Finding(2 if fell else 3, f"{site}: {base.figure:.3f} ({base.entry}) -> {figure:.3f} "
-                                    f"({entry.get('id')}){': fell' if fell else ''}")
+    yield Finding(
+        2 if fell else 3,
+        f"{site}: {base.figure:.3f} ({base.entry}) -> {figure:.3f} "
+        f"({entry.get('id')}){': fell' if fell else ''}",
+    )
     for day in entry.get("days", ()):
         was = base.days.get(day.get("name"))
         if fell and was is not None and day.get("score") is not None:
-            yield Finding(3, f"{site} day {day['name']}: {was:.2f} -> {day['score']:.2f}; "
-                             f"{weakest(day)}")
+            yield Finding(
+                3, f"{site} day {day['name']}: {was:.2f} -> {day['score']:.2f}; {weakest(day)}"
+            )
     if base.cpu_s:
         yield Finding(3, f"{site}: processor time {base.cpu_s:.0f} s -> {cpu_s(entry):.0f} s")
 
@@ -169,8 +185,11 @@
 
 def verdict(entries: list[dict[str, Any]], bases: dict[tuple[str, str], Base]) -> int:
     """Print the findings, broken rules first; return the exit code."""
-    found = [row for entry in entries
-             for row in judge(entry, bases.get((entry.get("site") or "", run_kind(entry))))]
+    found = [
+        row
+        for entry in entries
+        for row in judge(entry, bases.get((entry.get("site") or "", run_kind(entry))))
+    ]
     for row in sorted(found, key=lambda row: row.rank):
         click.echo(f"{'BAD' if row.bad else '   '} {row.text}")
     return 1 if not entries or any(row.bad for row in found) else 0
@@ -178,11 +197,16 @@
 
 def baseline_row(entry: dict[str, Any], commit: str) -> str:
     """Return an entry as a section of docs/baseline.toml."""
-    days = ", ".join(f"{json.dumps(day['name'])} = {day['score']:.3f}"
-                     for day in entry["days"] if not day["name"].startswith("fresh"))
-    return (f'[[site]]\nname = "{entry["site"]}"\nrun = "{run_kind(entry)}"\n'
-            f'figure = {entry["score"]:.3f}\nentry = "{entry["id"]}"\ncommit = "{commit}"\n'
-            f"cpu_s = {cpu_s(entry):.0f}\ndays = {{ {days} }}\n")
+    days = ", ".join(
+        f"{json.dumps(day['name'])} = {day['score']:.3f}"
+        for day in entry["days"]
+        if not day["name"].startswith("fresh")
+    )
+    return (
+        f'[[site]]\nname = "{entry["site"]}"\nrun = "{run_kind(entry)}"\n'
+        f'figure = {entry["score"]:.3f}\nentry = "{entry["id"]}"\ncommit = "{commit}"\n'
+        f"cpu_s = {cpu_s(entry):.0f}\ndays = {{ {days} }}\n"
+    )
 
 
 def play(kit: Path, args: list[str]) -> None:
@@ -200,12 +224,24 @@
 
 
 @click.group(help=__doc__)
-@click.option("--kit", type=click.Path(file_okay=False, path_type=Path), envvar="OAKMUX_KIT",
-              help="The operators' folder with the bench and the site files.")
-@click.option("--baseline", type=click.Path(dir_okay=False, path_type=Path),
-              default=ROOT / "docs" / "baseline.toml", show_default=True)
-@click.option("--journal", type=click.Path(file_okay=False, path_type=Path),
-              default=ROOT / "journal", show_default=True)
+@click.option(
+    "--kit",
+    type=click.Path(file_okay=False, path_type=Path),
+    envvar="OAKMUX_KIT",
+    help="The operators' folder with the bench and the site files.",
+)
+@click.option(
+    "--baseline",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=ROOT / "docs" / "baseline.toml",
+    show_default=True,
+)
+@click.option(
+    "--journal",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=ROOT / "journal",
+    show_default=True,
+)
 @click.pass_context
 def main(ctx: click.Context, kit: Path | None, baseline: Path, journal: Path) -> None:
     """Read what all commands need."""
@@ -231,8 +267,12 @@
 
 
 @main.command()
-@click.option("--fleet", is_flag=True, help="The fleet sites too: for what touches storage, "
-              "membership, timers or messages between machines.")
+@click.option(
+    "--fleet",
+    is_flag=True,
+    help="The fleet sites too: for what touches storage, "
+    "membership, timers or messages between machines.",
+)
 @click.option("--why", required=True, help="One sentence for the journal.")
 @click.pass_obj
 def quick(obj: tuple, fleet: bool, why: str) -> None:
@@ -250,8 +290,10 @@
     """Play all sites in full, then hunt where two troubles meet, on fleet and ops, as at every
     third landing."""
     kit = _kit(obj)
-    hunts = [["hunt", site, "--days", str(days), "--why", why]
-             for site in sites(kit, HUNT + FLEET + OPS)]
+    hunts = [
+        ["hunt", site, "--days", str(days), "--why", why]
+        for site in sites(kit, HUNT + FLEET + OPS)
+    ]
     _run(obj, [["score", *sites(kit, FLEET + USUAL + GROWN), "--why", why], *hunts])
 
 
@@ -260,8 +302,16 @@
 def check(obj: tuple) -> None:
     """Judge the newest score of each site that has a baseline."""
     _, bases, journal = obj
-    sys.exit(verdict([entry for entry in newest(journal)
-                      if (entry.get("site") or "", run_kind(entry)) in bases], bases))
+    sys.exit(
+        verdict(
+            [
+                entry
+                for entry in newest(journal)
+                if (entry.get("site") or "", run_kind(entry)) in bases
+            ],
+            bases,
+        )
+    )
 
 
 @main.command()
--- a/tools/spread.py
+++ b/tools/spread.py
@@ -113,18 +113,27 @@
             if int(self.jobs[job]["tasks"]) == most[self.lane(job)]:
                 groups[f"largest {self.lane(job)} ({most[self.lane(job)]})"].append(job)
         for name, members in sorted(groups.items()):
-            waits = [self.last - self.accepted[job] if (wait := self.began(job)) is None else wait
-                     for job in members]
-            begun = sum(self.began(job) is not None and wait <= constants.BEGIN_S
-                        for job, wait in zip(members, waits, strict=True))
+            waits = [
+                self.last - self.accepted[job] if (wait := self.began(job)) is None else wait
+                for job in members
+            ]
+            begun = sum(
+                self.began(job) is not None and wait <= constants.BEGIN_S
+                for job, wait in zip(members, waits, strict=True)
+            )
             yield name, len(members), begun, max(waits)
 
     def lines(self) -> Iterator[str]:
         """Yield the tables."""
         yield f"{'group':36}  jobs  begun in {constants.BEGIN_S:g} s  longest (s)"
         for name, count, begun, longest in self.served():
-            word = "HALF" if 2 * begun < count else "late" if (
-                name.startswith("largest") and begun < count) else ""
+            word = (
+                "HALF"
+                if 2 * begun < count
+                else "late"
+                if (name.startswith("largest") and begun < count)
+                else ""
+            )
             yield f"{name:36} {count:5} {begun:7} {begun / count:6.3f} {longest:9.1f}  {word}"
         yield ""
         yield "class and size of gang     tasks   accepted to bound p50 p90 max (s)"
@@ -139,16 +148,24 @@
             yield f"{lane:20} {other:20} {count:6}"
         yield "\n" + ", ".join(f"{name}: {count}" for name, count in sorted(self.events.items()))
         for at, lanes, used in self.rows:
-            yield (f"\nat {at:g} s, GPUs bound: "
-                   + ", ".join(f"{lane} {count}" for lane, count in sorted(lanes.items())))
+            yield (
+                f"\nat {at:g} s, GPUs bound: "
+                + ", ".join(f"{lane} {count}" for lane, count in sorted(lanes.items()))
+            )
             yield "machines by GPUs bound: " + ", ".join(
-                f"{gpus}: {count}" for gpus, count in sorted(used.items()))
+                f"{gpus}: {count}" for gpus, count in sorted(used.items())
+            )
 
 
 @click.command(help=__doc__)
 @click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@click.option("--at", "moments", type=float, multiple=True,
-              help="A moment at which the fleet is looked at (s); may be repeated.")
+@click.option(
+    "--at",
+    "moments",
+    type=float,
+    multiple=True,
+    help="A moment at which the fleet is looked at (s); may be repeated.",
+)
 def main(log: Path, moments: tuple[float, ...]) -> None:
     """Print the tables."""
     with log.open(errors="replace") as lines:
