A second silent end of a lease is a sign; a start on its way holds back its gang

Change: a lease that ends again with no answer taken in between counts; a start on its way holds the others back like a fetch.

--- a/oakmux/core/keeper/hearing.py
+++ b/oakmux/core/keeper/hearing.py
@@ -25,7 +25,9 @@
 
     One that took an answer stays with its controller and shows that one's term; one that did not
     goes on to the next controller, or its lease ends while it reports. A lease that ends in
-    silence says nothing: machines hang, and zones are cut.
+    silence says nothing the first time: machines hang, and zones are cut. One that ends so again,
+    with no answer taken in between, is a sign as well: a machine that is handed over to
+    controllers which it can't reach comes back once a lease, in a new session each time.
     """
     if (report.session, report.seq) == machine.version:
         return False  # said again by its controller: nothing new of the machine
@@ -37,7 +39,7 @@
     spoke = world.now - machine.heard < world.facts.workers.lease_s / 2
     if report.session > machine.session and spoke:
         machine.unheard = constants.UNHEARD_MOST
-    elif keeper != machine.keeper:
+    elif report.session > machine.session or keeper != machine.keeper:
         machine.unheard += 1
     if machine.unheard >= constants.UNHEARD_MOST and machine.deaf_since is None:
         machine.deaf_since = world.now
--- a/oakmux/core/keeper/orders.py
+++ b/oakmux/core/keeper/orders.py
@@ -135,9 +135,12 @@
                     continue
                 there = world.machines.get(other.machine)
                 state = there.tasks.get((f"{job.id}/{index}", other.attempt)) if there else None
-                if there is not None and (
-                    state[0] == "fetching" if state is not None else spec.image not in there.images
-                ):
+                if there is None:
+                    continue
+                if state is None and spec.image not in there.images:
+                    return True
+                # Of a start on its way nobody can say yet whether the image is there.
+                if state is not None and state[0] in ("fetching", "starting"):
                     return True
         return False
 
