--- /dev/null
+++ b/tools/capacity/__main__.py
@@ -0,0 +1,111 @@
+"""Command line: measure series, make the page's tables, check that page and files agree.
+
+Exit codes: 0 all is well, 1 the page and the files disagree, 2 bad input.
+"""
+
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+
+import click
+
+from tools.capacity.measurements import MEASUREMENTS, Measurement
+from tools.capacity.page import PageError, replace_tables, tables
+from tools.capacity.scale_series import scale_series
+from tools.capacity.series import Series, fit, write_series
+from tools.capacity.size import read_size
+
+ROOT = Path(__file__).resolve().parents[2]
+FOLDER = ROOT / "docs" / "capacity"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+SIZE_FILE = "size.toml"
+
+
+@click.group(help=__doc__)
+def main() -> None:
+    """Group the commands."""
+
+
+@main.command()
+@click.argument("names", nargs=-1)
+@click.option("--folder", type=click.Path(file_okay=False, path_type=Path), default=FOLDER)
+def measure(names: tuple[str, ...], folder: Path) -> None:
+    """Measure the series NAMES, or all, and write their files."""
+    known = {found.name: found for found in MEASUREMENTS}
+    wrong = [name for name in names if name not in known]
+    if wrong:
+        raise click.UsageError(f"no series {wrong[0]}; there are: {', '.join(known)}")
+    for name in names or known:
+        show(record(known[name], folder))
+
+
+def record(wanted: Measurement, folder: Path) -> Series:
+    """Measure one series and write its file."""
+    series = Series(
+        wanted.name,
+        wanted.variable,
+        wanted.quantity,
+        wanted.unit,
+        wanted.fixed,
+        f"python -m tools.capacity measure {wanted.name}",
+        now(),
+        wanted.points(),
+    )
+    write_series(folder, series)
+    return series
+
+
+def show(series: Series) -> None:
+    """Print a series in one line."""
+    found = fit(series)
+    points = " ".join(f"{point.x:g}:{point.y:.4g}" for point in series.points)
+    click.echo(
+        f"{series.name}: {points} {series.unit}; slope {found.slope:.4g}, "
+        f"intercept {found.intercept:.4g}, residual {found.residual:.1%}"
+    )
+
+
+@main.command()
+@click.argument(
+    "reports", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path)
+)
+@click.option("--folder", type=click.Path(file_okay=False, path_type=Path), default=FOLDER)
+def scale(reports: tuple[Path, ...], folder: Path) -> None:
+    """Write the series of the scale run's REPORTS, one for each fraction."""
+    try:
+        workers = read_size(folder / SIZE_FILE).target.workers
+        for series in scale_series(list(reports), workers, now()):
+            write_series(folder, series)
+            show(series)
+    except ValueError as error:
+        raise click.UsageError(str(error)) from None
+
+
+def now() -> str:
+    """Return the present time as the series have it."""
+    return datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+@main.command()
+@click.option("--check", is_flag=True, help="Write nothing; exit 1 if the page would change.")
+@click.option("--folder", type=click.Path(file_okay=False, path_type=Path), default=FOLDER)
+@click.option("--page", "path", type=click.Path(dir_okay=False, path_type=Path), default=PAGE)
+def page(check: bool, folder: Path, path: Path) -> None:
+    """Make the tables of docs/CAPACITY.md anew from the series' files."""
+    try:
+        before = path.read_text()
+        after = replace_tables(before, tables(folder, read_size(folder / SIZE_FILE)))
+    except (ValueError, OSError, PageError) as error:
+        raise click.UsageError(str(error)) from None
+    if check and after != before:
+        click.echo(
+            f"{path.name} and the files under {folder.name}/ disagree: "
+            "run python -m tools.capacity page"
+        )
+        sys.exit(1)
+    if not check:
+        path.write_text(after)
+
+
+if __name__ == "__main__":
+    main(prog_name="tools.capacity")
--- /dev/null
+++ b/tools/capacity/cell.py
@@ -0,0 +1,261 @@
+"""One controller as owner and keeper of everything, driven step by step without sockets.
+
+Workers, the state service and the cloud are stubs in this process: transactions are answered one
+step later, all of them with success, and counted by the kind of record that they change.
+"""
+
+import random
+import time
+from collections import Counter
+
+import cbor2
+
+from oakmux import wire
+from oakmux.core.controller import Controller
+from oakmux.core.jobs import PREFIX
+from oakmux.settings import (
+    CloudLimits,
+    External,
+    Facts,
+    Member,
+    Settings,
+    StateLimits,
+    Team,
+    Workers,
+)
+from oakmux.wire import JobSpec, MachineType, Report
+
+# Seconds from one step of the core to the next; a transaction is answered one step later.
+STEP_S = 0.02
+# Seconds between two reports of a worker, and between two that changes cause.
+REPORT_S = 2.5
+CHANGE_S = 0.5
+# Limits that are no limits here: what is measured is the controller.
+UNLIMITED = 1e6
+# A machine has room for this many tasks of one CPU.
+MACHINE_TASKS = 16
+IMAGE = "image"
+
+
+def zone_names(count: int) -> list[str]:
+    """Return names of so many zones."""
+    return [f"zone-{number}" for number in range(count)]
+
+
+def team_names(count: int) -> list[str]:
+    """Return names of so many teams."""
+    return [f"team-{number}" for number in range(count)]
+
+
+def cell_settings(teams: int, zones: int, controllers: int) -> Settings:
+    """Return the settings of one controller of a deployment."""
+    members = [Member(f"h{number}", f"10.0.0.{number + 1}:81") for number in range(1, controllers)]
+    facts = Facts(
+        zone_names(zones),
+        [Team(name, cpus=UNLIMITED) for name in team_names(teams)],
+        Workers(REPORT_S, 15.0, 30.0, 8.0, 35.0),
+        StateLimits(UNLIMITED, UNLIMITED, 8, 48),
+        CloudLimits(5, 5),
+        controllers,
+    )
+    return Settings(
+        "h0",
+        "10.0.0.1:80",
+        "10.0.0.1:81",
+        External("10.2.0.2:1", "10.2.0.1:2"),
+        facts,
+        members=members,
+    )
+
+
+def cpu_job(team: str, tasks: int, run_s: float, kind: str = "array") -> JobSpec:
+    """Return a job of tasks that take one CPU each."""
+    return JobSpec(
+        lane="measured",
+        team=team,
+        kind=kind,
+        priority=1,
+        tasks=tasks,
+        cpus=1.0,
+        gpus=0.0,
+        memory_gb=1.0,
+        image=IMAGE,
+        image_gb=1.0,
+        types=None,
+        zone=None,
+        one_zone=False,
+        spread=False,
+        spot=True,
+        estimate_s=run_s,
+        checkpoint_s=0.0,
+        save_s=0.0,
+        deadline_s=None,
+    )
+
+
+class StubWorker:
+    """A machine that starts what it is told to and ends it after `run_s`."""
+
+    def __init__(self, name: str, zone: str, first_report: float, run_s: float) -> None:
+        self.name = name
+        self.zone = zone
+        self.run_s = run_s
+        self.seq = 0
+        self.token = 0
+        self.tasks: dict[tuple[str, int], tuple[str, str, bool]] = {}
+        self.ends: dict[tuple[str, int], float] = {}
+        self.next_report = first_report
+        self.reported = -CHANGE_S
+
+    def changed(self, now: float) -> None:
+        """Report sooner: something changed."""
+        self.next_report = min(self.next_report, max(now, self.reported + CHANGE_S))
+
+    def advance(self, now: float) -> None:
+        """End the tasks whose time is over."""
+        for task in [task for task, end in self.ends.items() if end <= now]:
+            del self.ends[task]
+            self.tasks[task] = ("exited", "done", False)
+            self.changed(now)
+
+    def report(self, now: float) -> Report:
+        """Return the report that is due."""
+        self.seq += 1
+        self.reported = now
+        self.next_report = now + REPORT_S
+        return Report(
+            self.name,
+            self.name,
+            "big",
+            self.zone,
+            False,
+            1,
+            self.seq,
+            self.token,
+            None,
+            dict(self.tasks),
+        )
+
+    def obey(self, token: int, orders: list[dict], now: float) -> int:
+        """Carry out commands; return how many tasks they started."""
+        if token > self.token:
+            self.token = token
+            self.changed(now)
+        started = 0
+        for order in orders:
+            task = (order["piece"], order["try"])
+            if order["verb"] == wire.OPS["start"] and task not in self.tasks:
+                self.tasks[task] = ("running", "", False)
+                self.ends[task] = now + self.run_s
+                self.changed(now)
+                started += 1
+            elif order["verb"] == wire.OPS["forget"]:
+                self.tasks.pop(task, None)
+        return started
+
+
+class Cell:
+    """A controller with stub workers round it; counts changes, starts and processor time."""
+
+    def __init__(
+        self, machines: int, teams: int = 4, zones: int = 3, run_s: float = 10.0, seed: int = 1
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.core = Controller(cell_settings(teams, zones, 1), random.Random(seed), 0)
+        self.now = 0.0
+        self.epoch = 0
+        self.spent_s = 0.0
+        self.starts = 0
+        self.changes: Counter[str] = Counter()
+        self.transactions = 0
+        self.event_bytes = 0
+        self.pending: list[tuple] = []
+        names = zone_names(zones)
+        self.workers = [
+            StubWorker(
+                f"n-{number:06}", names[number % zones], self.rng.uniform(0.0, REPORT_S), run_s
+            )
+            for number in range(machines)
+        ]
+        self.by_name = {worker.name: worker for worker in self.workers}
+        kind = MachineType(
+            "big", float(MACHINE_TASKS), 0.0, 64.0, 100.0, 1.0, 10.0, 3.0, 30.0, names
+        )
+        self.pending.append(("catalogue", [kind]))
+        self.pending.append(("snapshot", [], 0, 0.0))
+
+    def run(self, seconds: float, submit: dict[int, list[JobSpec]] | None = None) -> None:
+        """Pass that much time; `submit` holds jobs by the step in which they come."""
+        for number in range(round(seconds / STEP_S)):
+            for spec in (submit or {}).get(number, ()):
+                self.submit(spec)
+            self._step()
+
+    def submit(self, spec: JobSpec) -> None:
+        """Submit a job with the next step."""
+        job_id = f"job-{self.rng.randrange(10**12)}"
+        self.pending.append(("submit", None, job_id, spec, ""))
+
+    def _step(self) -> None:
+        self.now += STEP_S
+        commands, self.pending = self.pending, []
+        for worker in self.workers:
+            worker.advance(self.now)
+            if worker.next_report <= self.now:
+                commands.append(("report", worker.name, worker.report(self.now)))
+        commands.append(("watch", [], self.epoch, self.now))
+        begun = time.process_time()
+        effects = self.core.step(self.now, commands)
+        self.spent_s += time.process_time() - begun
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: tuple) -> None:
+        kind = effect[0]
+        if kind == "answer" and effect[1] in self.by_name and effect[3][0] == "orders":
+            worker = self.by_name[effect[1]]
+            self.starts += worker.obey(effect[3][1], effect[3][2], self.now)
+        elif kind == "orders":
+            self._direct(effect)
+        elif kind == "grant":
+            self.pending.append(("done", effect[1], 200, 1))
+        elif kind == "renew":
+            self.pending.append(("done", effect[1], 200, None))
+        elif kind == "txn":
+            self._transaction(effect)
+        elif kind == "cloud" and effect[2] == "rent":
+            self.pending.append(("done", effect[1], 503, "no capacity"))
+
+    def _direct(self, effect: tuple) -> None:
+        """Carry out direct orders; a stub's address is its name."""
+        _, op, address, token, _, orders = effect
+        worker = self.by_name[address]
+        self.starts += worker.obey(token, orders, self.now)
+        self.pending.append(("done", op, "ok", worker.report(self.now)))
+
+    def _transaction(self, effect: tuple) -> None:
+        writes = effect[3]
+        if writes:
+            self.epoch += 1
+            self.transactions += 1
+        for write in writes:
+            group = write[0].removeprefix(PREFIX).partition("/")[0]
+            self.changes[group if len(write) > 1 else f"-{group}"] += 1
+            self.event_bytes += len(
+                cbor2.dumps(
+                    {"write": write[0], "v": write[1], "stamp": self.epoch}
+                    if len(write) > 1
+                    else {"delete": write[0], "stamp": self.epoch}
+                )
+            )
+        self.pending.append(("done", effect[1], 200, (self.epoch, [])))
+
+
+def steady(
+    jobs_a_second: float, seconds: float, make: list[JobSpec], rng: random.Random
+) -> dict[int, list[JobSpec]]:
+    """Return jobs drawn from `make` at a rate, by the step in which they come."""
+    plan: dict[int, list[JobSpec]] = {}
+    for _ in range(round(jobs_a_second * seconds)):
+        plan.setdefault(rng.randrange(round(seconds / STEP_S)), []).append(rng.choice(make))
+    return plan
--- /dev/null
+++ b/tools/capacity/measurements.py
@@ -0,0 +1,727 @@
+"""The measurements: each varies one thing over at least four sizes and returns the points.
+
+Processor times are of one core of the machine that measured, as the process's own accounting has
+them. Nothing here opens a socket; what sockets cost is measured by `python -m tools.scale`.
+"""
+
+import gc
+import multiprocessing
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import cbor2
+import msgspec
+
+from oakmux import wire
+from oakmux.core.controller import Controller
+from oakmux.core.jobs import Binding, Chunk, chunk_key, job_key, job_value, value_bytes
+from oakmux.net.http import render
+from oakmux.wire import JobSpec
+from tools import cost
+from tools.capacity.cell import Cell, cell_settings, cpu_job, steady, team_names, zone_names
+from tools.capacity.series import Point
+
+SEED = 1
+# Runs of each point; the median counts, since the machine is shared.
+REPEATS = 3
+# Bytes that HTTP puts before a body in a worker's request, as the protocol's examples have them.
+REQUEST_HEAD = (
+    b"POST /agent/beat HTTP/1.1\r\nHost: 10.0.0.1:8080\r\n"
+    b"Content-Type: application/cbor\r\nContent-Length: 1000\r\n\r\n"
+)
+# Bytes of TCP and IP round one request and its answer: two data packets and two that acknowledge.
+PACKET_BYTES = 4 * 40
+
+
+class Measurement(NamedTuple):
+    """How a series is measured: over which sizes, and what one size gives."""
+
+    name: str
+    variable: str
+    quantity: str
+    unit: str
+    fixed: str
+    sizes: Sequence[float]
+    measure: Callable[[float], float]
+    repeats: int = REPEATS
+
+    def points(self) -> list[Point]:
+        """Measure all sizes, each run in a process of its own: memory freed by one run would
+        hide what the next one takes."""
+        context = multiprocessing.get_context("fork")
+        found = []
+        for size in self.sizes:
+            with context.Pool(1, maxtasksperchild=1) as pool:
+                values = sorted(pool.map(self.measure, [size] * self.repeats, chunksize=1))
+            found.append(Point(size, values[len(values) // 2]))
+        return found
+
+
+def mean_ms(run: Callable[[], float], times: int) -> float:
+    """Return the mean processor time of a run in milliseconds, after one that does not count."""
+    run()
+    return sum(run() for _ in range(times)) / times * 1000
+
+
+def spent_s(run: Callable[[], object]) -> float:
+    """Return the processor time of one call in seconds."""
+    gc.collect()
+    begun = time.process_time()
+    run()
+    return time.process_time() - begun
+
+
+# --- workers and their reports ---
+
+
+def report_value(tasks: int) -> dict:
+    """Return a worker's report as it comes over the wire."""
+    return {
+        "box": "n-000231",
+        "addr": "10.1.0.232:9000",
+        "flavour": "g8",
+        "site": "a",
+        "loaner": True,
+        "tenure": 1,
+        "tick": 88,
+        "baton": 41,
+        "warning_s": None,
+        "pieces": [
+            {"piece": f"job-{412_000 + number}/3", "try": 2, "status": "running"}
+            for number in range(tasks)
+        ],
+    }
+
+
+def report_bytes(tasks: float) -> float:
+    """Bytes of one report and its answer, with the packets round them."""
+    body = wire.encode(report_value(int(tasks)))
+    answer = render(200, wire.encode({"baton": 41, "orders": []}))
+    return len(REQUEST_HEAD) + len(body) + len(answer) + PACKET_BYTES
+
+
+def report_parse_ms(tasks: float) -> float:
+    """Processor time to read a report and to write its answer."""
+    body = wire.encode(report_value(int(tasks)))
+
+    def run() -> None:
+        for _ in range(300):
+            wire.parse_report(wire.decode(body))
+            wire.encode(wire.answer_body(("orders", 41, [])))
+
+    return spent_s(run) / 300 * 1000
+
+
+def keeper_report_ms(machines: float) -> float:
+    """Processor time of the core for a report that changes what runs."""
+    found, _ = cost.reports(int(machines), 300, SEED)
+    return found.get_mean_value() / 1000
+
+
+def machines_mb(machines: float) -> float:
+    """Memory of all that is known of machines that peers hear."""
+    before = cost.resident_mb()
+    bench = cost.Bench(int(machines), False, SEED)
+    held = cost.resident_mb() - before
+    assert len(bench.core.world.machines) == machines
+    return held
+
+
+# --- controllers among themselves ---
+
+
+def view_message(number: int, seq: int, tasks: int = 3) -> list:
+    """Return the news of a machine that a keeper sends its peers."""
+    rows = [[f"job-{412_000 + task}/3", 2, "running", "", False] for task in range(tasks)]
+    return [
+        "view",
+        41,
+        f"n-{number:06}",
+        "10.1.0.232:9000",
+        "big",
+        "zone-0",
+        True,
+        1,
+        seq,
+        41,
+        None,
+        rows,
+        [],
+    ]
+
+
+def view_bytes(tasks: float) -> float:
+    """Bytes of the news of one machine to one peer."""
+    return len(cbor2.dumps(view_message(231, 88, int(tasks))))
+
+
+def views_ms(views: float) -> float:
+    """Processor time to take so many changed machines from a peer, decoded and applied."""
+    bench = cost.Bench(int(views), False, SEED)
+    body = cbor2.dumps(
+        ["batch", "h1", [view_message(number, 10) for number in range(int(views))], 0]
+    )
+
+    def run() -> None:
+        _, label, messages, since = cbor2.loads(body)
+        bench.core.step(bench.now, [("peer", None, label, messages, since)])
+
+    return spent_s(run) * 1000
+
+
+def peer_sends(controllers: float) -> float:
+    """Messages that a controller sends for each report that changes what runs."""
+    core = Controller(cell_settings(2, 3, int(controllers)), random.Random(SEED), 0)
+    core.step(0.0, [("catalogue", [cost.TYPE]), ("snapshot", [], 0, 0.0)])
+    core.world.term = core.world.life = 1
+    sent = 0
+    for seq in range(1, 21):
+        report = wire.parse_report({**report_value(seq % 3), "tick": seq})
+        effects = core.step(0.01 * seq, [("watch", [], 0, 0.01 * seq), ("report", seq, report)])
+        sent += sum(1 for effect in effects if effect[0] == "send" and effect[2][0] == "view")
+    return sent / 20
+
+
+def heartbeat_bytes(machines: float) -> float:
+    """Bytes of the heartbeat that names the machines which a controller hears, to one peer."""
+    names = [f"n-{number:06}" for number in range(int(machines))]
+    return len(cbor2.dumps(["heard", names]))
+
+
+# --- owners ---
+
+
+def sampling_ms(machines: float) -> float:
+    """A tick with 200 jobs that look for room on idle machines."""
+    return cost.burst(int(machines), 200, 20, SEED).get_mean_value() / 1000
+
+
+def waiting_ms(jobs: float) -> float:
+    """A tick with so many jobs that wait at full machines."""
+    return cost.waiting(430, int(jobs), 20, SEED).get_mean_value() / 1000
+
+
+def gang_ms(tasks: float) -> float:
+    """Processor time from a gang's submission until all of its tasks are bound."""
+    cell = Cell(int(tasks), run_s=1000.0)
+    cell.run(5.0)
+    before = cell.spent_s
+    cell.submit(cpu_job("team-0", int(tasks), 60.0, "gang"))
+    cell.run(4.0)
+    assert cell.starts == tasks, f"{cell.starts} of {tasks} tasks began"
+    return (cell.spent_s - before) * 1000
+
+
+def gang_conditions(tasks: float) -> float:
+    """Changes of the records that bind a gang: one for each chunk of its tasks."""
+    cell = Cell(int(tasks), run_s=1000.0)
+    cell.run(5.0)
+    before = cell.changes["t"]
+    cell.submit(cpu_job("team-0", int(tasks), 60.0, "gang"))
+    cell.run(4.0)
+    return cell.changes["t"] - before
+
+
+class Load(NamedTuple):
+    """What a load on one controller came to, a second."""
+
+    starts: float
+    changes: float
+    cores: float
+    event_bytes: float
+
+
+def run_load(starts: float, tasks: int, teams: int = 4) -> Load:
+    """Jobs of so many tasks each, at so many task starts a second, on 430 workers."""
+    seconds = 15.0
+    cell = Cell(430, teams=teams, run_s=5.0)
+    cell.run(4.0)
+    before = (cell.starts, cell.changes.total(), cell.spent_s, cell.event_bytes)
+    made = [cpu_job(team, tasks, 5.0) for team in team_names(teams)]
+    cell.run(seconds + 6.0, steady(starts / tasks, seconds, made, random.Random(SEED)))
+    after = (cell.starts, cell.changes.total(), cell.spent_s, cell.event_bytes)
+    planned = round(starts / tasks * seconds) * tasks
+    assert cell.starts - before[0] == planned, f"{cell.starts - before[0]} of {planned} began"
+    return Load(*((now - then) / seconds for now, then in zip(after, before, strict=True)))
+
+
+def alike_starts(offered: float) -> float:
+    """Starts a second that are reached, of so many jobs of one task that come a second: the mean
+    of the last ten seconds of twenty in which they come."""
+    cell = Cell(430, run_s=5.0)
+    cell.run(4.0)
+    made = [cpu_job(team, 1, 5.0) for team in team_names(4)]
+    cell.run(10.0, steady(offered, 10.0, made, random.Random(SEED)))
+    before = cell.starts
+    cell.run(10.0, steady(offered, 10.0, made, random.Random(SEED + 1)))
+    return (cell.starts - before) / 10.0
+
+
+def single_task_changes(starts: float) -> float:
+    """Changes a second of the records, from submission to end, for jobs of one task."""
+    return run_load(starts, 1).changes
+
+
+def array_changes(starts: float) -> float:
+    """Changes a second of the records for arrays of ten tasks."""
+    return run_load(starts, 10).changes
+
+
+def load_cores(starts: float) -> float:
+    """Cores that the core needs for so many starts a second, of arrays of ten tasks."""
+    return run_load(starts, 10).cores
+
+
+def hot_team_cores(starts: float) -> float:
+    """Cores for so many starts a second of one team's arrays of ten tasks."""
+    return run_load(starts, 10, teams=1).cores
+
+
+def event_bytes(starts: float) -> float:
+    """Bytes a second that a watch brings to one controller, for arrays of ten tasks."""
+    return run_load(starts, 10).event_bytes
+
+
+def teams_ms(teams: float) -> float:
+    """A tick of a controller that owns so many teams, each with one job that waits."""
+    cell = Cell(100, teams=int(teams))
+    cell.run(4.0)
+    for name in team_names(int(teams)):
+        cell.submit(cpu_job(name, 200, 1000.0))
+    cell.run(4.0)
+    before = cell.spent_s
+    cell.run(4.0)
+    return (cell.spent_s - before) / 40 * 1000
+
+
+def zones_ms(zones: float) -> float:
+    """A tick with 200 jobs that look for room on 990 idle machines in so many zones."""
+    names, kind = cost.ZONES, cost.TYPE
+    cost.ZONES = zone_names(int(zones))
+    cost.TYPE = msgspec.structs.replace(kind, zones=cost.ZONES)
+    try:
+        return cost.burst(990, 200, 20, SEED).get_mean_value() / 1000
+    finally:
+        cost.ZONES, cost.TYPE = names, kind
+
+
+# --- fleet ---
+
+
+def fleet_pass_ms(machines: float) -> float:
+    """The pass over the fleet that comes once a second, with 200 jobs waiting."""
+    return cost.fleet_pass(int(machines), 200, 5, SEED).get_mean_value() / 1000
+
+
+# --- users ---
+
+
+def submission(number: int) -> bytes:
+    """Return a submission as it comes over the wire."""
+    return wire.encode(
+        {
+            "id": f"job-{number:06}",
+            "lane": "train",
+            "owner": "team-0",
+            "shape": "array",
+            "rank": "standard",
+            "pieces": 10,
+            "vcpus": 1.0,
+            "accelerators": 0.0,
+            "memory_gb": 1.0,
+            "bundle": "img-07",
+            "size_gb": 1.0,
+            "flavours": None,
+            "site": None,
+            "together": False,
+            "spread": False,
+            "loaner": True,
+            "guess_s": 20.0,
+            "save_every_s": 0.0,
+            "save_cost_s": 0.0,
+            "due_s": None,
+        }
+    )
+
+
+def submissions_ms(count: float) -> float:
+    """Processor time to read and take so many submissions, up to their transactions."""
+    cell = Cell(1)
+    cell.run(4.0)
+    bodies = [submission(number) for number in range(int(count))]
+
+    def run() -> None:
+        commands = []
+        for body in bodies:
+            value = wire.decode(body)
+            commands.append(("submit", None, wire.job_id_of(value), wire.parse_job(value), ""))
+        cell.core.step(cell.now, commands)
+
+    return spent_s(run) * 1000
+
+
+def queries_ms(count: float) -> float:
+    """Processor time of so many questions about unfinished jobs, up to their answers."""
+    cell = Cell(1)
+    cell.run(4.0)
+    for number in range(int(count)):
+        cell.pending.append(("submit", None, f"job-{number}", cpu_job("team-0", 1, 5.0), ""))
+    cell.run(1.0)
+
+    def run() -> None:
+        cell.pending += [("query", None, f"job-{number}") for number in range(int(count))]
+        cell.run(0.2)
+
+    idle = spent_s(lambda: cell.run(0.2))
+    return max(0.0, spent_s(run) - idle) * 1000
+
+
+# --- records ---
+
+
+def history_rows(count: int) -> list[tuple]:
+    """Return the records of so many finished jobs."""
+    return [
+        (job_key(f"job-{number}"), job_value("done", "team-0", None, number, 10), number + 1)
+        for number in range(count)
+    ]
+
+
+def history_s(jobs: float) -> float:
+    """Processor time in which a controller takes the list of its records at a start."""
+    rows = history_rows(int(jobs))
+    core = Controller(cell_settings(4, 3, 1), random.Random(SEED), 0)
+    return spent_s(lambda: core.step(0.0, [("snapshot", rows, len(rows), 0.0)]))
+
+
+def history_mb(jobs: float) -> float:
+    """Memory that the records of finished jobs take in a controller."""
+    rows = history_rows(int(jobs))
+    core = Controller(cell_settings(4, 3, 1), random.Random(SEED), 0)
+    gc.collect()
+    before = cost.resident_mb()
+    core.step(0.0, [("snapshot", rows, len(rows), 0.0)])
+    return cost.resident_mb() - before
+
+
+def history_bytes(jobs: float) -> float:
+    """Bytes of the records of finished jobs at the state service, keys included."""
+    return sum(len(key) + value_bytes(value) for key, value, _ in history_rows(int(jobs)))
+
+
+def live_rows(tasks: int) -> list[tuple]:
+    """Return the records of running tasks, ten to a job."""
+    rows: list[tuple] = []
+    for number in range(tasks // 10):
+        spec: JobSpec = cpu_job("team-0", 10, 60.0)
+        bound = {
+            index: Binding(index + 1, f"n-{(number * 10 + index) % 4300:06}", 1, 41, "zone-0")
+            for index in range(10)
+        }
+        job_id = f"job-{number:06}"
+        rows.append(
+            (job_key(job_id), job_value("queued", "team-0", spec, number, 10), 2 * number + 1)
+        )
+        rows.append(
+            (chunk_key(job_id, 0), Chunk(last=10, bound=bound).to_value(2), 2 * number + 2)
+        )
+    return rows
+
+
+def live_mb(tasks: float) -> float:
+    """Memory of the records of running tasks in a controller."""
+    rows = live_rows(int(tasks))
+    core = Controller(cell_settings(4, 3, 1), random.Random(SEED), 0)
+    gc.collect()
+    before = cost.resident_mb()
+    core.step(0.0, [("snapshot", rows, len(rows), 0.0)])
+    return cost.resident_mb() - before
+
+
+def live_bytes(tasks: float) -> float:
+    """Bytes of the records of running tasks at the state service, keys included."""
+    return sum(len(key) + value_bytes(value) for key, value, _ in live_rows(int(tasks)))
+
+
+WORKER_SIZES = (250, 500, 1000, 2000)
+FLEET_SIZES = (500, 1000, 2000, 4300)
+TASK_SIZES = (0, 2, 4, 8, 16)
+START_SIZES = (20, 40, 80, 160)
+# Beyond this one controller does not start jobs of one task as they come: `alike_starts`.
+SINGLE_SIZES = (5, 10, 20, 40)
+OFFERED_SIZES = (20, 40, 80, 160, 320)
+HISTORY_SIZES = (15_250, 30_500, 61_000, 122_000, 244_000)
+LIVE_SIZES = (2_000, 4_000, 8_000, 14_000)
+
+MEASUREMENTS = (
+    Measurement(
+        "report_bytes",
+        "tasks on the worker",
+        "a report and its answer",
+        "bytes",
+        "no orders",
+        TASK_SIZES,
+        report_bytes,
+        1,
+    ),
+    Measurement(
+        "report_parse_ms",
+        "tasks on the worker",
+        "reading a report",
+        "ms",
+        "one core",
+        TASK_SIZES,
+        report_parse_ms,
+    ),
+    Measurement(
+        "keeper_report_ms",
+        "workers heard",
+        "a report that changes what runs",
+        "ms",
+        "one task changed, one peer",
+        WORKER_SIZES,
+        keeper_report_ms,
+    ),
+    Measurement(
+        "machines_mb",
+        "workers known",
+        "memory of the view of all workers",
+        "MB",
+        "idle, three images each",
+        FLEET_SIZES,
+        machines_mb,
+        1,
+    ),
+    Measurement(
+        "view_bytes",
+        "tasks on the worker",
+        "news of a worker to a peer",
+        "bytes",
+        "no images",
+        TASK_SIZES,
+        view_bytes,
+        1,
+    ),
+    Measurement(
+        "views_ms",
+        "workers changed",
+        "taking a peer's news of workers",
+        "ms",
+        "three tasks on each",
+        WORKER_SIZES,
+        views_ms,
+    ),
+    Measurement(
+        "peer_sends",
+        "controllers",
+        "messages to peers for a changed report",
+        "messages",
+        "one worker",
+        (3, 5, 9, 13, 17),
+        peer_sends,
+        1,
+    ),
+    Measurement(
+        "heartbeat_bytes",
+        "workers heard",
+        "a heartbeat to a peer",
+        "bytes",
+        "",
+        (100, 200, 400, 800),
+        heartbeat_bytes,
+        1,
+    ),
+    Measurement(
+        "sampling_ms",
+        "workers",
+        "a tick of 40 samples",
+        "ms",
+        "200 jobs that look for room, idle workers",
+        FLEET_SIZES,
+        sampling_ms,
+    ),
+    Measurement(
+        "waiting_ms",
+        "jobs that wait",
+        "a tick while nothing changes",
+        "ms",
+        "430 full workers",
+        (250, 500, 1000, 2000),
+        waiting_ms,
+    ),
+    Measurement(
+        "gang_ms",
+        "tasks of the gang",
+        "placing a gang",
+        "ms",
+        "a worker for each task",
+        (64, 128, 256, 512),
+        gang_ms,
+        1,
+    ),
+    Measurement(
+        "gang_changes",
+        "tasks of the gang",
+        "records that bind a gang",
+        "changes",
+        "a worker for each task",
+        (64, 128, 256, 512),
+        gang_conditions,
+        1,
+    ),
+    Measurement(
+        "single_task_changes",
+        "starts a second",
+        "changes of records, jobs of one task",
+        "changes/s",
+        "430 workers, 4 teams",
+        SINGLE_SIZES,
+        single_task_changes,
+        1,
+    ),
+    Measurement(
+        "alike_starts",
+        "jobs of one task that come a second",
+        "starts a second that one controller reaches",
+        "starts/s",
+        "430 workers, 4 teams, tasks of 5 s",
+        OFFERED_SIZES,
+        alike_starts,
+        1,
+    ),
+    Measurement(
+        "array_changes",
+        "starts a second",
+        "changes of records, arrays of ten",
+        "changes/s",
+        "430 workers, 4 teams",
+        START_SIZES,
+        array_changes,
+        1,
+    ),
+    Measurement(
+        "load_cores",
+        "starts a second",
+        "the core as owner and keeper",
+        "cores",
+        "430 workers, 4 teams, arrays of ten",
+        START_SIZES,
+        load_cores,
+    ),
+    Measurement(
+        "hot_team_cores",
+        "starts a second",
+        "the core, one team",
+        "cores",
+        "430 workers, arrays of ten",
+        START_SIZES,
+        hot_team_cores,
+    ),
+    Measurement(
+        "event_bytes",
+        "starts a second",
+        "what a watch brings to a controller",
+        "bytes/s",
+        "430 workers, arrays of ten",
+        START_SIZES,
+        event_bytes,
+        1,
+    ),
+    Measurement(
+        "teams_ms",
+        "teams",
+        "a tick, one waiting array for each team",
+        "ms",
+        "100 workers",
+        (5, 10, 20, 41),
+        teams_ms,
+    ),
+    Measurement(
+        "zones_ms",
+        "zones",
+        "a tick of 40 samples",
+        "ms",
+        "990 idle workers, 200 jobs",
+        (3, 6, 11, 22),
+        zones_ms,
+    ),
+    Measurement(
+        "fleet_pass_ms",
+        "workers",
+        "a pass over the fleet",
+        "ms",
+        "200 jobs waiting",
+        FLEET_SIZES,
+        fleet_pass_ms,
+    ),
+    Measurement(
+        "submissions_ms",
+        "submissions",
+        "taking submissions",
+        "ms",
+        "one core",
+        (100, 200, 400, 800),
+        submissions_ms,
+    ),
+    Measurement(
+        "queries_ms",
+        "questions",
+        "answering questions about unfinished jobs",
+        "ms",
+        "one core",
+        (50, 100, 200, 400),
+        queries_ms,
+    ),
+    Measurement(
+        "history_s",
+        "finished jobs",
+        "taking the records at a start",
+        "s",
+        "one core",
+        HISTORY_SIZES,
+        history_s,
+        1,
+    ),
+    Measurement(
+        "history_mb",
+        "finished jobs",
+        "memory of finished jobs",
+        "MB",
+        "",
+        HISTORY_SIZES,
+        history_mb,
+        1,
+    ),
+    Measurement(
+        "history_bytes",
+        "finished jobs",
+        "records of finished jobs",
+        "bytes",
+        "",
+        HISTORY_SIZES,
+        history_bytes,
+        1,
+    ),
+    Measurement(
+        "live_mb",
+        "running tasks",
+        "memory of running tasks",
+        "MB",
+        "ten tasks a job",
+        LIVE_SIZES,
+        live_mb,
+        1,
+    ),
+    Measurement(
+        "live_bytes",
+        "running tasks",
+        "records of running tasks",
+        "bytes",
+        "ten tasks a job",
+        LIVE_SIZES,
+        live_bytes,
+        1,
+    ),
+)
--- /dev/null
+++ b/tools/capacity/page.py
@@ -0,0 +1,143 @@
+"""The tables of docs/CAPACITY.md, made from the series' files; the text round them stays."""
+
+from pathlib import Path
+
+from tools.capacity.series import Fit, Series, fit, read_series
+from tools.capacity.size import Size
+from tools.capacity.table import ROLES, ROWS, Row
+
+BEGIN = "<!-- begin: python -m tools.capacity page -->"
+END = "<!-- end -->"
+EXTRAPOLATED = " *"
+
+
+class PageError(Exception):
+    """The page has no place for the tables; the text says what is missing."""
+
+
+def number(value: float) -> str:
+    """Return a figure to three digits, without a sign of more precision."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def read_fits(folder: Path) -> tuple[dict[str, Series], dict[str, Fit]]:
+    """Read and fit all series that the rows name."""
+    names = sorted({name for row in ROWS for name in (row.series, row.reached) if name})
+    series = {name: read_series(folder, name) for name in names}
+    return series, {name: fit(found) for name, found in series.items()}
+
+
+def line_text(found: Fit) -> str:
+    """Return a fitted line and how well it fits."""
+    return (
+        f"{number(found.intercept)} + {number(found.slope)}·x; "
+        f"{found.points} points to {number(found.largest)}, residual {found.residual:.0%}"
+    )
+
+
+def row_text(row: Row, size: Size, fits: dict[str, Fit]) -> str:
+    """Return one row of a role's table."""
+    value = row.value(size, fits)
+    mark = EXTRAPOLATED if row.extrapolated(size, fits) else ""
+    measured = "from the protocol or the settings"
+    if row.series is not None:
+        measured = f"`{row.series}`: {line_text(fits[row.series])}"
+    limit = row.limit(size, fits)
+    budget, margin = "none given", ""
+    if limit is not None:
+        budget = number(limit)
+        margin = f"{limit / value:.2g}×" if value > 0 else "unbounded"
+    cells = (
+        row.quantity,
+        measured,
+        row.sum_text,
+        f"{number(value)} {row.unit}{mark}",
+        budget,
+        margin,
+        row.mechanism,
+        f"*{row.status}*",
+    )
+    return "| " + " | ".join(cells) + " |"
+
+
+def role_table(role: str, size: Size, fits: dict[str, Fit]) -> list[str]:
+    """Return a role's table."""
+    head = (
+        "quantity",
+        "measured line",
+        "sum",
+        "at the size",
+        "budget",
+        "margin",
+        "mechanism",
+        "state",
+    )
+    return [
+        f"### {role}",
+        "",
+        "| " + " | ".join(head) + " |",
+        "| " + "--- | " * len(head),
+        *(row_text(row, size, fits) for row in ROWS if row.role == role),
+        "",
+    ]
+
+
+def walls(size: Size, fits: dict[str, Fit]) -> list[str]:
+    """Return the table of walls, the nearest first."""
+    found = [(at, row) for row in ROWS if (at := row.wall(size, fits)) is not None]
+    found.sort(key=lambda pair: pair[0])
+    lines = [
+        "### Walls, in the order in which growth meets them",
+        "",
+        "| at this multiple of the size | role | quantity | budget | mechanism | state |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for at, row in found:
+        limit = row.limit(size, fits)
+        assert limit is not None
+        lines.append(
+            f"| {number(at)} | {row.role} | {row.quantity} | {number(limit)} {row.unit} | "
+            f"{row.mechanism} | *{row.status}* |"
+        )
+    return [*lines, ""]
+
+
+def sources(series: dict[str, Series]) -> list[str]:
+    """Return the table of what was measured how."""
+    lines = [
+        "### Series",
+        "",
+        "| series | quantity | variable | held fixed | points | command |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for name, found in sorted(series.items()):
+        points = "; ".join(f"{number(point.x)}: {number(point.y)}" for point in found.points)
+        lines.append(
+            f"| `{name}` | {found.quantity}, {found.unit} | {found.variable} | "
+            f"{found.fixed or 'nothing else there'} | {points} | `{found.command}` |"
+        )
+    return [*lines, ""]
+
+
+def tables(folder: Path, size: Size) -> str:
+    """Return all tables."""
+    series, fits = read_fits(folder)
+    lines: list[str] = []
+    for role in ROLES:
+        lines += role_table(role, size, fits)
+    lines += walls(size, fits)
+    lines += sources(series)
+    return "\n".join(lines)
+
+
+def replace_tables(text: str, made: str) -> str:
+    """Return the page with its tables replaced; raises PageError."""
+    head, found, rest = text.partition(BEGIN)
+    _, closed, tail = rest.partition(END)
+    if not found or not closed:
+        raise PageError(f"no lines {BEGIN!r} and {END!r}")
+    return f"{head}{BEGIN}\n\n{made}\n{END}{tail}"
