--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,265 @@
+"""The scale run: its ledger, its store, its workers, and a small run with real controllers."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from tools.scale import __main__ as scale
+from tools.scale.config import ConfigError, RunConfig, Service, load_config
+from tools.scale.gangs import GangEvent, GangHub
+from tools.scale.jobs import Job, Kind, parse_job, zone_name
+from tools.scale.ledger import Event, Ledger, all_events
+from tools.scale.report import RULES
+from tools.scale.store import Refused, Store, watch_body
+from tools.scale.worker import HollowWorker, TaskKey
+
+DATA = Path(__file__).parent / "data" / "scale.toml"
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@pytest.fixture
+def config() -> RunConfig:
+    """Return the small run's configuration."""
+    return load_config(DATA)
+
+
+def job(kind: Kind, team: int = 0, tasks: int = 2, serial: int = 1) -> Job:
+    """Return a job."""
+    return Job(kind, team, tasks, 5.0, serial)
+
+
+def on(at: float, made: Job, number: int, machine: str, zone: int = 0) -> Event:
+    """Return that a task has its image."""
+    return Event(at, "on", f"{made.id}/{number}", (1, machine, zone_name(zone), ""))
+
+
+def off(at: float, made: Job, number: int, machine: str, cause: str = "done") -> Event:
+    """Return that a task is over."""
+    return Event(at, "off", f"{made.id}/{number}", (1, machine, zone_name(0), cause))
+
+
+def told(at: float, verb: str, made: Job) -> Event:
+    """Return what a user was told."""
+    return Event(at, verb, made.id, ())
+
+
+ARRAY, GANG = job(Kind.ARRAY), job(Kind.GANG, serial=2)
+PINNED = job(Kind.PINNED, team=1, serial=3)
+
+# The ledger is the run's only judge: each rule has a course of events that must break it, and one
+# next to it that must not.
+FAULTS = {
+    "ran_twice": [on(1, ARRAY, 0, "m1"), on(2, ARRAY, 0, "m2")],
+    "quota": [on(1, job(Kind.ARRAY, serial=n), 0, f"m{n}") for n in range(40)],
+    "wrong_place": [on(1, GANG, 0, "m1", 0), on(2, GANG, 1, "m2", 1)],
+    "ran_cancelled": [on(1, ARRAY, 0, "m1"), told(2, "cancelled", ARRAY), told(30, "asked", GANG)],
+    "not_done": [on(1, ARRAY, 0, "m1"), off(2, ARRAY, 0, "m1"), told(3, "done", ARRAY)],
+    "forgotten": [told(1, "accepted", ARRAY), told(2, "forgotten", ARRAY)],
+}
+SOUND = [
+    on(1, ARRAY, 0, "m1"),
+    off(2, ARRAY, 0, "m1", "lease"),
+    on(3, ARRAY, 0, "m2"),
+    off(4, ARRAY, 0, "m2"),
+    on(3, ARRAY, 1, "m2"),
+    off(4, ARRAY, 1, "m2"),
+    told(5, "done", ARRAY),
+    on(5, GANG, 0, "m1", 1),
+    on(5, GANG, 1, "m2", 1),
+    off(6, GANG, 0, "m1"),
+    told(6, "done", GANG),
+    off(6.1, GANG, 1, "m2"),
+    on(7, PINNED, 0, "m1", 1),
+    told(8, "cancelled", PINNED),
+    off(16.9, PINNED, 0, "m1", "halted"),
+    told(30, "asked", ARRAY),
+]
+
+
+@pytest.mark.parametrize("rule", RULES)
+def test_the_ledger_finds_each_broken_rule_and_nothing_else(rule, config):
+    ledger = Ledger(config)
+    ledger.take(FAULTS[rule])
+    ledger.close(40.0)
+    assert {name for name in RULES if ledger.counts[name]} == {rule}
+    assert ledger.breaches[0].rule == rule
+
+
+def test_the_ledger_finds_nothing_where_nothing_is_wrong(config):
+    ledger = Ledger(config)
+    ledger.take(SOUND)
+    ledger.close(60.0)
+    assert not ledger.breaches and ledger.counts["starts"] == 6
+    ledger.take([on(61, PINNED, 0, "m1", 0)])
+    assert {breach.rule for breach in ledger.breaches} == {"wrong_place", "ran_cancelled"}
+
+
+def test_two_workers_told_to_run_one_task_break_a_rule(config):
+    # A deliberate fault, brought about in the workers themselves.
+    ledger, now = Ledger(config), 0.0
+
+    def observe(verb: str, key: TaskKey, worker: HollowWorker, cause: str) -> None:
+        rest = (key.attempt, worker.name, worker.zone, cause)
+        ledger.take([Event(now, verb, key.task, rest)])
+
+    made = [HollowWorker(config, name, "", zone_name(0), 0.0, observe) for name in ("m1", "m2")]
+    order = {"verb": "launch", "piece": f"{ARRAY.id}/0", "try": 1}
+    for worker in made:
+        assert worker.direct({"baton": 3, "tenure": 1, "orders": [order]}, now) == 200
+    now = 1.0
+    for worker in made:
+        worker.advance(now)
+    assert ledger.counts["ran_twice"] == 1
+
+
+def test_a_worker_keeps_its_lease_session_and_token(config):
+    worker = HollowWorker(config, "m1", "", zone_name(0), 0.0, lambda *_: None)
+    launch = {"verb": "launch", "piece": f"{ARRAY.id}/0", "try": 1}
+    worker.answered(0.0, 1, {"baton": 5, "orders": [launch]}, 0.1)
+    assert worker.token == 5 and len(worker.tasks) == 1
+    assert worker.direct({"baton": 4, "tenure": 1, "orders": []}, 0.2) == 409
+    assert worker.direct({"tenure": 1, "orders": []}, 0.2) == 400
+    again = {**launch, "try": 2}
+    worker.answered(0.2, 1, {"baton": 4, "orders": [again]}, 0.3)  # dropped: a lower token
+    assert worker.lease_from == 0.0 and len(worker.tasks) == 1
+    worker.answered(0.4, 1, {"baton": 5, "orders": [again]}, 0.5)
+    assert worker.tasks[TaskKey(again["piece"], 2)].cause == "in_use"
+    worker.advance(0.4 + config.times.lease_s + 0.1)
+    assert worker.session == 2 and not worker.tasks
+    worker.answered(9.0, 1, {"baton": 5, "orders": [launch]}, 9.1)  # of an earlier session
+    assert not worker.tasks
+
+
+def test_gangs_begin_and_end_together_across_processes():
+    hub, made = GangHub(2), job(Kind.GANG)
+    assert not hub.take(0, [GangEvent("ready", made.id, 1, 0)], 0.0)
+    assert [row.verb for row in hub.take(1, [GangEvent("ready", made.id, 1, 1)], 1.0)] == ["go"]
+    assert [row.verb for row in hub.take(0, [], 6.1)] == ["go", "finish"]
+    hub.take(0, [GangEvent("ready", made.id, 2, 0)], 7.0)
+    hub.take(1, [GangEvent("ready", made.id, 2, 1)], 7.0)
+    hub.take(1, [GangEvent("left", made.id, 2, 1)], 8.0)
+    assert [row.verb for row in hub.take(0, [], 20.0)] == ["go", "peers"]
+
+
+def test_the_store_keeps_guards_leases_limits_and_its_log():
+    store = Store(Service(rps=100, write_rps=6, value_kb=1, txn_ops=2))
+    lease = store.grant(0.0, 1000)
+    put = {"write": "a/1", "v": [1], "permit": lease}
+    assert store.transact(0.0, [{"path": "a/1", "stamp": 0}], [put]) == 1
+    with pytest.raises(Refused) as refused:
+        store.transact(0.0, [{"path": "a/1", "stamp": 0}], [put])
+    assert refused.value.status == 409 and refused.value.body["failed"] == ["a/1"]
+    with pytest.raises(Refused) as refused:
+        store.transact(0.0, [], [{"write": "a/2", "v": "x" * 2000}])
+    assert refused.value.status == 400
+    with pytest.raises(Refused) as refused:
+        store.transact(0.0, [], [{"write": "a/2", "v": 1, "permit": 99}])
+    assert refused.value.status == 400
+    store.renew(0.9, lease)
+    assert not store.expire(1.5) and store.expire(2.0) and not store.rows
+    with pytest.raises(Refused) as refused:
+        store.renew(2.0, lease)
+    assert refused.value.status == 404
+    events = store.events_since("a/", 0)
+    assert events is not None and len(events) == 2
+    assert scale_decode(watch_body(store.epoch, events))["events"][1] == {
+        "delete": "a/1",
+        "stamp": 2,
+    }
+    with pytest.raises(Refused) as refused:
+        for _ in range(9):
+            store.transact(2.0, [], [{"write": "b", "v": 1}])
+    assert refused.value.status == 429
+
+
+def scale_decode(body: bytes) -> dict:
+    """Decode an answer of the store."""
+    from oakmux.wire import decode
+
+    return decode(body)
+
+
+def test_ids_describe_their_jobs():
+    for kind in Kind:
+        made = Job(kind, 40, 512, 16.3, 999_999)
+        assert parse_job(made.id) == made
+    with pytest.raises(ValueError):
+        parse_job("job-12")
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("", "missing required field `sizes`"),
+        ("[sizes", "Expected"),
+        ("controllers = 300", "bounds.processes"),
+    ],
+)
+def test_a_run_that_can_not_start_says_why_in_one_line(text, why, tmp_path):
+    path = tmp_path / "run.toml"
+    path.write_text(
+        DATA.read_text().replace("controllers = 3", text) if "controllers" in text else text
+    )
+    with pytest.raises(ConfigError, match=why):
+        load_config(path)
+    result = CliRunner().invoke(scale.main, [str(path)])
+    assert result.exit_code == 2 and len(result.output.strip().splitlines()) == 1
+
+
+def test_a_small_run_with_real_controllers_and_troubles_breaks_no_rule(tmp_path):
+    out = tmp_path / "report.json"
+    result = CliRunner().invoke(scale.main, [str(DATA), "--out", str(out)])
+    assert result.exit_code == 0, result.output
+    report = json.loads(out.read_bytes())
+    assert report["complete"] and report["starts"] > 10 and report["accepted"] > 5
+    assert set(report["rules"]) == set(RULES) and not any(report["rules"].values())
+    assert report["changes"] > 0 and report["times"]["submission"]["count"] > 5
+    assert 0 < report["most_processes"] <= 9 and report["most_memory_mb"] < 2000
+    assert "workers" in result.output  # a line a second
+
+
+def test_no_child_outlives_a_run_that_is_killed(tmp_path):
+    environment = {**os.environ, "TMPDIR": str(tmp_path)}
+    run = subprocess.Popen(
+        [sys.executable, "-m", "tools.scale", str(DATA), "--quiet"], cwd=ROOT, env=environment
+    )
+    try:
+        until = time.monotonic() + 90
+        while len(of_run(tmp_path)) < 7 and time.monotonic() < until:
+            time.sleep(0.1)
+        assert len(of_run(tmp_path)) >= 7
+    finally:
+        run.send_signal(signal.SIGKILL)
+        run.wait()
+    until = time.monotonic() + 20
+    while of_run(tmp_path) and time.monotonic() < until:
+        time.sleep(0.05)
+    assert not of_run(tmp_path)
+
+
+def of_run(folder: Path) -> list[str]:
+    """Return the processes that were told of a run's folder."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            words = path.read_bytes().decode(errors="replace")
+        except OSError:
+            continue
+        if str(folder) in words and "python" in words:
+            found.append(words)
+    return found
+
+
+def test_a_torn_line_ends_a_log(tmp_path, config):
+    lines = [msgspec.json.encode([1.0, "asked", ARRAY.id]).decode(), '[2.0, "acc']
+    (tmp_path / "users.events").write_text("\n".join(lines))
+    (tmp_path / "hollow-0.events").write_text('[0.5, "asked", "x"]\n')
+    assert [event.name for event in all_events(tmp_path)] == ["x", ARRAY.id]
--- /dev/null
+++ b/tools/scale/child.py
@@ -0,0 +1,27 @@
+"""Entry of a stand-in's process: ROLE PLAN [INDEX]."""
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from typing import Any
+
+from tools.scale import cloud, hollow, state_service, users
+from tools.scale.plan import read_plan
+from tools.scale.serving import run_child
+
+
+def main(role: str, plan_path: str, index: str = "0") -> None:
+    """Run one stand-in."""
+    plan = read_plan(plan_path)
+
+    def run(ended: asyncio.Event) -> Coroutine[Any, Any, None]:
+        if role == "hollow":
+            return hollow.main(plan, ended, int(index))
+        parts = {"state": state_service.main, "cloud": cloud.main, "users": users.main}
+        return parts[role](plan, ended)
+
+    run_child(run)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/tools/scale/histograms.py
@@ -0,0 +1,45 @@
+"""Histograms of times, in microseconds up to two minutes, to three digits."""
+
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+
+HIGHEST_US = 120_000_000
+DIGITS = 3
+PERCENTILES = (50, 90, 95, 99, 100)
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram."""
+    return HdrHistogram(1, HIGHEST_US, DIGITS)
+
+
+def record_s(histogram: HdrHistogram, seconds: float) -> None:
+    """Record a time in seconds; what is beyond the ends counts as the end."""
+    histogram.record_value(min(HIGHEST_US, max(1, int(seconds * 1e6))))
+
+
+def of_seconds(values: Iterable[float]) -> HdrHistogram:
+    """Return a histogram of times in seconds."""
+    found = new_histogram()
+    for value in values:
+        record_s(found, value)
+    return found
+
+
+def merged(encoded: Iterable[str]) -> HdrHistogram:
+    """Return the sum of encoded histograms."""
+    found = new_histogram()
+    for text in encoded:
+        found.decode_and_add(text.encode())
+    return found
+
+
+def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """Return the count and the percentiles in seconds."""
+    if not histogram.get_total_count():
+        return {"count": 0}
+    return {
+        "count": histogram.get_total_count(),
+        **{f"p{share}": histogram.get_value_at_percentile(share) / 1e6 for share in PERCENTILES},
+    }
--- /dev/null
+++ b/tools/scale/hollow.py
@@ -0,0 +1,292 @@
+"""A process of hollow workers: each has its own address, connection, lease and timers."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from oakmux import settings, wire
+from oakmux.net.http import Client, NoAnswer, NotSent, Request
+from tools.scale.gangs import GangEvent, GangOrder
+from tools.scale.histograms import new_histogram, record_s
+from tools.scale.plan import Plan
+from tools.scale.serving import EventLog, answer, listen, write_summary
+from tools.scale.worker import HollowWorker, TaskKey
+
+# Seconds between two looks at leases and tasks, and between two exchanges with the gangs' hub.
+LOOK_S = 0.1
+GANGS_S = 0.1
+# Seconds for an answer to a report, between two reports that changes cause, and before the next
+# node is tried (PROTOCOL).
+ANSWER_S = 4.0
+CHANGE_S = 0.5
+NEXT_NODE_S = 1.0
+# Seconds between two summaries.
+SUMMARY_S = 1.0
+
+
+class Reporter:
+    """Sends a worker's reports to one controller at a time."""
+
+    def __init__(self, process: "HollowProcess", worker: HollowWorker) -> None:
+        self.process = process
+        self.worker = worker
+        self.loop = asyncio.get_running_loop()
+        self.client = Client(1)
+        self.node = process.rng.randrange(len(process.nodes))
+        self.wake = asyncio.Event()
+        self.last = -1e9
+        self.due = self.loop.time() + process.rng.uniform(0.0, 0.5)
+        self.gone = False
+        self.token_told = -1e9
+
+    def changed(self) -> None:
+        """Report sooner: something changed."""
+        self.due = min(self.due, max(self.loop.time(), self.last + CHANGE_S))
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Report until the machine is gone."""
+        while not self.gone:
+            wait = self.due - self.loop.time()
+            if wait <= 0:
+                await self.report()
+                continue
+            self.wake.clear()
+            try:
+                async with asyncio.timeout(wait):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+
+    async def report(self) -> None:
+        """Send one report and do what its answer says."""
+        process, worker = self.process, self.worker
+        worker.advance(self.loop.time())
+        sent, session = self.loop.time(), worker.session
+        self.last = sent
+        body = wire.encode(worker.report())
+        process.counts["report_bytes"] += len(body)
+        self.due = sent + process.plan.config.times.report_s * process.rng.uniform(0.75, 1.25)
+        status = 0
+        value: dict[str, Any] = {}
+        try:
+            status, data = await self.client.request(
+                process.nodes[self.node], "POST", wire.PATH_REPORT, body, ANSWER_S
+            )
+            process.counts["answer_bytes"] += len(data)
+            value = wire.decode(data) if data else {}
+        except (NotSent, NoAnswer, wire.Malformed):
+            process.counts["reports_unanswered"] += 1
+        if self.gone:
+            return
+        now = self.loop.time()
+        record_s(process.report_times, now - sent)
+        process.counts["reports"] += 1
+        worker.advance(now)
+        if status == 200:
+            before = worker.token
+            worker.answered(sent, session, value, now)
+            if worker.token > before and now - self.token_told > (
+                process.plan.config.times.lease_s / 2
+            ):
+                self.token_told = now
+                self.changed()
+            elif worker.dirty:
+                self.changed()
+        elif status == 421 and value.get("boss", "") in process.labels:
+            self.node = process.labels[value["boss"]]
+            self.due = now + process.rng.uniform(0.0, 0.5)
+        else:
+            process.counts[f"reports_{status}"] += 1
+            self.node = (self.node + 1) % len(process.nodes)
+            self.due = now + NEXT_NODE_S
+
+
+class HollowProcess:
+    """Many workers; the cloud adds and removes machines over the control address."""
+
+    def __init__(self, plan: Plan, index: int) -> None:
+        self.plan = plan
+        self.index = index
+        self.rng = random.Random(plan.config.seed * 1000 + index)
+        self.nodes = [controller.public for controller in plan.controllers]
+        self.labels = {
+            controller.label: number for number, controller in enumerate(plan.controllers)
+        }
+        self.reporters: dict[str, Reporter] = {}
+        self.servers: dict[str, asyncio.Server] = {}
+        self.running: dict[str, asyncio.Task] = {}
+        self.events = EventLog(plan.folder, f"hollow-{index}")
+        self.gang_events: list[GangEvent] = []
+        self.counts: Counter[str] = Counter()
+        self.report_times: HdrHistogram = new_histogram()
+        self.hub = Client(1)
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self, ended: asyncio.Event) -> None:
+        """Serve until told to end."""
+        await listen(self.plan.hollow[self.index], self.control, Counter())
+        gangs = self.loop.create_task(self.exchange_gangs())
+        next_summary = 0.0
+        while not ended.is_set():
+            await asyncio.sleep(LOOK_S)
+            self.look()
+            if self.loop.time() >= next_summary:
+                next_summary = self.loop.time() + SUMMARY_S
+                self.summarize()
+        gangs.cancel()
+        self.summarize()
+
+    def summarize(self) -> None:
+        """Write what was measured so far."""
+        self.events.flush()
+        states: Counter[str] = Counter(
+            task.state
+            for reporter in self.reporters.values()
+            for task in reporter.worker.tasks.values()
+        )
+        write_summary(
+            self.plan.folder,
+            f"hollow-{self.index}",
+            {
+                "workers": len(self.reporters),
+                "tasks": states,
+                "counts": self.counts,
+                "report_times": self.report_times.encode().decode(),
+            },
+        )
+
+    def look(self) -> None:
+        """Bring all workers up to date."""
+        now = self.loop.time()
+        for reporter in self.reporters.values():
+            reporter.worker.advance(now)
+            if reporter.worker.dirty:
+                reporter.changed()
+
+    # --- machines ---
+
+    def control(self, request: Request) -> None:
+        """Take an order of the cloud."""
+        self.spawn(request)
+
+    def spawn(self, request: Request) -> None:
+        """Add and remove machines, then answer."""
+        task = self.loop.create_task(self.change_machines(request))
+        self.running[f"control {id(request)}"] = task
+        task.add_done_callback(lambda _: self.running.pop(f"control {id(request)}", None))
+
+    async def change_machines(self, request: Request) -> None:
+        """Add and remove machines; what is removed is gone before the answer."""
+        order = wire.decode(request.body)
+        for name in order.get("remove", ()):
+            self.remove(name)
+        for name, address, zone in order.get("add", ()):
+            await self.add(name, address, zone)
+        answer(request, 200, {})
+
+    async def add(self, name: str, address: str, zone: str) -> None:
+        """A machine is up."""
+        worker = HollowWorker(
+            self.plan.config, name, address, zone, self.loop.time(), self.observe
+        )
+        reporter = Reporter(self, worker)
+        self.servers[name] = await listen(
+            address, lambda request: self.serve(reporter, request), self.counts
+        )
+        self.reporters[name] = reporter
+        self.running[name] = self.loop.create_task(reporter.run())
+
+    def remove(self, name: str) -> None:
+        """A machine and all on it is gone."""
+        reporter = self.reporters.pop(name, None)
+        if reporter is None:
+            return
+        reporter.gone = True
+        reporter.wake.set()
+        reporter.worker.clear("machine")
+        self.servers.pop(name).close()
+        task = self.running.pop(name)
+        task.cancel()
+
+    def serve(self, reporter: Reporter, request: Request) -> None:
+        """Serve a worker's own address."""
+        worker, now = reporter.worker, self.loop.time()
+        if reporter.gone:
+            return  # silent, like a machine without power
+        worker.advance(now)
+        if request.path == wire.PATH_ORDERS and request.method == "POST":
+            status = worker.direct(wire.decode(request.body), now)
+            dirty = worker.dirty
+            answer(request, status, worker.report())
+            self.counts["direct_orders"] += 1
+            if dirty:
+                worker.dirty = True
+                reporter.changed()
+        elif request.path == "/show":
+            answer(request, 200, worker.report())
+        else:
+            answer(request, 404, {})
+
+    # --- what happens to tasks ---
+
+    def observe(self, verb: str, key: TaskKey, worker: HollowWorker, cause: str) -> None:
+        """Note it in the ledger, and tell the hub of gangs' tasks."""
+        self.events.add(verb, key.task, key.attempt, worker.name, worker.zone, cause)
+        if verb == "on":
+            self.counts["starts"] += 1
+        task = worker.tasks.get(key)
+        if task is None or task.job.tasks < 2 or task.job.kind.name != "GANG":
+            return
+        index = int(key.task.partition("/")[2])
+        if verb == "on":
+            self.gang_events.append(GangEvent("ready", key.job_id, key.attempt, index))
+        elif verb == "off" and cause != "done":
+            self.gang_events.append(GangEvent("left", key.job_id, key.attempt, index))
+
+    async def exchange_gangs(self) -> None:
+        """Tell the hub what became of gangs' tasks, and do what it says."""
+        while True:
+            await asyncio.sleep(GANGS_S)
+            events, self.gang_events = self.gang_events, []
+            body = wire.encode({"process": self.index, "events": [list(row) for row in events]})
+            try:
+                _, data = await self.hub.request(
+                    self.plan.cloud, "POST", "/gangs", body, ANSWER_S, 4 * 1024 * 1024
+                )
+            except (NotSent, NoAnswer):
+                self.gang_events = events + self.gang_events
+                continue
+            for row in wire.decode(data)["orders"]:
+                self.obey_hub(GangOrder(*row))
+
+    def obey_hub(self, order: GangOrder) -> None:
+        """Do what the hub says of an attempt, on all workers here."""
+        for reporter in self.reporters.values():
+            worker = reporter.worker
+            for key in [
+                key
+                for key in worker.tasks
+                if key.attempt == order.attempt and key.job_id == order.job_id
+            ]:
+                if order.verb == "go":
+                    worker.begin_gang(key)
+                else:
+                    worker.exit(key, "done" if order.verb == "finish" else "peers")
+            if worker.dirty:
+                reporter.changed()
+
+
+def worker_address(net: int, port: int, number: int) -> str:
+    """Return the address of a process's worker: each has a loopback address of its own."""
+    address = f"127.{net}.{number // 250}.{number % 250 + 1}:{port}"
+    settings.split_addr(address)
+    return address
+
+
+async def main(plan: Plan, ended: asyncio.Event, index: int) -> None:
+    """Run a process of hollow workers."""
+    await HollowProcess(plan, index).run(ended)
--- /dev/null
+++ b/tools/scale/processes.py
@@ -0,0 +1,154 @@
+"""Children of a run, and what /proc says of them."""
+
+import ctypes
+import os
+import shlex
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import IO, NamedTuple
+
+from tools.scale.plan import Controller, Plan
+
+ROOT = Path(__file__).resolve().parents[2]
+# prctl's PR_SET_PDEATHSIG: the kernel ends a child whose parent is gone, however it went.
+PDEATHSIG = 1
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+class Usage(NamedTuple):
+    """What a process has used: processor seconds, resident MB, sockets."""
+
+    cpu_s: float
+    memory_mb: float
+    sockets: int
+
+
+def end_with_parent() -> None:
+    """Run in the child before it becomes the program: it ends when the run does."""
+    LIBC.prctl(PDEATHSIG, signal.SIGKILL)
+
+
+def environment() -> dict[str, str]:
+    """Return the children's environment: this interpreter first, our packages importable."""
+    return {
+        **os.environ,
+        "PATH": f"{Path(sys.executable).parent}:{os.environ.get('PATH', '')}",
+        "PYTHONPATH": str(ROOT),
+        "LOG_LEVEL": "error",
+    }
+
+
+def controller_command() -> list[str]:
+    """Return the command that starts a controller, from deploy/service.toml."""
+    deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
+    return shlex.split(deploy["run"])
+
+
+class Child:
+    """A child process; one that was started anew goes on counting."""
+
+    def __init__(self, role: str, name: str, command: list[str], folder: Path) -> None:
+        self.role = role
+        self.name = name
+        self.command = command
+        self.errors = folder / f"{name}.log"
+        self.before_s = 0.0
+        self.last = Usage(0.0, 0.0, 0)
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        self.before_s += self.last.cpu_s
+        self.last = Usage(0.0, 0.0, 0)
+        errors: IO[bytes]
+        with self.errors.open("ab") as errors:
+            self.process = subprocess.Popen(
+                self.command,
+                cwd=ROOT,
+                env=environment(),
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                preexec_fn=end_with_parent,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        if self.process is not None and self.running:
+            self.process.kill()
+            self.process.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to end."""
+        if self.process is not None and self.running:
+            self.process.terminate()
+
+    def look(self) -> Usage:
+        """Read what the process uses now; what it used last, once it has ended."""
+        if self.process is not None and self.running:
+            try:
+                self.last = read_usage(self.process.pid)
+            except (OSError, ValueError, IndexError):
+                pass  # it ended just now
+        return self.last._replace(cpu_s=self.before_s + self.last.cpu_s)
+
+    def last_words(self) -> str:
+        """Return the last line that the process wrote."""
+        try:
+            lines = self.errors.read_text(errors="replace").strip().splitlines()
+        except OSError:
+            return ""
+        return lines[-1] if lines else ""
+
+    def error_lines(self) -> int:
+        """Count the lines at error level that the process wrote."""
+        try:
+            return sum(
+                1
+                for line in self.errors.read_text(errors="replace").splitlines()
+                if line.startswith("ERROR")
+            )
+        except OSError:
+            return 0
+
+
+def read_usage(pid: int) -> Usage:
+    """Read a process's usage; raises OSError when it is gone."""
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    sockets = sum(1 for entry in os.scandir(f"/proc/{pid}/fd"))
+    return Usage((int(stat[11]) + int(stat[12])) / TICKS, pages * PAGE / 1e6, sockets)
+
+
+def loopback_bytes() -> int:
+    """Return the bytes that the loopback interface has carried."""
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        name, _, rest = line.partition(":")
+        if name.strip() == "lo":
+            return int(rest.split()[0])
+    return 0
+
+
+def stand_in(role: str, name: str, plan: Plan, *more: str) -> Child:
+    """Return a stand-in's process."""
+    return Child(
+        role,
+        name,
+        [sys.executable, "-m", "tools.scale.child", role, str(plan.path), *more],
+        Path(plan.folder),
+    )
+
+
+def controller(row: Controller, plan: Plan) -> Child:
+    """Return a controller's process."""
+    return Child("controller", row.label, [*controller_command(), row.settings], Path(plan.folder))
--- /dev/null
+++ b/tools/scale/report.py
@@ -0,0 +1,255 @@
+"""What a run measured, for a person and as JSON."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from tools.scale.histograms import merged, of_seconds, percentiles
+from tools.scale.jobs import Kind
+from tools.scale.ledger import Breach, Ledger, all_events
+from tools.scale.runner import Run, Sample, read_summary
+
+# Seconds over which the busiest span of starts is looked for.
+BUSY_S = 10.0
+
+
+class Role(msgspec.Struct, frozen=True):
+    """What the processes of a role used while the load lasted: cores (mean of all, busiest second
+    of one), MB and sockets (most of one), how many processes."""
+
+    processes: int
+    cores: float
+    cores_peak: float
+    memory_mb: float
+    sockets: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """All that a run measured."""
+
+    fraction: float
+    controllers: int
+    seconds: float
+    complete: bool
+    workers: int
+    most_running: int
+    starts: int
+    starts_busiest: float
+    accepted: int
+    changes: int
+    changes_a_start: float
+    changes_by_kind: dict[str, int]
+    state: dict[str, Any]
+    roles: dict[str, Role]
+    bytes_a_worker: float
+    loopback_bytes: float
+    peers_bytes: float
+    times: dict[str, dict[str, float]]
+    large_gang_s: float | None
+    answers: dict[str, int]
+    unfinished: int
+    ends: dict[str, int]
+    rules: dict[str, int]
+    breaches: list[Breach]
+    controller_errors: int
+    most_processes: int
+    most_memory_mb: float
+
+
+RULES = ("ran_twice", "quota", "wrong_place", "ran_cancelled", "not_done", "forgotten")
+
+
+def role_usage(run: Run, role: str) -> Role:
+    """Return what the processes of a role used."""
+    names = [child.name for child in run.children if child.role == role]
+    samples = run.samples
+    if len(samples) < 2:
+        return Role(len(names), 0.0, 0.0, 0.0, 0)
+    span = samples[-1].at - samples[0].at
+    spent = sum(samples[-1].usage[name][0] - samples[0].usage[name][0] for name in names)
+    return Role(
+        len(names),
+        spent / span / len(names),
+        max(peak_cores(samples, name) for name in names),
+        max(sample.usage[name][1] for sample in samples for name in names),
+        max(sample.usage[name][2] for sample in samples for name in names),
+    )
+
+
+def peak_cores(samples: list[Sample], name: str) -> float:
+    """Return the cores of a process in its busiest second."""
+    return max(
+        (later.usage[name][0] - sooner.usage[name][0]) / (later.at - sooner.at)
+        for sooner, later in zip(samples, samples[1:], strict=False)
+    )
+
+
+def make_report(run: Run, complete: bool) -> Report:
+    """Check the ledger and put together what was measured."""
+    ledger = Ledger(run.config)
+    ledger.take(all_events(run.folder))
+    ledger.close(run.ended)
+    state = read_summary(run.folder, "state")
+    users = read_summary(run.folder, "users")
+    hollow = [read_summary(run.folder, child.name) for child in run.hollow]
+    store: dict[str, int] = state.get("store", {})
+    starts = ledger.counts["starts"]
+    seconds = run.samples[-1].at if run.samples else 0.0
+    return Report(
+        fraction=run.config.fraction,
+        controllers=run.config.sizes.controllers,
+        seconds=seconds,
+        complete=complete,
+        workers=max((sample.workers for sample in run.samples), default=0),
+        most_running=max((sample.running for sample in run.samples), default=0),
+        starts=starts,
+        starts_busiest=ledger.busiest(BUSY_S),
+        accepted=users.get("counts", {}).get("accepted", 0),
+        changes=store.get("changes", 0),
+        changes_a_start=store.get("changes", 0) / max(1, starts),
+        changes_by_kind={
+            key.removeprefix("changes "): count
+            for key, count in store.items()
+            if key.startswith("changes ")
+        },
+        state={
+            "transactions": store.get("transactions", 0),
+            "refused_changes": store.get("refused_changes", 0),
+            "failed_changes": store.get("failed_changes", 0),
+            "keys": state.get("keys", 0),
+            "largest_value": state.get("largest_value", 0),
+            "requests": sum(
+                row.get("requests", 0) for row in state.get("controllers", {}).values()
+            ),
+            "bytes": state_bytes(state),
+        },
+        roles={
+            role: role_usage(run, role)
+            for role in ("controller", "hollow", "state", "cloud", "users")
+        },
+        bytes_a_worker=worker_bytes(hollow) / max(1.0, seconds) / max(1, mean_workers(run)),
+        loopback_bytes=carried(run),
+        peers_bytes=max(
+            0.0, carried(run) - (state_bytes(state) + worker_bytes(hollow)) / max(1.0, seconds)
+        ),
+        times=times(ledger, users, hollow),
+        large_gang_s=large_gang(run, ledger),
+        answers=users.get("counts", {}),
+        unfinished=users.get("unfinished", 0),
+        ends={
+            name.removeprefix("ended: "): count
+            for name, count in ledger.counts.items()
+            if name.startswith("ended: ")
+        },
+        rules={rule: ledger.counts[rule] for rule in RULES},
+        breaches=ledger.breaches,
+        controller_errors=sum(child.error_lines() for child in run.controllers),
+        most_processes=run.most_processes,
+        most_memory_mb=run.most_memory_mb,
+    )
+
+
+def mean_workers(run: Run) -> float:
+    """Return how many workers there were on average."""
+    return sum(sample.workers for sample in run.samples) / max(1, len(run.samples))
+
+
+def worker_bytes(hollow: list[dict[str, Any]]) -> int:
+    """Return the bytes of bodies of all reports, answers and direct orders."""
+    counts = [row.get("counts", {}) for row in hollow]
+    return sum(
+        row.get(name, 0)
+        for row in counts
+        for name in ("report_bytes", "answer_bytes", "bytes_in", "bytes_out")
+    )
+
+
+def state_bytes(state: dict[str, Any]) -> int:
+    """Return the bytes that the state service took and gave."""
+    return sum(
+        row.get("bytes_in", 0) + row.get("bytes_out", 0)
+        for row in state.get("controllers", {}).values()
+    )
+
+
+def carried(run: Run) -> float:
+    """Return the bytes a second that the loopback interface carried."""
+    samples = run.samples
+    if len(samples) < 2:
+        return 0.0
+    return (samples[-1].loopback_bytes - samples[0].loopback_bytes) / (
+        samples[-1].at - samples[0].at
+    )
+
+
+def times(
+    ledger: Ledger, users: dict[str, Any], hollow: list[dict[str, Any]]
+) -> dict[str, dict[str, float]]:
+    """Return the percentiles of all times, in seconds."""
+    found = {
+        name: percentiles(merged([users[f"{name}_times"]]))
+        for name in ("submission", "cancellation", "query")
+        if f"{name}_times" in users
+    }
+    found["report"] = percentiles(
+        merged(row["report_times"] for row in hollow if "report_times" in row)
+    )
+    for name, kind, whole in (
+        ("urgent start", Kind.URGENT, True),
+        ("gang start", Kind.GANG, True),
+        ("array's first start", Kind.ARRAY, False),
+        ("service start", Kind.SERVICE, True),
+    ):
+        found[name] = percentiles(of_seconds(ledger.waits(kind, whole)))
+    return found
+
+
+def large_gang(run: Run, ledger: Ledger) -> float | None:
+    """Return how long the largest gang waited for its last task (s); None if it never began."""
+    tasks = run.config.traffic.large_gang_tasks
+    for job_id, begun in ledger.begun.items():
+        if job_id.endswith("999999") and len(begun) >= tasks > 0:
+            return sorted(begun)[tasks - 1] - ledger.asked[job_id]
+    return None
+
+
+def write_report(report: Report, path: Path) -> None:
+    """Write a report as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1) + b"\n")
+
+
+def lines(report: Report) -> list[str]:
+    """Return a report for a person."""
+    rows = [
+        f"fraction {report.fraction:g}, {report.controllers} controllers, {report.seconds:.0f} s"
+        f"{'' if report.complete else ' (not complete)'}: {report.workers} workers, "
+        f"{report.most_running} tasks at most, {report.starts} starts, "
+        f"{report.starts_busiest:.0f}/s in the busiest {BUSY_S:g} s",
+        f"changes {report.changes}, {report.changes_a_start:.2f} a start: "
+        f"{report.changes_by_kind}",
+        f"state service: {report.state}",
+    ]
+    for role, used in report.roles.items():
+        rows.append(
+            f"{role} ×{used.processes}: {used.cores:.2f} cores each, busiest "
+            f"{used.cores_peak:.2f}; {used.memory_mb:.0f} MB; {used.sockets} sockets"
+        )
+    rows.append(
+        f"a worker: {report.bytes_a_worker:.0f} bytes/s; peers "
+        f"{report.peers_bytes / 1e6:.2f} MB/s of {report.loopback_bytes / 1e6:.2f}"
+    )
+    for name, found in report.times.items():
+        parts = " ".join(f"{key} {value:.3g}" for key, value in found.items())
+        rows.append(f"{name}: {parts}")
+    if report.large_gang_s is not None:
+        rows.append(f"the largest gang began after {report.large_gang_s:.1f} s")
+    rows.append(f"answers: {report.answers}; unfinished {report.unfinished}")
+    rows.append(f"tasks ended: {report.ends}")
+    rows.append(f"rules: {report.rules}; controllers' error lines {report.controller_errors}")
+    rows += [
+        f"BROKEN {breach.rule} at {breach.at:.2f}: {breach.text}" for breach in report.breaches
+    ]
+    rows.append(f"at most {report.most_processes} processes, {report.most_memory_mb:.0f} MB")
+    return rows
--- /dev/null
+++ b/tools/scale/state_service.py
@@ -0,0 +1,182 @@
+"""The state service as a process: PROTOCOL over HTTP, an address for each controller."""
+
+import asyncio
+from collections import Counter
+from functools import partial
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from oakmux import wire
+from oakmux.net.http import Request
+from tools.scale.plan import Plan
+from tools.scale.serving import answer, listen, write_summary
+from tools.scale.store import Refused, Store, watch_body
+
+# Seconds between two looks for leases that are over (PROTOCOL: up to 100 ms late).
+LOOK_S = 0.05
+
+
+class Watch:
+    """A watch that waits for a change."""
+
+    __slots__ = ("request", "prefix", "since", "until")
+
+    def __init__(self, request: Request, prefix: str, since: int, until: float) -> None:
+        self.request = request
+        self.prefix = prefix
+        self.since = since
+        self.until = until
+
+
+class StateService:
+    """Serves the store; troubles come over the control address."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.loop = asyncio.get_running_loop()
+        self.store = Store(plan.config.service)
+        self.counts = {controller.label: Counter[str]() for controller in plan.controllers}
+        self.watches: dict[str, list[Watch]] = {label: [] for label in self.counts}
+        self.out_until = 0.0
+        self.refused_until: dict[str, float] = {}
+        self.slow_until = 0.0
+        self.slow_s = 0.0
+
+    async def run(self, ended: asyncio.Event) -> None:
+        """Serve until told to end."""
+        for controller in self.plan.controllers:
+            await listen(
+                controller.state,
+                partial(self.serve, controller.label),
+                self.counts[controller.label],
+            )
+        await listen(self.plan.state_control, self.control, Counter())
+        while not ended.is_set():
+            await asyncio.sleep(LOOK_S)
+            self.look()
+        write_summary(
+            self.plan.folder,
+            "state",
+            {
+                "store": dict(self.store.counts),
+                "largest_value": self.store.largest_value,
+                "keys": len(self.store.rows),
+                "controllers": {k: dict(v) for k, v in self.counts.items()},
+            },
+        )
+
+    def control(self, request: Request) -> None:
+        """Begin a trouble."""
+        order = wire.decode(request.body)
+        now = self.loop.time()
+        if order["kind"] == "state_out":
+            self.out_until = now + order["for_s"]
+        elif order["kind"] == "state_refuse":
+            self.refused_until[self.plan.controllers[order["index"]].label] = now + order["for_s"]
+        elif order["kind"] == "state_slow":
+            self.slow_s, self.slow_until = order["delay_s"], now + order["for_s"]
+        answer(request, 200, {})
+
+    def look(self) -> None:
+        """End leases and an outage, answer watches."""
+        now = self.loop.time()
+        if self.out_until:
+            if now < self.out_until:
+                return
+            self.out_until = 0.0
+            self.store.restore_leases(now)
+        self.store.expire(now)
+        self.tell(now)
+
+    def unreachable(self, label: str, now: float) -> bool:
+        """Whether a controller is answered 503 now."""
+        return now < self.out_until or now < self.refused_until.get(label, 0.0)
+
+    def tell(self, now: float) -> None:
+        """Answer watches that have something to say or whose time is over."""
+        for label, watches in self.watches.items():
+            if not watches or self.unreachable(label, now):
+                continue
+            self.watches[label] = [watch for watch in watches if not self._told(watch, now)]
+
+    def _told(self, watch: Watch, now: float) -> bool:
+        if watch.since == self.store.epoch and now < watch.until:
+            return False
+        events = self.store.events_since(watch.prefix, watch.since)
+        if events is None:
+            answer(watch.request, 410, {})
+        elif events or now >= watch.until:
+            watch.request.respond(200, watch_body(self.store.epoch, events))
+        else:
+            watch.since = self.store.epoch
+            return False
+        return True
+
+    def serve(self, label: str, request: Request) -> None:
+        """Serve one request of a controller, late if the service is slow."""
+        now = self.loop.time()
+        if now < self.slow_until:
+            self.loop.call_later(self.slow_s, self._serve, label, request)
+        else:
+            self._serve(label, request)
+
+    def _serve(self, label: str, request: Request) -> None:
+        now = self.loop.time()
+        if self.unreachable(label, now):
+            answer(request, 503, {"error": "trouble"})
+            return
+        try:
+            self.store.admit(now)
+            self._route(label, request, now)
+        except Refused as refusal:
+            answer(request, refusal.status, refusal.body)
+        except (KeyError, TypeError, ValueError, wire.Malformed) as error:
+            answer(request, 400, {"error": repr(error)})
+
+    def _route(self, label: str, request: Request, now: float) -> None:
+        parts = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        path, method = parts.path, request.method
+        if path == wire.PATH_TXN and method == "POST":
+            body = wire.decode(request.body)
+            epoch = self.store.transact(now, body.get("guards") or [], body.get("writes") or [])
+            answer(request, 200, {"epoch": epoch})
+            if body.get("writes"):
+                self.tell(now)
+        elif path == wire.PATH_WATCH and method == "GET":
+            until = now + min(60.0, int(query.get("block_ms", 0)) / 1000)
+            watch = Watch(request, query["prefix"], int(query["since"]), until)
+            if not self._told(watch, now):
+                self.watches[label].append(watch)
+        elif path == wire.PATH_KV and method == "GET":
+            answer(
+                request,
+                200,
+                self.store.page(
+                    query["prefix"], query.get("since", ""), int(query.get("page", 1000))
+                ),
+            )
+        elif path.startswith(wire.PATH_KV + "/") and method == "GET":
+            answer(request, 200, self.store.get(unquote(path[len(wire.PATH_KV) + 1 :])))
+        elif path.startswith(wire.PATH_LEASES):
+            self._lease(request, path, method, now)
+        else:
+            raise Refused(400, {"error": "path"})
+
+    def _lease(self, request: Request, path: str, method: str, now: float) -> None:
+        rest = path[len(wire.PATH_LEASES) :].strip("/")
+        if not rest:
+            lease = self.store.grant(now, int(wire.decode(request.body)["life_ms"]))
+            answer(request, 200, {"permit": lease})
+        elif rest.endswith("/renew"):
+            self.store.renew(now, int(rest.removesuffix("/renew")))
+            answer(request, 200, {})
+        elif method == "DELETE":
+            self.store.drop_lease(int(rest))
+            answer(request, 200, {})
+        else:
+            raise Refused(400, {"error": "path"})
+
+
+async def main(plan: Plan, ended: asyncio.Event) -> None:
+    """Run the state service."""
+    await StateService(plan).run(ended)
--- /dev/null
+++ b/tools/scale/store.py
@@ -0,0 +1,237 @@
+"""The state service's store, without I/O: guards, leases, limits, a log of changes."""
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from typing import Any
+
+import cbor2
+import msgspec
+from sortedcontainers import SortedDict
+
+from oakmux.net.pace import Bucket
+from tools.scale.config import Service
+
+# Changes that a watch can go back (PROTOCOL: the service keeps the last 10,000).
+LOG_CHANGES = 10_000
+# Limits of one page of a list.
+PAGE_ITEMS = 1000
+PAGE_BYTES = 512 * 1024
+# Bytes of a transaction at most.
+TRANSACTION_BYTES = 64 * 1024
+
+
+class Refused(Exception):
+    """A request that is answered with an error."""
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        super().__init__(f"{status}")
+        self.status = status
+        self.body = body
+
+
+class Lease:
+    """A lease: its length and when it ends, in seconds."""
+
+    __slots__ = ("life_s", "ends", "keys")
+
+    def __init__(self, life_s: float, now: float) -> None:
+        self.life_s = life_s
+        self.ends = now + life_s
+        self.keys: set[str] = set()
+
+
+class Row:
+    """A key's value, the revision of its last change, its lease."""
+
+    __slots__ = ("value", "stamp", "lease")
+
+    def __init__(self, value: Any, stamp: int, lease: int | None) -> None:
+        self.value = value
+        self.stamp = stamp
+        self.lease = lease
+
+
+class Store:
+    """All keys; times are handed in, in seconds of a steady clock."""
+
+    def __init__(self, limits: Service) -> None:
+        self.limits = limits
+        self.epoch = 0
+        self.rows: SortedDict = SortedDict()
+        self.leases: dict[int, Lease] = {}
+        self.next_lease = 0
+        # (revision, key, encoded event), the oldest first.
+        self.log: deque[tuple[int, str, bytes]] = deque()
+        self.requests = Bucket(limits.rps)
+        self.changes = Bucket(limits.write_rps)
+        self.counts: Counter[str] = Counter()
+        self.largest_value = 0
+
+    def admit(self, now: float) -> None:
+        """Take one request off the limit; raises Refused."""
+        if self.requests.wait(now, 1) > 0:
+            raise Refused(429, {"error": "requests"})
+        self.requests.take(1)
+
+    def expire(self, now: float) -> bool:
+        """End leases whose time is over; return whether keys went with one."""
+        removed = False
+        for number in [n for n, lease in self.leases.items() if lease.ends <= now]:
+            removed = self.drop_lease(number) or removed
+        return removed
+
+    def drop_lease(self, number: int) -> bool:
+        """End a lease; return whether keys went with it."""
+        lease = self.leases.pop(number, None)
+        if lease is None or not lease.keys:
+            return False
+        self.epoch += 1
+        for key in sorted(lease.keys):
+            self._delete(key)
+        return True
+
+    def restore_leases(self, now: float) -> None:
+        """After an outage, all leases have their full time again."""
+        for lease in self.leases.values():
+            lease.ends = now + lease.life_s
+
+    def grant(self, now: float, life_ms: int) -> int:
+        """Grant a lease."""
+        if not 100 <= life_ms <= 600_000:
+            raise Refused(400, {"error": "life_ms"})
+        self.next_lease += 1
+        self.leases[self.next_lease] = Lease(life_ms / 1000, now)
+        return self.next_lease
+
+    def renew(self, now: float, number: int) -> None:
+        """Renew a lease; raises Refused if it is over."""
+        lease = self.leases.get(number)
+        if lease is None:
+            raise Refused(404, {"error": "no such lease"})
+        lease.ends = now + lease.life_s
+
+    def get(self, key: str) -> dict[str, Any]:
+        """Return a key's item; raises Refused."""
+        row = self.rows.get(key)
+        if row is None:
+            raise Refused(404, {"epoch": self.epoch})
+        return item(key, row)
+
+    def page(self, prefix: str, since: str, most: int) -> dict[str, Any]:
+        """Return one page of a list."""
+        most = min(most, PAGE_ITEMS)
+        found: list[dict[str, Any]] = []
+        size, more = 0, False
+        for key in self.rows.irange(max(prefix, since), None, (not since, True)):
+            if not key.startswith(prefix):
+                break
+            row = item(key, self.rows[key])
+            size += len(msgspec.json.encode(row))
+            if len(found) >= most or (found and size > PAGE_BYTES):
+                more = True
+                break
+            found.append(row)
+        return {"rows": found, "has_next": more, "epoch": self.epoch}
+
+    def transact(self, now: float, guards: list[dict], writes: list[dict]) -> int:
+        """Carry out a transaction; return the revision; raises Refused."""
+        limits = self.limits
+        self._check_size(guards, writes)
+        if writes and self.changes.wait(now, len(writes)) > 0:
+            self.counts["refused_changes"] += 1
+            raise Refused(429, {"error": "changes"})
+        self.changes.take(len(writes))
+        for write in writes:
+            if "write" in write and write.get("permit") not in (None, *self.leases):
+                raise Refused(400, {"error": "no such lease"})
+        failed = [row["path"] for row in guards if self._stamp(row["path"]) != row["stamp"]]
+        if failed:
+            self.counts["failed_changes"] += len(writes)
+            raise Refused(409, {"failed": failed, "epoch": self.epoch})
+        if writes:
+            self.epoch += 1
+            self.counts["transactions"] += 1
+        for write in writes:
+            if "delete" in write:
+                self._delete(write["delete"])
+            else:
+                self._put(write["write"], write["v"], write.get("permit"))
+        assert len(writes) <= limits.txn_ops
+        return self.epoch
+
+    def _check_size(self, guards: list[dict], writes: list[dict]) -> None:
+        limits = self.limits
+        if len(writes) > limits.txn_ops or len(guards) > 4 * limits.txn_ops:
+            raise Refused(400, {"error": "too many operations"})
+        total = 0
+        for write in writes:
+            size = len(msgspec.json.encode(write["v"])) if "write" in write else 0
+            if size > limits.value_kb * 1024:
+                raise Refused(400, {"error": "value too large"})
+            self.largest_value = max(self.largest_value, size)
+            total += size
+        if total > TRANSACTION_BYTES:
+            raise Refused(400, {"error": "transaction too large"})
+
+    def _stamp(self, key: str) -> int:
+        row = self.rows.get(key)
+        return 0 if row is None else row.stamp
+
+    def _put(self, key: str, value: Any, lease: int | None) -> None:
+        old = self.rows.get(key)
+        if old is not None and old.lease in self.leases:
+            self.leases[old.lease].keys.discard(key)
+        if lease is not None:
+            self.leases[lease].keys.add(key)
+        self.rows[key] = Row(value, self.epoch, lease)
+        self._note(key, {"write": key, "v": value, "stamp": self.epoch}, "")
+
+    def _delete(self, key: str) -> None:
+        row = self.rows.pop(key, None)
+        if row is None:
+            return
+        if row.lease in self.leases:
+            self.leases[row.lease].keys.discard(key)
+        self._note(key, {"delete": key, "stamp": self.epoch}, "-")
+
+    def _note(self, key: str, event: dict[str, Any], sign: str) -> None:
+        self.counts[f"changes {sign}{'/'.join(key.split('/')[:2])}"] += 1
+        self.counts["changes"] += 1
+        self.log.append((self.epoch, key, cbor2.dumps(event)))
+        if len(self.log) > LOG_CHANGES:
+            self.log.popleft()
+
+    def events_since(self, prefix: str, since: int) -> list[bytes] | None:
+        """Return the encoded changes of a prefix after a revision; None if that is too old."""
+        if self.log and len(self.log) == LOG_CHANGES and self.log[0][0] > since + 1:
+            return None
+        found: list[bytes] = []
+        for revision, key, event in reversed(self.log):
+            if revision <= since:
+                break
+            if key.startswith(prefix):
+                found.append(event)
+        found.reverse()
+        return found
+
+
+def item(key: str, row: Row) -> dict[str, Any]:
+    """Return a key as the protocol shows it."""
+    found = {"path": key, "v": row.value, "stamp": row.stamp}
+    return found if row.lease is None else {**found, "permit": row.lease}
+
+
+def watch_body(epoch: int, events: Iterable[bytes]) -> bytes:
+    """Return a watch's answer from events that are encoded already."""
+    rows = list(events)
+    head = cbor2.dumps(len(rows))
+    # The head of a CBOR array is that of an integer with another major type in its first byte.
+    array = bytes([head[0] | 0x80]) + head[1:]
+    return (
+        b"\xa2"
+        + cbor2.dumps("epoch")
+        + cbor2.dumps(epoch)
+        + cbor2.dumps("events")
+        + array
+        + b"".join(rows)
+    )
--- /dev/null
+++ b/tools/scale/users.py
@@ -0,0 +1,278 @@
+"""Users: submit jobs at a rate, poll and cancel them, through a balancer of connections."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from oakmux import wire
+from oakmux.net.http import Client, NoAnswer, NotSent
+from tools.scale.config import RunConfig
+from tools.scale.histograms import new_histogram, record_s
+from tools.scale.jobs import Job, Kind, submission
+from tools.scale.plan import Plan
+from tools.scale.serving import EventLog, write_summary
+
+# Seconds for an answer to a submission and to a question, before a try again, and in all.
+SUBMIT_S = 5.0
+QUERY_S = 2.0
+RETRY_S = 1.0
+TRIES_S = 60.0
+# Seconds between two looks at the health of all controllers.
+PROBE_S = 1.0
+# Connections to the controllers in all (count).
+CONNECTIONS = 400
+SUMMARY_S = 1.0
+# Seconds over which a run's services are submitted, and a cancelled job's least age.
+SERVICES_S = 5.0
+CANCEL_AFTER_S = 1.0
+ACCEPTED = (200, 201)
+
+
+class Arrival(NamedTuple):
+    """A job and when it comes, in seconds after the load begins."""
+
+    at: float
+    job: Job
+
+
+def team_of(config: RunConfig, rng: random.Random) -> int:
+    """Draw a job's team: the first one is hot."""
+    if rng.random() < config.traffic.hot_team_share:
+        return 0
+    return rng.randrange(config.sizes.teams)
+
+
+def arrivals(config: RunConfig, rng: random.Random) -> list[Arrival]:
+    """Return all jobs of a run, in their order."""
+    rows = [*_services(config, rng), *_arrays(config, rng), *_gangs(config, rng)]
+    rows.sort()
+    return rows
+
+
+def _services(config: RunConfig, rng: random.Random) -> Iterator[Arrival]:
+    for number in range(config.traffic.services):
+        yield Arrival(
+            rng.uniform(0, SERVICES_S),
+            Job(Kind.SERVICE, team_of(config, rng), config.traffic.service_tasks, 0.0, number),
+        )
+
+
+def _arrays(config: RunConfig, rng: random.Random) -> Iterator[Arrival]:
+    traffic = config.traffic
+    serial = 100_000
+    at = 0.0
+    single = traffic.starts * traffic.single_share
+    large = traffic.starts * (1 - traffic.single_share) / traffic.array_tasks
+    while single + large > 0:
+        at += rng.expovariate(single + large)
+        if at >= traffic.seconds:
+            return
+        serial += 1
+        run_s = traffic.run_s * rng.uniform(0.5, 1.5)
+        if rng.random() < single / (single + large):
+            kind = Kind.URGENT if rng.random() < traffic.urgent_share else Kind.ARRAY
+            tasks = 1
+        else:
+            kind = Kind.PINNED if rng.random() < traffic.pinned_share else Kind.ARRAY
+            tasks = traffic.array_tasks
+        yield Arrival(at, Job(kind, team_of(config, rng), tasks, run_s, serial))
+
+
+def _gangs(config: RunConfig, rng: random.Random) -> Iterator[Arrival]:
+    traffic = config.traffic
+    serial = 900_000
+    at = traffic.gang_every_s
+    while traffic.gang_every_s > 0 and at < traffic.seconds:
+        serial += 1
+        yield Arrival(
+            at, Job(Kind.GANG, team_of(config, rng), traffic.gang_tasks, traffic.run_s, serial)
+        )
+        at += traffic.gang_every_s
+    if traffic.large_gang_tasks:
+        yield Arrival(
+            traffic.large_gang_at_s,
+            Job(Kind.GANG, 0, traffic.large_gang_tasks, traffic.run_s, 999_999),
+        )
+
+
+class Balancer:
+    """Chooses among the controllers that are healthy by their own word."""
+
+    def __init__(self, nodes: list[str], rng: random.Random) -> None:
+        self.nodes = nodes
+        self.rng = rng
+        self.healthy = list(nodes)
+        self.failed: dict[str, int] = {}
+        self.client = Client(2 * len(nodes))
+
+    def choose(self) -> str:
+        """Return a controller's address."""
+        return self.rng.choice(self.healthy or self.nodes)
+
+    async def probe(self) -> None:
+        """Look at all controllers for ever; two failures in a row take one out."""
+        while True:
+            await asyncio.gather(*(self._probe(node) for node in self.nodes))
+            self.healthy = [node for node in self.nodes if self.failed.get(node, 0) < 2]
+            await asyncio.sleep(PROBE_S)
+
+    async def _probe(self, node: str) -> None:
+        try:
+            status, _ = await self.client.request(node, "GET", wire.PATH_HEALTH, b"", 1.0)
+        except (NotSent, NoAnswer):
+            status = 0
+        self.failed[node] = 0 if status == 200 else self.failed.get(node, 0) + 1
+
+
+class Users:
+    """The load of a run."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.config = plan.config
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(plan.config.seed + 7)
+        self.balancer = Balancer([row.public for row in plan.controllers], self.rng)
+        self.client = Client(CONNECTIONS)
+        self.events = EventLog(plan.folder, "users")
+        self.counts: Counter[str] = Counter()
+        self.times = {name: new_histogram() for name in ("submission", "cancellation", "query")}
+        self.unfinished = 0
+        self.tasks: set[asyncio.Task] = set()
+
+    async def run(self, ended: asyncio.Event) -> None:
+        """Submit until told to end."""
+        rows = arrivals(self.config, self.rng)
+        tasks = [
+            self.loop.create_task(self.balancer.probe()),
+            self.loop.create_task(self._submit_all(rows)),
+        ]
+        while not ended.is_set():
+            self.summarize()
+            await asyncio.sleep(SUMMARY_S)
+        for task in [*tasks, *self.tasks]:
+            task.cancel()
+        self.summarize()
+
+    def summarize(self) -> None:
+        """Write what was measured so far."""
+        self.events.flush()
+        write_summary(
+            self.plan.folder,
+            "users",
+            {
+                "counts": self.counts,
+                "unfinished": self.unfinished,
+                **{f"{name}_times": found.encode().decode() for name, found in self.times.items()},
+            },
+        )
+
+    async def _submit_all(self, rows: list[Arrival]) -> None:
+        begun = self.loop.time()
+        for row in rows:
+            await asyncio.sleep(max(0.0, begun + row.at - self.loop.time()))
+            task = self.loop.create_task(self._user(row.job))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _user(self, job: Job) -> None:
+        """Submit a job and ask for it until it is over."""
+        self.events.add("asked", job.id)
+        body = wire.encode(submission(self.config, job))
+        status, _ = await self._insist(
+            "submission", "POST", wire.PATH_JOBS, body, (200, 201, 400, 422)
+        )
+        if status not in ACCEPTED:
+            self.counts[f"not accepted: {status}"] += 1
+            return
+        self.events.add("accepted", job.id)
+        self.counts["accepted"] += 1
+        self.unfinished += 1
+        try:
+            await self._follow(job)
+        finally:
+            self.unfinished -= 1
+
+    async def _follow(self, job: Job) -> None:
+        traffic = self.config.traffic
+        cancel_at = float("inf")
+        if job.kind != Kind.SERVICE and self.rng.random() < traffic.cancel_share:
+            cancel_at = self.loop.time() + CANCEL_AFTER_S + self.rng.uniform(0, traffic.run_s)
+        while True:
+            wait = traffic.poll_s * self.rng.uniform(0.9, 1.1)
+            await asyncio.sleep(max(0.0, min(wait, cancel_at - self.loop.time())))
+            if self.loop.time() >= cancel_at:
+                if await self._cancel(job):
+                    return
+                cancel_at = float("inf")
+            elif await self._query(job):
+                return
+
+    async def _cancel(self, job: Job) -> bool:
+        """Cancel a job; return whether it is over."""
+        self.events.add("cancelling", job.id)
+        status, value = await self._insist(
+            "cancellation", "POST", f"{wire.PATH_JOBS}/{job.id}{wire.CANCEL}", b"", (200,)
+        )
+        if status != 200:
+            return False
+        self._final(job, value)
+        return True
+
+    async def _query(self, job: Job) -> bool:
+        """Ask for a job; return whether it is over."""
+        status, value = await self._once(
+            "query", "GET", f"{wire.PATH_JOBS}/{job.id}", b"", QUERY_S
+        )
+        if status == 404:
+            self.events.add("forgotten", job.id)
+        return status == 200 and self._final(job, value)
+
+    def _final(self, job: Job, value: dict[str, Any]) -> bool:
+        told = {"done": "done", "aborted": "cancelled"}.get(value.get("status", ""))
+        if told is None:
+            return False
+        self.events.add(told, job.id)
+        self.counts[told] += 1
+        return True
+
+    async def _insist(
+        self, name: str, method: str, path: str, body: bytes, final: tuple[int, ...]
+    ) -> tuple[int, Any]:
+        """Repeat a request until it has a final answer, for a minute at most."""
+        begun = self.loop.time()
+        while True:
+            status, value = await self._once(name, method, path, body, SUBMIT_S, begun, final)
+            if status in final or self.loop.time() - begun > TRIES_S:
+                return status, value
+            await asyncio.sleep(RETRY_S)
+
+    async def _once(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        begun: float | None = None,
+        final: tuple[int, ...] = (200,),
+    ) -> tuple[int, Any]:
+        sent = self.loop.time()
+        try:
+            status, data = await self.client.request(
+                self.balancer.choose(), method, path, body, timeout
+            )
+            value = wire.decode(data) if data else {}
+        except (NotSent, NoAnswer, wire.Malformed):
+            status, value = 0, {}
+        self.counts[f"{name} {status}"] += 1
+        if status in final:
+            record_s(self.times[name], self.loop.time() - (sent if begun is None else begun))
+        return status, value
+
+
+async def main(plan: Plan, ended: asyncio.Event) -> None:
+    """Run the load."""
+    await Users(plan).run(ended)
--- /dev/null
+++ b/tools/scale/worker.py
@@ -0,0 +1,199 @@
+"""One hollow worker by PROTOCOL, without I/O: lease, sessions, token, orders and tasks."""
+
+import math
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from tools.scale.config import RunConfig
+from tools.scale.jobs import Job, Kind, parse_job, task_cpus
+
+# States in which a task takes room on its machine.
+LIVE = ("pulling", "waiting", "running")
+# States in which a task is on its machine: from when it has its image until it exits.
+PLACED = ("waiting", "running")
+
+
+class TaskKey(NamedTuple):
+    """A task and an attempt at it."""
+
+    task: str
+    attempt: int
+
+    @property
+    def job_id(self) -> str:
+        """The id of its job."""
+        return self.task.partition("/")[0]
+
+
+class Task:
+    """A task on a worker: its state, and when that ends (s)."""
+
+    __slots__ = ("job", "state", "cause", "until")
+
+    def __init__(self, job: Job, state: str, until: float) -> None:
+        self.job = job
+        self.state = state
+        self.cause: str | None = None
+        self.until = until
+
+
+# Called with what happened ("on", "run", "off"), the task, the worker and a cause.
+Observer = Callable[[str, TaskKey, "HollowWorker", str], None]
+
+
+class HollowWorker:
+    """A machine's worker; whoever drives it calls `advance` before anything else."""
+
+    def __init__(
+        self, config: RunConfig, name: str, address: str, zone: str, now: float, observe: Observer
+    ) -> None:
+        self.config = config
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.observe = observe
+        self.session = 1
+        self.seq = 0
+        self.token = 0
+        self.lease_from = now
+        self.tasks: dict[TaskKey, Task] = {}
+        self.images: set[str] = set()
+        self.dirty = False
+
+    # --- time ---
+
+    def advance(self, now: float) -> None:
+        """Bring the lease and all tasks up to date."""
+        if now - self.lease_from > self.config.times.lease_s:
+            self.end_session(now)
+        for key, task in list(self.tasks.items()):
+            if task.state == "pulling" and task.until <= now:
+                self._image_is_there(key, task, now)
+            if task.state == "waiting" and task.until <= now:
+                self.exit(key, "incomplete")
+            elif task.state == "running" and task.until <= now and task.job.kind != Kind.GANG:
+                self.exit(key, "done")
+
+    def end_session(self, now: float) -> None:
+        """The lease is over: all tasks are killed and forgotten."""
+        self.clear("lease")
+        self.session += 1
+        self.lease_from = now
+        self.dirty = True
+
+    def clear(self, cause: str) -> None:
+        """Drop all tasks."""
+        for key, task in list(self.tasks.items()):
+            if task.state in PLACED:
+                self.observe("off", key, self, cause)
+        self.tasks.clear()
+
+    def _image_is_there(self, key: TaskKey, task: Task, now: float) -> None:
+        self.images.add(f"image-{task.job.team % 8}")
+        self.dirty = True
+        if task.job.kind == Kind.GANG and task.job.tasks > 1:
+            task.state, task.until = "waiting", now + self.config.times.gang_wait_s
+        else:
+            lasts_s = math.inf if task.job.kind == Kind.SERVICE else task.job.run_s
+            task.state, task.until = "running", now + lasts_s
+        self.observe("on", key, self, "")
+
+    def begin_gang(self, key: TaskKey) -> None:
+        """All tasks of the gang are there."""
+        task = self.tasks.get(key)
+        if task is not None and task.state == "waiting":
+            task.state = "running"
+            self.dirty = True
+            self.observe("run", key, self, "")
+
+    def exit(self, key: TaskKey, cause: str) -> None:
+        """A task ends."""
+        task = self.tasks.get(key)
+        if task is None or task.state not in LIVE:
+            return
+        placed = task.state in PLACED
+        task.state, task.cause = "ended", cause
+        self.dirty = True
+        if placed:
+            self.observe("off", key, self, cause)
+
+    # --- messages ---
+
+    def report(self) -> dict[str, Any]:
+        """Return the next report."""
+        self.seq += 1
+        self.dirty = False
+        pieces = []
+        for key, task in self.tasks.items():
+            piece: dict[str, Any] = {"piece": key.task, "try": key.attempt, "status": task.state}
+            if task.cause is not None:
+                piece["cause"] = task.cause
+            pieces.append(piece)
+        return {
+            "box": self.name,
+            "addr": self.address,
+            "flavour": "hollow",
+            "site": self.zone,
+            "loaner": False,
+            "tenure": self.session,
+            "tick": self.seq,
+            "baton": self.token,
+            "warning_s": None,
+            "pieces": pieces,
+        }
+
+    def answered(self, sent: float, session: int, body: dict[str, Any], now: float) -> None:
+        """Take a 200 to the report that was sent at a time; a lower token drops it."""
+        token = body.get("baton")
+        if session != self.session or not isinstance(token, int) or token < self.token:
+            return
+        self.lease_from = max(self.lease_from, sent)
+        self.obey(token, body.get("orders") or [], now)
+
+    def direct(self, body: dict[str, Any], now: float) -> int:
+        """Take direct orders; return the status to answer with."""
+        if not isinstance(body.get("baton"), int) or not isinstance(body.get("tenure"), int):
+            return 400
+        if body["baton"] < self.token or body["tenure"] != self.session:
+            return 409
+        self.obey(body["baton"], body.get("orders") or [], now)
+        return 200
+
+    def obey(self, token: int, orders: list[dict[str, Any]], now: float) -> None:
+        """Execute commands in order."""
+        if token > self.token:
+            self.token = token
+            self.dirty = True
+        for order in orders:
+            key = TaskKey(order["piece"], order["try"])
+            if order["verb"] == "launch":
+                self._launch(key, now)
+            elif order["verb"] == "halt":
+                self.exit(key, "halted")
+            elif order["verb"] == "forget":
+                known = self.tasks.get(key)
+                if known is not None and known.state == "ended":
+                    del self.tasks[key]
+
+    def _launch(self, key: TaskKey, now: float) -> None:
+        if key in self.tasks:
+            return
+        job = parse_job(key.job_id)
+        self.dirty = True
+        fetch = 0.0 if f"image-{job.team % 8}" in self.images else self.config.traffic.slow_fetch_s
+        task = self.tasks[key] = Task(job, "pulling", now + fetch)
+        refusal = self._refusal(key, job)
+        if refusal is not None:
+            task.state, task.cause = "ended", refusal
+
+    def _refusal(self, key: TaskKey, job: Job) -> str | None:
+        """Return why a start is refused, if it is."""
+        used = 0.0
+        for other, task in self.tasks.items():
+            if other != key and task.state in LIVE:
+                if other.task == key.task:
+                    return "in_use"
+                used += task_cpus(self.config, task.job)
+        if used + task_cpus(self.config, job) > self.config.machines.cpus + 1e-6:
+            return "no_room"
+        return None
