Names of the field: write buffer, minimum share, cascade; nothing due costs no sorting

Change, without behaviour: the owner's working copies are a write buffer, the floor for what waited longest a minimum share (the operators' setting keeps its name), jobs cancelled with one that they need a cascade. The writer sorts what is to be written only if something is due.

--- a/oakmux/constants.py
+++ b/oakmux/constants.py
@@ -103,7 +103,7 @@
 LOG_TEXT = 120
 # Seconds after which the owner's controller writes that a job is cancelled with one that it needs,
 # if the controller that took the cancellation has not; and between its tries.
-DOOM_S = 1.0
+CASCADE_S = 1.0
 # Seconds that an idle machine is kept.
 IDLE_KEEP_S = 20.0
 # Seconds between draining a machine and returning it: words to peers take far less.
@@ -269,10 +269,10 @@
 GPULESS_WEIGHT = 0.1
 # Share of the room offered that belongs to work that waited longest, whatever its priority, and
 # what may be owed to it at most (machines): a calm hour must not pay for a minute of all.
-FLOOR_SHARE = 0.1
-FLOOR_MOST = 2.0
+MINIMUM_SHARE = 0.1
+MINIMUM_SHARE_OWED = 2.0
 # Most that operators may set as that share.
-FLOOR_SHARE_MOST = 0.5
+MINIMUM_SHARE_LIMIT = 0.5
 # Work counts as aged after this many times its class's longest aim for starting, or, without one,
 # after so many seconds.
 AGED_AIMS = 2.0
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -166,7 +166,7 @@
         if replica.format != self.format:
             self.format = replica.format
             event("format", format=self.format)
-            self.owner.copies.switched()
+            self.owner.buffer.switched()
         freed, replica.freed = replica.freed, []
         for job_id in freed:  # age and the aims for starting count from now
             replica.jobs[job_id].since = world.wall + int(world.now * 1000)
--- a/oakmux/core/desk.py
+++ b/oakmux/core/desk.py
@@ -23,8 +23,8 @@
         # Reads that have to see all changes up to a revision: (revision, until, request, ...).
         self.behind: list[tuple[int, float, Any, str, Then]] = []
         # When to write that a job is cancelled with one that it needs.
-        self.doom_at: dict[str, float] = {}
-        self.dooming = False
+        self.cascade_at: dict[str, float] = {}
+        self.writing_cascade = False
         limits = world.facts.state.least
         self.most_writes, self.most_guards = limits.txn_ops, 4 * limits.txn_ops
         self.most_bytes = value_limit(limits)
@@ -126,11 +126,11 @@
     def _create(self, rid: Any, job_id: str, spec: JobSpec) -> None:
         world = self.world
         # A job that needs a cancelled one is accepted, and cancelled with it.
-        doomed = any(
-            world.replica.jobs[name].state == "cancelled" or name in world.replica.doomed
+        cascaded = any(
+            world.replica.jobs[name].state == "cancelled" or name in world.replica.cascaded
             for name in spec.waits_on
         )
-        state = "cancelled" if doomed else "queued"
+        state = "cancelled" if cascaded else "queued"
         value = job_value(state, spec.team, spec, self._order(), spec.tasks)
 
         def done(status: int, result: Any) -> None:
@@ -182,7 +182,7 @@
             if status == 200:
                 world.replica.apply(job_key(job_id), value, result[0])
                 event("cancelled", job=job_id)
-                self._doom()
+                self._cascade_now()
                 world.emit("answer", rid, 200, ("job", job_id, "cancelled", 0, 0))
             elif status == 409:
                 self._get(rid, job_id, lambda now: self._cancel(rid, job_id, now))
@@ -193,32 +193,32 @@
             done, "txn", [(job_key(job_id), job.stamp)], [(job_key(job_id), value, None)], 0
         )
 
-    def _doom(self) -> None:
+    def _cascade_now(self) -> None:
         """We cancelled a job: write at once that those are cancelled that need it."""
-        for name in self.world.replica.doomed:
-            self.doom_at[name] = min(self.world.now, self.doom_at.get(name, math.inf))
+        for name in self.world.replica.cascaded:
+            self.cascade_at[name] = min(self.world.now, self.cascade_at.get(name, math.inf))
 
-    def _write_doomed(self) -> None:
+    def _write_cascade(self) -> None:
         """Write down that jobs are cancelled with one that they need, many to a transaction.
 
         Whoever asks is told so anyway; the owner's controller sees to it if the one that took
         the cancellation did not.
         """
         world = self.world
-        doomed = world.replica.doomed
-        for name in doomed:
+        cascaded = world.replica.cascaded
+        for name in cascaded:
             if world.replica.jobs[name].team in world.my_roles:
-                self.doom_at.setdefault(name, world.now + constants.DOOM_S)
-        for name in [name for name in self.doom_at if name not in doomed]:
-            del self.doom_at[name]
-        due = [name for name, at in self.doom_at.items() if at <= world.now][: self.most_writes]
-        if not due or self.dooming:
+                self.cascade_at.setdefault(name, world.now + constants.CASCADE_S)
+        for name in [name for name in self.cascade_at if name not in cascaded]:
+            del self.cascade_at[name]
+        due = [name for name, at in self.cascade_at.items() if at <= world.now][: self.most_writes]
+        if not due or self.writing_cascade:
             return
-        self.dooming = True
+        self.writing_cascade = True
         guards, writes = [], []
         for name in due:
             job = world.replica.jobs[name]
-            self.doom_at[name] = world.now + constants.DOOM_S
+            self.cascade_at[name] = world.now + constants.CASCADE_S
             guards.append((job_key(name), job.stamp))
             writes.append(
                 (
@@ -227,17 +227,17 @@
                     None,
                 )
             )
-        world.call(lambda s, r: self._doomed(writes, s, r), "txn", guards, writes, 1)
+        world.call(lambda s, r: self._cascade_written(writes, s, r), "txn", guards, writes, 1)
 
-    def _doomed(self, writes: list[tuple], status: int, result: Any) -> None:
-        self.dooming = False
+    def _cascade_written(self, writes: list[tuple], status: int, result: Any) -> None:
+        self.writing_cascade = False
         if status == 200:  # else the watch brings what changed, or we try again
             for key, value, _ in writes:
                 self.world.replica.apply(key, value, result[0])
                 event("cancelled", job=key.rpartition("/")[2], why="needs_cancelled")
 
     def _show(self, rid: Any, job: Job) -> None:
-        if job.id in self.world.replica.doomed:
+        if job.id in self.world.replica.cascaded:
             self._cancel(rid, job.id, job)  # written before it is said
             return
         running = 0
@@ -265,8 +265,8 @@
         world = self.world
         if self.behind:
             self._catch_up()
-        if world.replica.doomed or self.doom_at:
-            self._write_doomed()
+        if world.replica.cascaded or self.cascade_at:
+            self._write_cascade()
         if len(self.waiting) > self.most_guards and self.reading < constants.READS_IN_FLIGHT:
             # More than one transaction can compare: one that only brings the service's revision
             # serves any number of them, once the watch has brought all changes up to it. So what
--- a/oakmux/core/keeper/floor.py
+++ b/oakmux/core/keeper/minimum_share.py
@@ -1,4 +1,4 @@
-"""A floor for work that waited longest: a stated share of what frees up, by construction."""
+"""A minimum share for work that waited longest: so much of the room that frees up is its own."""
 
 from collections.abc import Iterable
 
@@ -19,7 +19,7 @@
     )
 
 
-class Floor:
+class MinimumShare:
     """What is owed to aged work of the room that a keeper's machines freed: a share of it.
 
     While work of more right is offered room, the debt grows by that share; once it is worth a
@@ -31,7 +31,7 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.owed = 0.0
-        self.share = world.settings.spread.floor_share
+        self.share = world.settings.spread.minimum_share
 
     def oldest(self, kind: MachineType, free: Room, jobs: Iterable[Job]) -> Job | None:
         """Return who is due by age among jobs that have a reservation on a machine, or None."""
@@ -56,4 +56,6 @@
         if by_age:
             self.owed -= part
         else:
-            self.owed = min(constants.FLOOR_MOST, self.owed + self.share / (1 - self.share) * part)
+            self.owed = min(
+                constants.MINIMUM_SHARE_OWED, self.owed + self.share / (1 - self.share) * part
+            )
--- a/oakmux/core/keeper/queue.py
+++ b/oakmux/core/keeper/queue.py
@@ -5,8 +5,8 @@
 from oakmux import constants
 from oakmux.core import teams
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.floor import Floor
 from oakmux.core.keeper.kept import Kept, Reservation, Ward
+from oakmux.core.keeper.minimum_share import MinimumShare
 from oakmux.core.keeper.room import Room, full, gather_s, has_room, less, room, usable
 from oakmux.core.keeper.word import Word
 from oakmux.core.spread.order import elder, late, turn_ms
@@ -22,7 +22,7 @@
         self.ward = ward
         self.word = word
         self.next_offer = 0
-        self.floor = Floor(world)
+        self.minimum_share = MinimumShare(world)
 
     def reserve(self, name: str, job_id: str, count: int, preempt: bool = False) -> None:
         """Queue a reservation at a machine that we keep; make room for it if told to."""
@@ -131,14 +131,14 @@
             ranked.append((rank(world, job, job.spec, used), job.since, job.id, reservation, job))
         ranked.sort(key=lambda row: row[:3])
         kind = world.types[machine.type]
-        oldest = self.floor.oldest(
+        oldest = self.minimum_share.oldest(
             kind, free, (row[-1] for row in ranked if row[-1].team in world.replica.roles)
         )
         if oldest is not None and oldest.spec is not None:
             # Work that came by its age is not stopped again for what stands above it.
             kept.firm.add(oldest.id)
             free = self._hand(kept, machine, oldest, oldest.spec, free)
-            self.floor.gave(oldest.spec, kind, True)
+            self.minimum_share.gave(oldest.spec, kind, True)
         for *_, reservation, job in ranked:
             spec = job.spec
             assert spec is not None
@@ -146,7 +146,7 @@
                 continue
             while reservation.count > 0 and has_room(free, spec):
                 free = self._hand(kept, machine, job, spec, free)
-                self.floor.gave(spec, kind, False)
+                self.minimum_share.gave(spec, kind, False)
 
     def _hand(self, kept: Kept, machine: Machine, job: Job, spec: JobSpec, free: Room) -> Room:
         """Offer room for one task of a job that has a reservation; return what is left."""
--- a/oakmux/core/owner/__init__.py
+++ b/oakmux/core/owner/__init__.py
@@ -3,10 +3,10 @@
 from oakmux.core.index import Index
 from oakmux.core.keeper import Keeper
 from oakmux.core.owner.binding import Binder
-from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.sampling import Sampler
 from oakmux.core.owner.state import Open
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.owner.writer import Writer
 from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import World
@@ -17,19 +17,19 @@
 
     def __init__(self, world: World, keeper: Keeper) -> None:
         self.open: dict[str, Open] = {}
-        self.copies = Copies(world)
-        self.writer = Writer(world, self.copies)
+        self.buffer = WriteBuffer(world)
+        self.writer = Writer(world, self.buffer)
         self.index = Index(world)
         self.gangs = Gangs(world, self.index, self.open)
         self.waiting = Waiting(world, self.open)
-        self.binder = Binder(world, keeper, self.copies, self.open, self.waiting)
+        self.binder = Binder(world, keeper, self.buffer, self.open, self.waiting)
         self.sampler = Sampler(
-            world, self.index, self.copies, self.binder, self.gangs, self.waiting
+            world, self.index, self.buffer, self.binder, self.gangs, self.waiting
         )
 
     def lost(self, held: set[str]) -> None:
         """Drop what belongs to teams other than those held all the while. One that we lost and won
         again within one look at the records had another owner in between: what we had not written
         would be written over what that one did (R ran_twice, quota)."""
-        self.copies.drop_lost(held)
+        self.buffer.drop_lost(held)
         self.binder.drop_lost(held)
--- a/oakmux/core/owner/binding.py
+++ b/oakmux/core/owner/binding.py
@@ -7,10 +7,10 @@
 from oakmux.core.keeper import Keeper
 from oakmux.core.keeper.proof import gone
 from oakmux.core.keeper.room import room, usable
-from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import stop_rest
 from oakmux.core.owner.places import choose_gang, preference, zone_allowed
 from oakmux.core.owner.state import Open
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.spread.waiting import Waiting
 from oakmux.core.world import Machine, World, event
 from oakmux.wire import JobSpec
@@ -23,13 +23,13 @@
         self,
         world: World,
         keeper: Keeper,
-        copies: Copies,
+        buffer: WriteBuffer,
         open_jobs: dict[str, Open],
         waiting: Waiting,
     ) -> None:
         self.world = world
         self.keeper = keeper
-        self.copies = copies
+        self.buffer = buffer
         self.open = open_jobs
         self.waiting = waiting
         # Jobs that hold offers of which the best are taken soon, in the order of the first.
@@ -38,31 +38,31 @@
     def won(self) -> None:
         """Begin with the records of a team just won."""
         for job in list(self.world.replica.active.values()):
-            if self.copies.owns(job):
+            if self.buffer.owns(job):
                 self.changed(job.id)
-                if self.copies.form() >= FORMAT_COMPACT:
-                    self.copies.shrink(job)
+                if self.buffer.form() >= FORMAT_COMPACT:
+                    self.buffer.shrink(job)
                 self.world.dirty_machines.update(b.machine for b in job.bindings())
 
     def changed(self, job_id: str) -> None:
         """The records of a job changed."""
         job = self.world.replica.jobs.get(job_id)
-        if job is None or not self.copies.owns(job):
+        if job is None or not self.buffer.owns(job):
             return
         if job.final:
             self.waiting.leave(job_id)
             state = self.open.pop(job_id, None)
             if state is not None:
                 self.release(state)
-            self.copies.finish.pop(job_id, None)
+            self.buffer.finish.pop(job_id, None)
             for number in list(job.chunks):
-                if not self.copies.chunk(job, number).bound and number not in self.copies.work.get(
+                if not self.buffer.chunk(job, number).bound and number not in self.buffer.work.get(
                     job_id, ()
                 ):
                     # A finished job needs no chunks any more.
                     in_page = job.chunks[number].page is not None
-                    due = self.world.now + self.copies.coalesce_s if in_page else 0.0
-                    self.copies.edit(job, number, due)
+                    due = self.world.now + self.buffer.coalesce_s if in_page else 0.0
+                    self.buffer.edit(job, number, due)
         elif not job.ready:
             return  # no reservations while it waits on others
         elif job_id not in self.open:
@@ -88,14 +88,14 @@
             or machine is None
             or job.final
             or not job.ready
-            or not self.copies.owns(job)
+            or not self.buffer.owns(job)
             or machine.session != session
             or world.now < state.retry_at
             or not usable(world, machine)
             or name in state.avoid
             or not world.fits(job.spec, machine)
             or job_id in self.keeper.word.cancelled
-            or job_id in self.copies.finish
+            or job_id in self.buffer.finish
             or not self._take_offer(
                 job,
                 job.spec,
@@ -110,15 +110,15 @@
         self, job: Job, spec: JobSpec, state: Open, machine: Machine, offer: tuple
     ) -> bool:
         gang = spec.joint
-        bound = self.copies.bindings(job)
+        bound = self.buffer.bindings(job)
         if gang and bound:
             return False
-        if self.copies.beyond_limit(job, spec, spec.tasks if gang else 1):
+        if self.buffer.beyond_limit(job, spec, spec.tasks if gang else 1):
             return False
         if not gang:
             if not zone_allowed(
                 spec, [b.zone for b in bound], machine.zone
-            ) or not self.copies.unstarted(job):
+            ) or not self.buffer.unstarted(job):
                 return False
             state.offers.append(offer)
             self.gathered[job.id] = None
@@ -129,9 +129,9 @@
         if len(state.offers) < spec.tasks:
             return True
         chosen = choose_gang(spec, state.offers)
-        size = self.copies.per_chunk
+        size = self.buffer.per_chunk
         if chosen is not None and all(
-            self.copies.holds(job, first // size, chosen[first : first + size])
+            self.buffer.holds(job, first // size, chosen[first : first + size])
             for first in range(0, spec.tasks, size)
         ):
             spare = [o for o in state.offers if o not in chosen]
@@ -150,12 +150,12 @@
         # Offers of one machine stay together: its tasks share one fetch.
         offers.sort(key=lambda row: (row[0], row[1][1]))
         for _, offer in offers:
-            zones = [b.zone for b in self.copies.bindings(job)]
+            zones = [b.zone for b in self.buffer.bindings(job)]
             if not zone_allowed(spec, zones, offer[6]):
                 continue
-            if self.copies.beyond_limit(job, spec):
+            if self.buffer.beyond_limit(job, spec):
                 break
-            index = self.copies.next_unstarted(job, state, offer)
+            index = self.buffer.next_unstarted(job, state, offer)
             if index is None:
                 break
             self._bind(job, [index], [offer])
@@ -173,10 +173,10 @@
         and none is written before the record of every job that this one needs is done."""
         if not job.ready:
             return
-        attempt = self.copies.next_attempt(job)
+        attempt = self.buffer.next_attempt(job)
         for index, offer in zip(indexes, offers, strict=True):
             _, name, _, session, term, _, zone = offer
-            chunk = self.copies.edit(job, index // self.copies.per_chunk)
+            chunk = self.buffer.edit(job, index // self.buffer.per_chunk)
             chunk.last = attempt
             chunk.bound[index] = Binding(attempt, name, session, term, zone)
             event("bind", task=f"{job.id}/{index}", attempt=attempt, machine=name)
@@ -191,10 +191,10 @@
         shown = self.keeper.reports.shown(machine) if machine is not None else {}
         for (job_id, index), binding in list(bound.items()):
             job = world.replica.jobs.get(job_id)
-            if job is None or not self.copies.owns(job):
+            if job is None or not self.buffer.owns(job):
                 continue
-            number = index // self.copies.per_chunk
-            current = self.copies.chunk(job, number).bound.get(index)
+            number = index // self.buffer.per_chunk
+            current = self.buffer.chunk(job, number).bound.get(index)
             if current is None or current.attempt != binding.attempt:
                 continue
             task = (f"{job_id}/{index}", binding.attempt)
@@ -210,18 +210,18 @@
                 and shown.get(task, ("",))[0] == "running"
             ):
                 # The cloud takes this machine: the gang saves while all its tasks still can.
-                stop_rest(self.copies, job, job.spec, binding.attempt)
+                stop_rest(self.buffer, job, job.spec, binding.attempt)
 
     def _unbind(self, job: Job, index: int, binding: Binding, why: str, saved: bool) -> None:
         world = self.world
-        number, bit = divmod(index, self.copies.per_chunk)
+        number, bit = divmod(index, self.buffer.per_chunk)
         # Starts go first; the ends of an array's tasks wait a little for one another, and so do
         # all of a page's: that a job is done is written at once, its row may go later.
-        in_page = self.copies.chunk(job, number).page is not None
+        in_page = self.buffer.chunk(job, number).page is not None
         array = job.spec is not None and job.spec.kind == "array"
         lazy = (why == "done" and (array or in_page)) or (job.final and in_page)
-        due = world.now + (self.copies.coalesce_s if lazy else 0.0)
-        chunk = self.copies.edit(job, number, due)
+        due = world.now + (self.buffer.coalesce_s if lazy else 0.0)
+        chunk = self.buffer.edit(job, number, due)
         del chunk.bound[index]
         event(
             "unbind",
@@ -238,15 +238,15 @@
         if why == "done" and spec.kind != "service":
             if spec.kind == "gang":  # the tasks of a gang complete together
                 for other in range(spec.tasks):
-                    part = self.copies.edit(job, other // self.copies.per_chunk, due)
-                    part.done |= 1 << other % self.copies.per_chunk
+                    part = self.buffer.edit(job, other // self.buffer.per_chunk, due)
+                    part.done |= 1 << other % self.buffer.per_chunk
             else:
                 chunk.done |= 1 << bit
-            if sum(c.done.bit_count() for c in self.copies.chunks(job)) >= spec.tasks:
-                self.copies.finish[job.id] = None
-                self.copies.edit(job, number, due if in_page else world.now)
+            if sum(c.done.bit_count() for c in self.buffer.chunks(job)) >= spec.tasks:
+                self.buffer.finish[job.id] = None
+                self.buffer.edit(job, number, due if in_page else world.now)
         elif spec.kind == "gang":
-            stop_rest(self.copies, job, spec, binding.attempt)
+            stop_rest(self.buffer, job, spec, binding.attempt)
         if state is not None:
             if why != "done":
                 self.waiting.due(job)
@@ -269,4 +269,4 @@
         for job_id in [j for j in self.open if jobs[j].team not in held]:
             self.waiting.leave(job_id)
             del self.open[job_id]
-            self.copies.finish.pop(job_id, None)
+            self.buffer.finish.pop(job_id, None)
--- a/oakmux/core/owner/gangs.py
+++ b/oakmux/core/owner/gangs.py
@@ -9,11 +9,11 @@
 from oakmux import constants
 from oakmux.core.index import Drawn, Index
 from oakmux.core.jobs import FORMAT_COMPACT, Job
-from oakmux.core.keeper.floor import weight
+from oakmux.core.keeper.minimum_share import weight
 from oakmux.core.keeper.room import Room, gather_s, less, times
-from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.places import best, fetch_s, make_room, reserve, worth_s
 from oakmux.core.owner.state import Open
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.spread.opening import choose
 from oakmux.core.spread.order import elder
 from oakmux.core.spread.sites import sites
@@ -328,10 +328,10 @@
         reserve(self.world, job, chosen)
 
 
-def stop_rest(copies: Copies, job: Job, spec: JobSpec, attempt: int) -> None:
+def stop_rest(buffer: WriteBuffer, job: Job, spec: JobSpec, attempt: int) -> None:
     """Stop what is left of a gang's attempt that lost a task."""
     for index in range(spec.tasks):
-        number = index // copies.per_chunk
-        binding = copies.chunk(job, number).bound.get(index)
+        number = index // buffer.per_chunk
+        binding = buffer.chunk(job, number).bound.get(index)
         if binding is not None and binding.attempt == attempt and not binding.stop:
-            copies.edit(job, number).bound[index] = binding._replace(stop=True)
+            buffer.edit(job, number).bound[index] = binding._replace(stop=True)
--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -9,10 +9,10 @@
 from oakmux.core.jobs import Job
 from oakmux.core.keeper.room import Room, times
 from oakmux.core.owner.binding import Binder
-from oakmux.core.owner.copies import Copies
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.places import best, make_room, reserve, worth_s, zone_allowed
 from oakmux.core.owner.state import Open
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.spread.lines import Shape
 from oakmux.core.spread.order import aged, elder
 from oakmux.core.spread.waiting import Waiting
@@ -27,7 +27,7 @@
         self,
         world: World,
         index: Index,
-        copies: Copies,
+        buffer: WriteBuffer,
         binder: Binder,
         gangs: Gangs,
         waiting: Waiting,
@@ -35,7 +35,7 @@
         self.world = world
         self.index = index
         self.open = binder.open
-        self.copies = copies
+        self.buffer = buffer
         self.binder = binder
         self.gangs = gangs
         self.waiting = waiting
@@ -83,7 +83,7 @@
     def _use_fell(self) -> list[str]:
         """Return the teams of ours that use less than at the last tick."""
         used = {
-            team: self.copies.team_use(team)
+            team: self.buffer.team_use(team)
             for team in self.world.my_roles
             if team in self.world.teams
         }
@@ -112,8 +112,8 @@
         if world.now < max(state.quiet_until, state.retry_at):
             waiting.later(job.id, max(state.quiet_until, state.retry_at))
             return
-        wanted = self.copies.unstarted(job)
-        zones = [b.zone for b in self.copies.bindings(job)]
+        wanted = self.buffer.unstarted(job)
+        zones = [b.zone for b in self.buffer.bindings(job)]
         if spec.kind == "gang" and zones:
             wanted = 0  # a new attempt only when every task of the old one is proven gone
         if not spec.joint and world.failures.suspect(job):
@@ -126,12 +126,12 @@
             waiting.later(job.id, math.inf)  # until a task of it is proven gone
             return
         shape = waiting.lines.put(job, spec)
-        if self.copies.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
+        if self.buffer.beyond_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
             if state.gather_until:  # it must not hold what others may use
                 self.binder.release(state)
                 self.gangs.end(job, state)
             self.gangs.close(job, state)
-            self.copies.claim_limit(job, spec, self._wanted(shape, spec))
+            self.buffer.claim_limit(job, spec, self._wanted(shape, spec))
             waiting.beyond_limit(shape)
             return
         # Room in a zone that the job's other tasks rule out must not hide that room has to be
@@ -142,7 +142,7 @@
             if elder(world, job):
                 # While it gathers room, its part of the limit is kept as well: younger work of
                 # its team took it in that time, and the gang began anew for minutes.
-                self.copies.claim_limit(job, spec, wanted)
+                self.buffer.claim_limit(job, spec, wanted)
             if self.gangs.sample(job, spec, state):
                 waiting.later(job.id, state.next_sample)
                 waiting.found(shape, 0, None)
@@ -178,7 +178,7 @@
         most = max(constants.MAX_RESERVATIONS_PER_JOB, spec.tasks if spec.kind == "gang" else 1)
         wanted = 0
         for job_id in self.waiting.lines.first(shape, most):
-            wanted += self.copies.unstarted(self.world.replica.jobs[job_id])
+            wanted += self.buffer.unstarted(self.world.replica.jobs[job_id])
             if wanted >= most:
                 break
         return min(wanted, most)
--- a/oakmux/core/owner/copies.py
+++ b/oakmux/core/owner/write_buffer.py
@@ -35,7 +35,7 @@
     gpus: float
 
 
-class Copies:
+class WriteBuffer:
     """What we changed of the records of our teams' jobs, until the state service has it."""
 
     def __init__(self, world: World) -> None:
--- a/oakmux/core/owner/writer.py
+++ b/oakmux/core/owner/writer.py
@@ -21,7 +21,7 @@
     role_key,
     value_bytes,
 )
-from oakmux.core.owner.copies import Copies
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.pages import ONLY_CHUNK, Page, PageRow, page_key
 from oakmux.core.world import World, event
 
@@ -72,9 +72,9 @@
 class Writer:
     """Writes the working copies of our teams' records."""
 
-    def __init__(self, world: World, copies: Copies) -> None:
+    def __init__(self, world: World, buffer: WriteBuffer) -> None:
         self.world = world
-        self.copies = copies
+        self.buffer = buffer
         # Jobs and pages of transactions without an outcome yet: each is in one at a time.
         self.writing: set[str] = set()
         self.writing_pages: set[str] = set()
@@ -91,8 +91,8 @@
         """Write what is due, many changes to a transaction."""
         if (
             self.world.now < self.write_after
-            or not self.copies.dirty
             or self.in_flight >= constants.WRITES_IN_FLIGHT
+            or not self._something_due()
         ):
             return
         transaction = self._gather()
@@ -100,13 +100,18 @@
             self._send(transaction)
         else:
             for chunk in transaction.sent:
-                self.copies.settled(chunk.job_id, chunk.number)
+                self.buffer.settled(chunk.job_id, chunk.number)
+
+    def _something_due(self) -> bool:
+        """Whether there is anything to write now."""
+        now = self.world.now
+        return bool(self.buffer.finish) or any(at <= now for at in self.buffer.dirty.values())
 
     def _dirty(self) -> list[Dirty]:
         """Return all jobs with something to write, the first due before all others."""
         numbers: dict[str, list[int]] = {}
         due: dict[str, float] = {}
-        for (job_id, number), at in self.copies.dirty.items():
+        for (job_id, number), at in self.buffer.dirty.items():
             numbers.setdefault(job_id, []).append(number)
             due[job_id] = min(at, due.get(job_id, math.inf))
         jobs = self.world.replica.jobs
@@ -134,7 +139,7 @@
             elif name not in found.pages and name not in self.writing_pages:
                 self._add_page(found, name, row.job.team, of_page[name])
         for chunk in found.sent:
-            self.copies.dirty.pop(chunk, None)
+            self.buffer.dirty.pop(chunk, None)
         return found
 
     def _busy(self, found: Transaction, job: Job) -> bool:
@@ -145,7 +150,7 @@
         """Return the page that holds a job's only chunk, if one does."""
         if row.numbers != [ONLY_CHUNK]:
             return None
-        return self.copies.work[row.job.id][ONLY_CHUNK].page
+        return self.buffer.work[row.job.id][ONLY_CHUNK].page
 
     # --- chunks with records of their own ---
 
@@ -156,8 +161,8 @@
             if found.writes:
                 return
             numbers = numbers[: self.world.facts.state.least.txn_ops - 1]
-        form = self.copies.form()
-        work = self.copies.work[job.id]
+        form = self.buffer.form()
+        work = self.buffer.work[job.id]
         values = {number: work[number].to_value(form) for number in numbers}
         numbers = [n for n in numbers if not self._too_large(job.id, n, values[n])]
         numbers = self._within_bytes(found, numbers, values)
@@ -198,11 +203,11 @@
 
     def _finishing(self, job: Job) -> bool:
         """Whether the job's end is to be written with its last chunks."""
-        return job.id in self.copies.finish and not job.final
+        return job.id in self.buffer.finish and not job.final
 
     def _finish(self, part: Transaction, job: Job) -> None:
         """Add that a job is done."""
-        spec = job.spec if self.copies.bindings(job) else None
+        spec = job.spec if self.buffer.bindings(job) else None
         value = job_value("done", job.team, spec, job.order, job.tasks)
         part.writes.append((job_key(job.id), value, None))
         part.bytes += value_bytes(value)
@@ -215,8 +220,8 @@
 
     def _too_large(self, job_id: str, number: int, value: list) -> bool:
         """Whether a record has outgrown the limit; it is written once more of its tasks ended."""
-        limit = self.copies.limit()
-        bound = len(self.copies.work[job_id][number].bound)
+        limit = self.buffer.limit()
+        bound = len(self.buffer.work[job_id][number].bound)
         if bound * constants.BINDING_BYTES <= limit or value_bytes(value) <= limit:
             return False
         self._postpone(chunk_key(job_id, number), value_bytes(value), [(job_id, number)])
@@ -226,21 +231,21 @@
         """Try chunks again later, of a record that has outgrown the limit."""
         if key not in self.outgrown:
             self.outgrown.add(key)
-            limit = self.copies.limit()
+            limit = self.buffer.limit()
             log.error("event=record_too_large key=%s bytes=%s limit=%s", key, size, limit)
         for chunk in chunks:
-            self.copies.dirty[chunk] = self.world.now + constants.RETRY_MOST_S
+            self.buffer.dirty[chunk] = self.world.now + constants.RETRY_MOST_S
 
     # --- chunks in pages ---
 
     def _add_ends(self, found: Transaction) -> None:
         """Add that jobs with rows in pages are done, at once: users wait for it. Their rows go
         with a later write of the page; until then they count as bound, as before the end."""
-        for job_id in self.copies.finish:
+        for job_id in self.buffer.finish:
             if len(found.writes) >= self.most_writes:
                 return
             job = self.world.replica.jobs[job_id]
-            work = self.copies.work.get(job_id, {}).get(ONLY_CHUNK)
+            work = self.buffer.work.get(job_id, {}).get(ONLY_CHUNK)
             if (
                 work is None
                 or work.page is None
@@ -277,7 +282,7 @@
             return
         value = [row.to_value() for row in rows.values()]
         size = value_bytes(value)
-        if size > self.copies.limit():
+        if size > self.buffer.limit():
             self._postpone(page_key(name), size, part.sent)
             return
         if found.writes and (
@@ -295,13 +300,13 @@
 
     def _add_row(self, part: Transaction, rows: dict[str, PageRow], job: Job) -> None:
         """Bring one job's row up to date."""
-        chunk = self.copies.work[job.id][ONLY_CHUNK]
+        chunk = self.buffer.work[job.id][ONLY_CHUNK]
         if chunk.binds_more_than(job.chunks.get(ONLY_CHUNK)):
             part.guards[job_key(job.id)] = job.stamp
         if self._over(job, chunk, finishing=False):
             rows.pop(job.id, None)
         else:
-            rows[job.id] = PageRow(job.id, job.tasks, chunk.to_value(self.copies.form()))
+            rows[job.id] = PageRow(job.id, job.tasks, chunk.to_value(self.buffer.form()))
         part.sent.append(SentChunk(job.id, ONLY_CHUNK))
         part.jobs.add(job.id)
 
@@ -329,12 +334,12 @@
         # Not written, or not known to be: the same again, guarded by the newest stamps. A late
         # twin then fails, since each successful write moves the stamps that guard it.
         for chunk in transaction.sent:
-            if chunk.number in self.copies.work.get(chunk.job_id, ()):
-                self.copies.dirty.setdefault((chunk.job_id, chunk.number), 0.0)
+            if chunk.number in self.buffer.work.get(chunk.job_id, ()):
+                self.buffer.dirty.setdefault((chunk.job_id, chunk.number), 0.0)
         self.write_after = self.world.now + constants.BACKOFF_FIRST_S
         if status == 400:
             # Certainly not written, and never will be as it is: the limits have fallen.
-            self.copies.refused = True
+            self.buffer.refused = True
             self.write_after = self.world.now + constants.BACKOFF_MOST_S
         elif status == 409 and result is not None:
             self._reread(result[1])
@@ -347,11 +352,11 @@
         for key, *rest in transaction.writes:
             self.world.replica.apply(key, rest[0] if rest else None, epoch)
         for job_id in transaction.finishing:
-            self.copies.finish.pop(job_id, None)
+            self.buffer.finish.pop(job_id, None)
             event("job_done", job=job_id)
         for chunk in transaction.sent:
-            if chunk not in self.copies.dirty:
-                self.copies.settled(chunk.job_id, chunk.number)
+            if chunk not in self.buffer.dirty:
+                self.buffer.settled(chunk.job_id, chunk.number)
 
     def _reread(self, keys: Iterable[str]) -> None:
         for key in keys:
--- a/oakmux/core/replica.py
+++ b/oakmux/core/replica.py
@@ -51,7 +51,7 @@
         self.waiters: dict[str, set[str]] = {}
         # Unfinished jobs that need a cancelled one, directly or through others. They can never
         # have started, so that they are cancelled follows from final records alone.
-        self.doomed: dict[str, None] = {}
+        self.cascaded: dict[str, None] = {}
         # Cancelled jobs by the revision that made them so, in its order; older than the floor they
         # were dropped.
         self.cancels: list[tuple[int, str]] = []
@@ -246,12 +246,12 @@
             if other is None or other.state != "done":
                 job.unmet.add(name)
                 self.waiters.setdefault(name, set()).add(job.id)
-                if other is not None and (other.state == "cancelled" or name in self.doomed):
-                    self._doom(job.id)
+                if other is not None and (other.state == "cancelled" or name in self.cascaded):
+                    self._cascade(job.id)
         self._press(job.id, *job.unmet)
 
     def _ended(self, job: Job) -> None:
-        """A job is final: it waits no more, and those that wait on it are ready or doomed."""
+        """A job is final: it waits no more; those that wait on it are ready or cancelled."""
         for name in job.unmet:
             others = self.waiters.get(name, set())
             others.discard(job.id)
@@ -259,10 +259,10 @@
                 self.waiters.pop(name, None)
         self._press(*job.unmet)
         job.unmet = set()
-        self.doomed.pop(job.id, None)
+        self.cascaded.pop(job.id, None)
         if job.state == "cancelled":
             for name in list(self.waiters.get(job.id, ())):
-                self._doom(name)
+                self._cascade(name)
             return
         for name in self.waiters.pop(job.id, ()):
             waiting = self.jobs[name]
@@ -272,13 +272,13 @@
                 self.changed_jobs.add(name)
                 self._index(waiting)
 
-    def _doom(self, job_id: str) -> None:
+    def _cascade(self, job_id: str) -> None:
         """A job needs a cancelled one, and with it all that need this job."""
         stack = [job_id]
         while stack:
             name = stack.pop()
-            if name not in self.doomed and not self.jobs[name].final:
-                self.doomed[name] = None
+            if name not in self.cascaded and not self.jobs[name].final:
+                self.cascaded[name] = None
                 self.changed_jobs.add(name)
                 stack += self.waiters.get(name, ())
 
--- a/oakmux/core/spread/order.py
+++ b/oakmux/core/spread/order.py
@@ -4,7 +4,7 @@
 order. By age alone all miss it: each is served just as its time is over. So an array counts as
 younger by its size, as if each had a small part of the fleet to itself, and what can't meet its
 aim any more goes behind what can. Both would starve large arrays: what has waited for too long
-is owed a share whatever its place (core/keeper/floor.py).
+is owed a share whatever its place (core/keeper/minimum_share.py).
 """
 
 from oakmux import constants
--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -123,7 +123,7 @@
     """The operator's settings for how load is spread."""
 
     openings: bool = False
-    floor_share: float = constants.FLOOR_SHARE
+    minimum_share: float = constants.MINIMUM_SHARE
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -243,12 +243,12 @@
     parser = read_ini(path, {"spread": {"openings", "floor_share"}})
     try:
         openings = parser.getboolean("spread", "openings", fallback=False)
-        share = parser.getfloat("spread", "floor_share", fallback=constants.FLOOR_SHARE)
+        share = parser.getfloat("spread", "floor_share", fallback=constants.MINIMUM_SHARE)
     except ValueError as error:
         raise SettingsError(f"{path}: [spread] {error}") from None
-    if not 0 <= share <= constants.FLOOR_SHARE_MOST:
+    if not 0 <= share <= constants.MINIMUM_SHARE_LIMIT:
         raise SettingsError(
             f"{path}: [spread] floor_share: must be from 0 to "
-            f"{constants.FLOOR_SHARE_MOST}, not {share}"
+            f"{constants.MINIMUM_SHARE_LIMIT}, not {share}"
         )
     return Spread(openings, share)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1151,7 +1151,7 @@
     """Let a controller behave as the first version does where records are concerned: it neither
     says what it can read nor takes note of the format."""
     core.membership._version = lambda: None  # type: ignore[method-assign]
-    core.owner.copies.least_bytes = value_limit(core.world.facts.state)
+    core.owner.buffer.least_bytes = value_limit(core.world.facts.state)
     replica, apply = core.world.replica, core.world.replica.apply
 
     def old_apply(key: str, value: Any, stamp: int) -> None:
@@ -1175,7 +1175,7 @@
         used[job.team] = used.get(job.team, 0.0) + bound
         ending[job.team] = ending.get(job.team, 0.0) + (0.0 if job.service else bound)
         mine[job.team] = mine.get(job.team, 0.0) + job.takes[1] * len(
-            core.owner.copies.bindings(job)
+            core.owner.buffer.bindings(job)
         )
     for team in world.teams:
         assert replica.used.get(team, (0, 0))[1] == pytest.approx(used.get(team, 0)), team
@@ -1183,7 +1183,7 @@
             ending.get(team, 0)
         ), team
         if team in world.my_roles:
-            assert core.owner.copies.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
+            assert core.owner.buffer.team_use(team)[1] == pytest.approx(mine.get(team, 0)), team
 
 
 def check_index(core: Controller) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,9 +3,9 @@
 import random
 
 import pytest
+from oakmux.core.owner.buffer import Copies
 
 from oakmux.core.jobs import Binding, Chunk, Job
-from oakmux.core.owner.copies import Copies
 from oakmux.core.spread import order
 from oakmux.core.spread.lines import Lines
 from oakmux.core.spread.openings import Openings
@@ -110,7 +110,7 @@
         "core.spread.order",
         "core.keeper.queue",
         "core.spread.lines",
-        "core.owner.copies",
+        "core.owner.buffer",
         "core.owner.gangs",
     ):
         monkeypatch.setattr(f"oakmux.{module}.elder", lambda world, job: False)
--- a/tests/test_meetings_later.py
+++ b/tests/test_meetings_later.py
@@ -196,10 +196,10 @@
     core, other = sim.cores[owner], next(la for la in sim.labels if la != owner)
     core.owner.writer.write_after = sim.now + 1000.0
     sim.submit("job-1", spec("array", 1, estimate_s=300.0))
-    while not core.owner.copies.work.get("job-1"):
+    while not core.owner.buffer.work.get("job-1"):
         sim.run(0.2)
     sim.stuck = {owner}
-    [binding] = core.owner.copies.work["job-1"][0].bound.values()
+    [binding] = core.owner.buffer.work["job-1"][0].bound.values()
     theirs = binding._replace(attempt=5, session=binding.session + 1)
     chunk = Chunk(0, 5, 0, {0: theirs})
     state = sim.state
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -100,7 +100,7 @@
     sim.submit("job-99", spec("array", constants.PAGE_TASKS, gpus=0.0, cpus=0.1, memory_gb=0.1))
     sim.submit("job-100", spec("array", constants.PAGE_TASKS + 1, gpus=0.0, cpus=0.1))
     sim.run(15)
-    least = sim.cores["h0"].owner.copies.least_bytes
+    least = sim.cores["h0"].owner.buffer.least_bytes
     found = sim.cores["h0"].world.replica.pages
     assert len(found) > 1
     for page in found.values():
@@ -127,13 +127,13 @@
     sim = Sim(1)
     sim.coming = None
     sim.run(12)
-    copies = sim.cores[owner(sim, "red")].owner.copies
-    assert reserved_bytes(constants.PAGE_TASKS) <= copies.pages.limit
-    first = copies.pages.choose("red", "job-1", constants.PAGE_TASKS)
-    others = {copies.pages.choose("red", f"job-{n}", constants.PAGE_TASKS) for n in range(2, 6)}
+    buffer = sim.cores[owner(sim, "red")].owner.buffer
+    assert reserved_bytes(constants.PAGE_TASKS) <= buffer.pages.limit
+    first = buffer.pages.choose("red", "job-1", constants.PAGE_TASKS)
+    others = {buffer.pages.choose("red", f"job-{n}", constants.PAGE_TASKS) for n in range(2, 6)}
     assert first == "red/0" and len(others) > 1
-    copies.pages.release("job-1")
-    assert copies.pages.choose("red", "job-9", 1) == "red/0"
+    buffer.pages.release("job-1")
+    assert buffer.pages.choose("red", "job-9", 1) == "red/0"
 
 
 # --- what a reader makes of pages ---
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,7 +8,7 @@
 
 from oakmux import constants
 from oakmux.core.jobs import Job
-from oakmux.core.keeper.floor import Floor
+from oakmux.core.keeper.minimum_share import MinimumShare
 from oakmux.core.spread.lines import Lines
 from oakmux.core.spread.order import turn_ms
 from oakmux.core.spread.waiting import Waiting
@@ -156,18 +156,18 @@
 @given(st.lists(st.tuples(st.sampled_from([1.0, 2.0, 4.0]), st.booleans()), max_size=300))
 def test_aged_work_gets_its_share_and_no_more(offers):
     world = World(settings_for("h0"), random.Random(1), 0)
-    floor = Floor(world)
+    minimum = MinimumShare(world)
     old = Job("job-1", "red", "queued", 1, spec(priority=0, gpus=1.0), 0, 1)
     old.since = -1000 * (constants.AGED_S + 1)
     by_age = by_rank = 0.0
     for gpus, waiting in offers:
-        if waiting and floor.oldest(TYPE, (8.0, 4.0, 64.0), [old]) is old:
-            floor.gave(old.spec, TYPE, True)
+        if waiting and minimum.oldest(TYPE, (8.0, 4.0, 64.0), [old]) is old:
+            minimum.gave(old.spec, TYPE, True)
             by_age += 0.25
         other = spec(gpus=gpus, priority=3)
-        floor.gave(other, TYPE, False)
+        minimum.gave(other, TYPE, False)
         by_rank += gpus / 4
-    share = constants.FLOOR_SHARE / (1 - constants.FLOOR_SHARE)
+    share = constants.MINIMUM_SHARE / (1 - constants.MINIMUM_SHARE)
     assert by_age <= share * by_rank + 1e-9
     if all(waiting for _, waiting in offers):
         assert by_age >= share * by_rank - 0.25 - share
@@ -213,7 +213,7 @@
     return {task for task in sim.completed if task.startswith(job_id + "/")}
 
 
-def test_without_the_floor_the_flood_keeps_it_out(monkeypatch):
+def test_without_the_minimum_share_the_flood_keeps_it_out(monkeypatch):
     monkeypatch.setattr(constants, "AGED_S", 1e9)
     sim = flooded(2)
     sim.run(70)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -314,14 +314,14 @@
     sim = Sim(1, coming=COMING)
     sim.run(12)
     core = sim.cores["h0"]
-    assert core.owner.copies.per_chunk == 64
+    assert core.owner.buffer.per_chunk == 64
     page = settings_for("h0")
     limits = msgspec.structs.replace(page.facts.state, value_kb=2.0)  # the new limits, one day
     facts = msgspec.structs.replace(page.facts, state=limits)
     later = Controller(msgspec.structs.replace(page, facts=facts), random.Random(1), 0)
-    assert later.owner.copies.per_chunk == 18
+    assert later.owner.buffer.per_chunk == 18
     later.step(0.0, [("snapshot", [(FORMAT_KEY, [2, 64], 3)], 3, 0.0)])
-    assert later.owner.copies.per_chunk == 64
+    assert later.owner.buffer.per_chunk == 64
 
 
 def test_records_of_a_later_version_are_one_line_in_the_log_and_nothing_is_served(caplog):
