--- a/tools/capacity/page.py
+++ b/tools/capacity/page.py
@@ -9,6 +9,8 @@
 BEGIN = "<!-- begin: python -m tools.capacity page -->"
 END = "<!-- end -->"
 EXTRAPOLATED = " *"
+# A wall nearer than this multiple of the size is not one of growth: it stands at any size.
+ANY_SIZE = 1e-3
 
 
 class PageError(Exception):
@@ -80,7 +82,7 @@
         f"### {role}",
         "",
         "| " + " | ".join(head) + " |",
-        "| " + "--- | " * len(head),
+        "|" + " --- |" * len(head),
         *(row_text(row, size, fits) for row in ROWS if row.role == role),
         "",
     ]
@@ -99,10 +101,16 @@
     for at, row in found:
         limit = row.limit(size, fits)
         assert limit is not None
-        lines.append(
-            f"| {number(at)} | {row.role} | {row.quantity} | {number(limit)} {row.unit} | "
-            f"{row.mechanism} | *{row.status}* |"
+        where = number(at) if at > ANY_SIZE else "any"
+        cells = (
+            where,
+            row.role,
+            row.quantity,
+            f"{number(limit)} {row.unit}",
+            row.mechanism,
+            f"*{row.status}*",
         )
+        lines.append("| " + " | ".join(cells) + " |")
     return [*lines, ""]
 
 
