Room that a job asked for counts as taken for its owner's other jobs

Cause: all jobs that are sampled in a tick draw the fullest machines, so they ask for the same few, get one offer each at best, and ask again 0.4 s later: one controller started 48 one-task jobs alike a second, however many came and however much room there was. Change: what a job asked for is a claim until the records show its binding there, or it may ask elsewhere (0.4 s); draws leave it to that job, as gangs' claims always did among gangs.

--- a/oakmux/core/owner/sampling.py
+++ b/oakmux/core/owner/sampling.py
@@ -9,6 +9,7 @@
 from oakmux.core.jobs import Job
 from oakmux.core.keeper.room import Room, times
 from oakmux.core.owner.binding import Binder
+from oakmux.core.owner.claims import RoomClaims
 from oakmux.core.owner.gangs import Gangs
 from oakmux.core.owner.places import best, make_room, reserve, worth_s, zone_allowed
 from oakmux.core.owner.state import Open
@@ -39,6 +40,7 @@
         self.binder = binder
         self.gangs = gangs
         self.waiting = waiting
+        self.claims = RoomClaims(world)
         self.used: dict[str, tuple[float, float]] = {}
 
     def sample(self) -> None:
@@ -164,14 +166,17 @@
         else:
             self._none_found(job, state, shape, zones_left)
 
-    def _left(self, job: Job, spec: JobSpec) -> Callable[[Machine, Room], Room] | None:
-        """Return what takes off room that an opening keeps from a job, if any is known."""
+    def _left(self, job: Job, spec: JobSpec) -> Callable[[Machine, Room], Room]:
+        """Return what takes off room that an opening keeps from a job, or that other jobs of ours
+        have asked for."""
         openings = self.world.openings
-        if not openings.by_machine:
-            return None
-        return lambda machine, free: (
-            (0.0, 0.0, 0.0) if openings.bars(machine.name, job, spec) else free
-        )
+
+        def left(machine: Machine, free: Room) -> Room:
+            if openings.by_machine and openings.bars(machine.name, job, spec):
+                return 0.0, 0.0, 0.0
+            return self.claims.left(job.id, machine, free)
+
+        return left
 
     def _wanted(self, shape: Shape, spec: JobSpec) -> int:
         """Count what the first jobs of a line have to start."""
@@ -260,7 +265,9 @@
                 world, job, {**{m.name: 1 for m in queued}, **best(world, job, spec, there, count)}
             )
         else:
-            reserve(world, job, best(world, job, spec, rows, count))
+            chosen = best(world, job, spec, rows, count)
+            self.claims.ask(job.id, spec, chosen, wanted)
+            reserve(world, job, chosen)
 
     def _patient(self, spec: JobSpec, state: Open, machine: Machine) -> bool:
         """Whether to wait at machines that hold the image rather than fetch it: for a part of the
--- a/tools/capacity/table.py
+++ b/tools/capacity/table.py
@@ -283,7 +283,7 @@
         "starts a second × the hot team's share; budget: the most of `alike_starts`",
         None,
         "room that was asked for counts as taken for the owner's other jobs",
-        MISSING,
+        BUILT,
         "alike_starts",
     ),
     # --- fleet ---
