--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,9 +3,9 @@
 import random
 
 import pytest
-from oakmux.core.owner.buffer import Copies
 
 from oakmux.core.jobs import Binding, Chunk, Job
+from oakmux.core.owner.write_buffer import WriteBuffer
 from oakmux.core.spread import order
 from oakmux.core.spread.lines import Lines
 from oakmux.core.spread.openings import Openings
@@ -110,7 +110,7 @@
         "core.spread.order",
         "core.keeper.queue",
         "core.spread.lines",
-        "core.owner.buffer",
+        "core.owner.write_buffer",
         "core.owner.gangs",
     ):
         monkeypatch.setattr(f"oakmux.{module}.elder", lambda world, job: False)
@@ -174,11 +174,11 @@
 
 def test_an_elder_gang_keeps_its_part_of_the_limit_while_it_gathers():
     world, jobs = waiting(gang=(70.0, dict(kind="gang", tasks=8)), young=(10.0, {}))
-    copies = Copies(world)
-    assert not copies.beyond_limit(jobs["young"], jobs["young"].spec)
-    copies.claim_limit(jobs["gang"], jobs["gang"].spec, 8)  # nothing of the team runs
-    assert copies.beyond_limit(jobs["young"], jobs["young"].spec)
-    assert not copies.beyond_limit(jobs["gang"], jobs["gang"].spec, 8)
+    buffer = WriteBuffer(world)
+    assert not buffer.beyond_limit(jobs["young"], jobs["young"].spec)
+    buffer.claim_limit(jobs["gang"], jobs["gang"].spec, 8)  # nothing of the team runs
+    assert buffer.beyond_limit(jobs["young"], jobs["young"].spec)
+    assert not buffer.beyond_limit(jobs["gang"], jobs["gang"].spec, 8)
 
 
 def test_what_is_older_but_has_begun_lets_an_elder_begin():
