What binds or ends a job in a page is asked for its guards; guards taken out one by one

Need: taken out, the job's stamp of a binding and the stamps of an end failed no story. Change: the story of repeated writes checks them on every transaction that it saw.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -176,6 +176,25 @@
 # --- rules: one binder, durable before it is told, cancellation or binding ---
 
 
+def check_jobs_are_guarded(sent: list) -> None:
+    """A cancellation and a binding can't both win, nor an end of an owner that was replaced: what
+    binds tasks of a job, or ends it, is guarded by the job, the end by its team's role too."""
+    bound: set[tuple] = set()
+    ends = 0
+    for _, guards, writes, _ in sent:
+        guarded = {key for key, _ in guards}
+        for key, value, _ in [write for write in writes if len(write) == 3]:
+            if key.startswith("ox/p/"):
+                for found in value:
+                    binding = (found[0], str(found[5]))
+                    assert not found[5] or binding in bound or job_key(found[0]) in guarded
+                    bound.add(binding)
+            elif key.startswith("ox/j/") and value[0] == "done":
+                ends += 1
+                assert key in guarded and f"ox/own/{value[1]}" in guarded
+    assert bound and ends
+
+
 @pytest.mark.parametrize("count", [3, 7])
 def test_each_write_of_pages_is_guarded_and_changes_nothing_when_it_comes_again(count):
     sim = Twins(3, count)
@@ -195,6 +214,7 @@
         for key, value, _ in [write for write in writes if write[0].startswith("ox/p/")]:
             assert key in guarded and f"ox/own/{key.split('/')[2]}" in guarded
             assert value_bytes(value) <= constants.PAGE_BYTES
+    check_jobs_are_guarded(sim.sent)
     for core in sim.cores.values():  # nobody writes any more, but all that was sent comes again
         core.step = lambda now, commands: []  # type: ignore[method-assign]
     before = {key: row[:2] for key, row in sim.state.rows.items()}
