A child of the scale run that starts as the run is killed ends as well

Cause: a child asks the kernel to end it with its parent; where that had ended just before, it lived on (one stand-in was found so after a run that was killed as it started). Change: the child looks whether its parent is still there once it has asked. Result: the 18 tests of the scale run pass; the race itself has no test.

--- a/tools/scale/processes.py
+++ b/tools/scale/processes.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tomllib
+from functools import partial
 from pathlib import Path
 from typing import IO, NamedTuple
 
@@ -28,9 +29,12 @@
     sockets: int
 
 
-def end_with_parent() -> None:
-    """Run in the child before it becomes the program: it ends when the run does."""
+def end_with_parent(parent: int) -> None:
+    """Run in the child before it becomes the program: it ends when the run does, also if that
+    ended before the kernel was asked to see to it."""
     LIBC.prctl(PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != parent:
+        os._exit(1)
 
 
 def environment() -> dict[str, str]:
@@ -74,7 +78,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=errors,
                 stderr=errors,
-                preexec_fn=end_with_parent,
+                preexec_fn=partial(end_with_parent, os.getpid()),
             )
 
     @property
