--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,6 +12,7 @@
 import pytest
 from click.testing import CliRunner
 
+from oakmux.wire import decode
 from tools.scale import __main__ as scale
 from tools.scale.config import ConfigError, RunConfig, Service, load_config
 from tools.scale.gangs import GangEvent, GangHub
@@ -170,7 +171,7 @@
     assert refused.value.status == 404
     events = store.events_since("a/", 0)
     assert events is not None and len(events) == 2
-    assert scale_decode(watch_body(store.epoch, events))["events"][1] == {
+    assert decode(watch_body(store.epoch, events))["events"][1] == {
         "delete": "a/1",
         "stamp": 2,
     }
@@ -180,13 +181,6 @@
     assert refused.value.status == 429
 
 
-def scale_decode(body: bytes) -> dict:
-    """Decode an answer of the store."""
-    from oakmux.wire import decode
-
-    return decode(body)
-
-
 def test_ids_describe_their_jobs():
     for kind in Kind:
         made = Job(kind, 40, 512, 16.3, 999_999)
--- a/tools/capacity/measurements.py
+++ b/tools/capacity/measurements.py
@@ -203,25 +203,32 @@
     return cost.waiting(430, int(jobs), 20, SEED).get_mean_value() / 1000
 
 
-def gang_ms(tasks: float) -> float:
-    """Processor time from a gang's submission until all of its tasks are bound."""
-    cell = Cell(int(tasks), run_s=1000.0)
+class GangPlacing(NamedTuple):
+    """What it takes to place a gang: processor time in milliseconds, changes of chunks."""
+
+    spent_ms: float
+    changes: int
+
+
+def place_gang(tasks: int) -> GangPlacing:
+    """Submit a gang with a worker for each task, and wait until all tasks run."""
+    cell = Cell(tasks, run_s=1000.0)
     cell.run(5.0)
-    before = cell.spent_s
-    cell.submit(cpu_job("team-0", int(tasks), 60.0, "gang"))
+    spent_s, changes = cell.spent_s, cell.changes["t"]
+    cell.submit(cpu_job("team-0", tasks, 60.0, "gang"))
     cell.run(4.0)
     assert cell.starts == tasks, f"{cell.starts} of {tasks} tasks began"
-    return (cell.spent_s - before) * 1000
+    return GangPlacing((cell.spent_s - spent_s) * 1000, cell.changes["t"] - changes)
 
 
-def gang_conditions(tasks: float) -> float:
+def gang_ms(tasks: float) -> float:
+    """Processor time from a gang's submission until all of its tasks are bound."""
+    return place_gang(int(tasks)).spent_ms
+
+
+def gang_changes(tasks: float) -> float:
     """Changes of the records that bind a gang: one for each chunk of its tasks."""
-    cell = Cell(int(tasks), run_s=1000.0)
-    cell.run(5.0)
-    before = cell.changes["t"]
-    cell.submit(cpu_job("team-0", int(tasks), 60.0, "gang"))
-    cell.run(4.0)
-    return cell.changes["t"] - before
+    return place_gang(int(tasks)).changes
 
 
 class Load(NamedTuple):
@@ -568,7 +575,7 @@
         "changes",
         "a worker for each task",
         (64, 128, 256, 512),
-        gang_conditions,
+        gang_changes,
         1,
     ),
     Measurement(
--- a/tools/scale/hollow.py
+++ b/tools/scale/hollow.py
@@ -119,6 +119,7 @@
         self.reporters: dict[str, Reporter] = {}
         self.servers: dict[str, asyncio.Server] = {}
         self.running: dict[str, asyncio.Task] = {}
+        self.changing: set[asyncio.Task] = set()
         self.events = EventLog(plan.folder, f"hollow-{index}")
         self.gang_events: list[GangEvent] = []
         self.counts: Counter[str] = Counter()
@@ -171,13 +172,9 @@
 
     def control(self, request: Request) -> None:
         """Take an order of the cloud."""
-        self.spawn(request)
-
-    def spawn(self, request: Request) -> None:
-        """Add and remove machines, then answer."""
         task = self.loop.create_task(self.change_machines(request))
-        self.running[f"control {id(request)}"] = task
-        task.add_done_callback(lambda _: self.running.pop(f"control {id(request)}", None))
+        self.changing.add(task)
+        task.add_done_callback(self.changing.discard)
 
     async def change_machines(self, request: Request) -> None:
         """Add and remove machines; what is removed is gone before the answer."""
@@ -239,7 +236,7 @@
         if verb == "on":
             self.counts["starts"] += 1
         task = worker.tasks.get(key)
-        if task is None or task.job.tasks < 2 or task.job.kind.name != "GANG":
+        if task is None or not task.job.joint:
             return
         index = int(key.task.partition("/")[2])
         if verb == "on":
--- a/tools/scale/jobs.py
+++ b/tools/scale/jobs.py
@@ -28,6 +28,11 @@
     run_s: float
     serial: int
 
+    @property
+    def joint(self) -> bool:
+        """Whether its tasks run together or not at all."""
+        return self.kind == Kind.GANG and self.tasks > 1
+
     @property
     def id(self) -> str:
         """The id under which it is submitted."""
--- a/tools/scale/worker.py
+++ b/tools/scale/worker.py
@@ -91,7 +91,7 @@
     def _image_is_there(self, key: TaskKey, task: Task, now: float) -> None:
         self.images.add(f"image-{task.job.team % 8}")
         self.dirty = True
-        if task.job.kind == Kind.GANG and task.job.tasks > 1:
+        if task.job.joint:
             task.state, task.until = "waiting", now + self.config.times.gang_wait_s
         else:
             lasts_s = math.inf if task.job.kind == Kind.SERVICE else task.job.run_s
