Log the commands sent to workers, their outcome, and counts of heartbeats and commands

Cause: after the incident nobody could tell from the log that a start was sent, by which way and under which token, nor that an attempt was forgotten: the log said that a task was bound, ran and ended, and nothing of the commands in between.

Change: `worker_commands` names each request or answer with commands, the term it is given under and what it rests on (the heartbeat's agent epoch, sequence and shown term; the records' revision and age); `worker_commands_done` the outcome of a direct request and what the worker showed; `worker_traffic` counts heartbeats by answer and commands by kind, way and outcome every 10 s. `task_stop` says why, orphans included; `role_acquired` and `worker_registered` say under which term. Commands are typed inside the agent manager and take the wire's form where they leave.

Cost: a line for each request with commands (20 attempts of a kind at most) and one for each direct outcome, two short lines more a start where four stood; one line a controller every 10 s.

--- a/oakmux/constants/agents.py
+++ b/oakmux/constants/agents.py
@@ -32,3 +32,8 @@
 # Latest cancellations sent to a peer of an earlier version (count), whose requests do not contain
 # the revision that it knows.
 CANCELLATIONS_SENT_UNASKED = 100
+
+# Tasks named in one log event about commands to a worker (count); the others are counted.
+LOG_TASKS = 20
+# Seconds between two log events that count heartbeats and commands.
+WORKER_TRAFFIC_LOG_S = 10.0
--- a/oakmux/core/agents/heartbeats.py
+++ b/oakmux/core/agents/heartbeats.py
@@ -6,6 +6,8 @@
 from oakmux import constants
 from oakmux.core import messages
 from oakmux.core.agents.cancellation_log import CancellationLog
+from oakmux.core.agents.command_batch import CommandBatch, CommandKind
+from oakmux.core.agents.command_log import ANSWER, CommandLog
 from oakmux.core.agents.reachability import assess_heartbeat, assess_new_machine
 from oakmux.core.agents.reservation_queue import ReservationQueue
 from oakmux.core.agents.tracked_workers import TrackedWorker, WorkerTable
@@ -41,6 +43,7 @@
         leadership: Leadership,
         commands: WorkerCommands,
         queue: ReservationQueue,
+        log: CommandLog,
     ) -> None:
         self.context = context
         self.workers = workers
@@ -48,6 +51,7 @@
         self.leadership = leadership
         self.commands = commands
         self.queue = queue
+        self.log = log
 
     def receive(self, command: messages.ReceiveHeartbeat) -> None:
         """Apply a worker's heartbeat and answer it, or refuse it."""
@@ -65,6 +69,7 @@
         machine = self.accept_heartbeat(tracked, heartbeat)
         peer = self._peer_with_store()
         if peer is not None:
+            self.log.heartbeat("redirected")
             context.answer(request, 421, ("report_to", peer))
         elif self.commands.late_start_possible(tracked, machine):
             self._unavailable(request, "a cancelled start is on its way")
@@ -93,6 +98,7 @@
         return None
 
     def _unavailable(self, request: Any, reason: str) -> None:
+        self.log.heartbeat("refused_" + reason.replace(" ", "_"))
         self.context.answer(request, 503, ("error", reason))
 
     def _peer_with_store(self) -> str | None:
@@ -113,19 +119,28 @@
             self._unavailable(request, "no term yet")
             return
         # An answer under the worker's own token renews its lease but starts no task.
-        stops = self.commands.stop_cancelled(tracked, machine, set())
-        self.context.answer(request, 200, ("orders", heartbeat.fencing_token, stops))
+        batch = CommandBatch()
+        self.commands.stop_cancelled(tracked, machine, set(), batch)
+        self._answer(request, machine, heartbeat.fencing_token, batch)
 
     def _answer_commands(self, request: Any, tracked: TrackedWorker, machine: Machine) -> None:
         """Answer with the commands for a worker, and offer its machine's free resources."""
         context = self.context
-        commands, starts = self.commands.commands(tracked, machine, end_unbound=True)
+        batch = self.commands.commands(tracked, machine, end_unbound=True)
+        starts = batch.tasks(CommandKind.START)
         tracked.answered_starts.update(starts)
-        context.answer(request, 200, ("orders", context.term, commands))
+        self._answer(request, machine, context.term, batch)
         if starts:
             context.changed_workers.add(machine.name)
         self.queue.offer(machine.name)
 
+    def _answer(self, request: Any, machine: Machine, term: int, batch: CommandBatch) -> None:
+        """Answer 200, which renews the worker's lease, with commands under a term."""
+        own = term >= self.context.term > 0
+        self.log.heartbeat("own_term" if own else "other_term")
+        self.log.sent(machine, ANSWER, term, batch)
+        self.context.answer(request, 200, ("orders", term, batch.bodies()))
+
     def accept_heartbeat(self, tracked: TrackedWorker, heartbeat: Heartbeat) -> Machine:
         """Apply a heartbeat newer than the last, and drop start commands that it resolves."""
         context = self.context
@@ -193,6 +208,8 @@
             machine=machine.name,
             manager=manager,
             agent_epoch=machine.agent_epoch,
+            shown_term=machine.fencing_token,
+            manager_term=manager_term,
         )
     machine.manager, machine.manager_term = manager, manager_term
     if changed:
--- a/oakmux/core/agents/manager.py
+++ b/oakmux/core/agents/manager.py
@@ -2,6 +2,7 @@
 
 from oakmux import constants
 from oakmux.core.agents.cancellation_log import CancellationLog
+from oakmux.core.agents.command_log import CommandLog
 from oakmux.core.agents.heartbeats import HeartbeatHandler
 from oakmux.core.agents.reservation_queue import ReservationQueue
 from oakmux.core.agents.tracked_workers import WorkerTable
@@ -18,9 +19,18 @@
         self.workers = WorkerTable()
         self.cancellations = CancellationLog(context, self.workers)
         self.queue = ReservationQueue(context, self.workers, self.cancellations)
-        self.commands = WorkerCommands(context, self.workers, self.cancellations, leadership)
+        self.log = CommandLog(context)
+        self.commands = WorkerCommands(
+            context, self.workers, self.cancellations, leadership, self.log
+        )
         self.heartbeats = HeartbeatHandler(
-            context, self.workers, self.cancellations, leadership, self.commands, self.queue
+            context,
+            self.workers,
+            self.cancellations,
+            leadership,
+            self.commands,
+            self.queue,
+            self.log,
         )
         self.commands.accept_heartbeat = self.heartbeats.accept_heartbeat
         self.next_delayed_check_at = 0.0
@@ -38,3 +48,4 @@
         for name in to_reconcile:
             self.commands.reconcile(name)
             self.queue.offer(name)
+        self.log.tick()
--- a/oakmux/core/agents/worker_commands.py
+++ b/oakmux/core/agents/worker_commands.py
@@ -1,12 +1,12 @@
 """Reconciliation: commands that make a worker's tasks match the records."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
 
 from oakmux import constants
-from oakmux.codec.workers import command_body
 from oakmux.core import messages
 from oakmux.core.agents.cancellation_log import CancellationLog
+from oakmux.core.agents.command_batch import CommandBatch, CommandKind
+from oakmux.core.agents.command_log import DIRECT, CommandLog
 from oakmux.core.agents.tracked_workers import TrackedWorker, WorkerTable
 from oakmux.core.context import Context
 from oakmux.core.leadership.leadership import Leadership
@@ -18,13 +18,6 @@
 from oakmux.task_status import EXITED, FETCHING, RUNNING, SAVING, STARTING
 
 
-class CommandBatch(NamedTuple):
-    """Commands for one worker, and the tasks that they start."""
-
-    commands: list[dict[str, Any]]
-    starts: list[Task]
-
-
 class WorkerCommands:
     """Sends commands to workers, in answers to heartbeats and in direct requests."""
 
@@ -34,11 +27,13 @@
         workers: WorkerTable,
         cancellations: CancellationLog,
         leadership: Leadership,
+        log: CommandLog,
     ) -> None:
         self.context = context
         self.workers = workers
         self.cancellations = cancellations
         self.leadership = leadership
+        self.log = log
         # Applies a heartbeat that answers direct commands; set by the agent manager.
         self.accept_heartbeat: Callable[[TrackedWorker, Heartbeat], Machine]
         # Machines where a start is delayed until other tasks of the gang have their image.
@@ -55,7 +50,7 @@
             end_unbound: whether to end tasks without a binding as well.
         """
         replica = self.context.replica
-        batch = CommandBatch([], [])
+        batch = CommandBatch()
         bound_tasks: set[Task] = set()
         for (job_id, index), binding in replica.bindings.by_machine.get(machine.name, {}).items():
             task = (f"{job_id}/{index}", binding.attempt)
@@ -71,11 +66,11 @@
             if self._must_checkpoint(machine, job, status[0]):
                 tracked.stops.setdefault(task, self.context.now)
             if status[0] != EXITED and (ended or binding.stop or task in tracked.stops):
-                self._stop(tracked, machine, batch.commands, task, status[0], job, ended)
-        batch.commands.extend(self.stop_cancelled(tracked, machine, bound_tasks))
+                self._stop(tracked, machine, batch, task, status[0], job, ended)
+        self.stop_cancelled(tracked, machine, bound_tasks, batch)
         self._drop_outdated(tracked, machine, bound_tasks)
         if end_unbound:
-            self._end_unbound(tracked, machine, batch.commands, bound_tasks)
+            self._end_unbound(tracked, machine, batch, bound_tasks)
         return batch
 
     def _start_or_refuse(
@@ -105,8 +100,7 @@
         elif self._waits_for_gang_images(tracked, machine, job, binding, task):
             self.machines_with_delayed_starts.add(machine.name)
         elif task not in tracked.refused_starts and self.cancellations.store_fresh():
-            batch.commands.append(command_body("start", *task))
-            batch.starts.append(task)
+            batch.start(task)
 
     def _drop_outdated(
         self, tracked: TrackedWorker, machine: Machine, bound_tasks: set[Task]
@@ -120,9 +114,13 @@
             del tracked.stops[task]
 
     def stop_cancelled(
-        self, tracked: TrackedWorker, machine: Machine, excluded: set[Task]
-    ) -> list[dict[str, Any]]:
-        """Return stops for a machine's tasks of cancelled jobs (rule `ran_cancelled`).
+        self,
+        tracked: TrackedWorker,
+        machine: Machine,
+        excluded: set[Task],
+        batch: CommandBatch,
+    ) -> None:
+        """Stop a machine's tasks of cancelled jobs (rule `ran_cancelled`).
 
         Tasks in `excluded` are left out. Local records may lack the bindings of the others: they
         were made after the store refused this controller, and the worker was handed over to it
@@ -130,7 +128,6 @@
         a store outage this controller can't raise its own, and yet renews the worker's lease.
         Stopping a cancelled task is harmless even if another controller commands the worker too.
         """
-        commands: list[dict[str, Any]] = []
         for task, state in machine.tasks.items():
             job_id = task[0].partition("/")[0]
             if (
@@ -138,8 +135,7 @@
                 and state[0] != EXITED
                 and self.cancellations.is_cancelled(job_id)
             ):
-                self._stop(tracked, machine, commands, task, state[0], None, True)
-        return commands
+                self._stop(tracked, machine, batch, task, state[0], None, True)
 
     def late_start_possible(self, tracked: TrackedWorker, machine: Machine) -> bool:
         """Whether a start of a cancelled job may take effect after the job must have ended.
@@ -234,7 +230,7 @@
         self,
         tracked: TrackedWorker,
         machine: Machine,
-        commands: list[dict[str, Any]],
+        batch: CommandBatch,
         task: Task,
         state: str,
         job: Job | None,
@@ -244,15 +240,22 @@
         grace = 0.0 if ended or job is None or job.spec is None else job.spec.save_s
         if state == SAVING and not ended:
             return
-        commands.append(command_body("stop", task[0], task[1], grace))
+        batch.stop(task, grace)
         tracked.stops.setdefault(task, self.context.now)
-        event("task_stop", task=task[0], attempt=task[1], machine=machine.name, grace=grace)
+        event(
+            "task_stop",
+            task=task[0],
+            attempt=task[1],
+            machine=machine.name,
+            grace=grace,
+            why="job_ended" if ended else "requested",
+        )
 
     def _end_unbound(
         self,
         tracked: TrackedWorker,
         machine: Machine,
-        commands: list[dict[str, Any]],
+        batch: CommandBatch,
         bound_tasks: set[Task],
     ) -> None:
         """Send `forget` for exited tasks without a binding, and `stop` for the others."""
@@ -272,9 +275,17 @@
                     context.now - since >= constants.PEER_HEARTBEAT_S
                     and task not in tracked.unresolved_starts
                 ):
-                    commands.append(command_body("forget", *task))
+                    batch.forget(task)
             elif context.now - since >= constants.ORPHAN_GRACE_S:
-                commands.append(command_body("stop", task[0], task[1], 0.0))
+                batch.stop(task, 0.0)
+                event(
+                    "task_stop",
+                    task=task[0],
+                    attempt=task[1],
+                    machine=machine.name,
+                    grace=0.0,
+                    why="unbound",
+                )
 
     def reconcile(self, name: str) -> None:
         """Send a direct request with the starts and stops that a worker needs, if any."""
@@ -292,10 +303,12 @@
             or context.now - machine.last_heartbeat_at > context.facts.workers.lease_s
         ):
             return
-        commands, starts = self.commands(tracked, machine, end_unbound=False)
-        if not commands:
+        batch = self.commands(tracked, machine, end_unbound=False)
+        if not batch:
             return
         term = context.term
+        starts = batch.tasks(CommandKind.START)
+        self.log.sent(machine, DIRECT, term, batch)
         for task in starts:
             tracked.unresolved_starts[task] = term
         context.changed_workers.add(name)
@@ -308,13 +321,19 @@
             machine.addr,
             term,
             machine.agent_epoch,
-            commands,
+            batch.bodies(),
         )
 
     def _commands_answered(
-        self, name: str, starts: list[Task], term: int, outcome: str, heartbeat: Heartbeat | None
+        self,
+        name: str,
+        starts: list[Task],
+        term: int,
+        outcome: CommandOutcome,
+        heartbeat: Heartbeat | None,
     ) -> None:
         context = self.context
+        self.log.answered(name, term, outcome, heartbeat)
         tracked = self.workers.tracked.setdefault(name, TrackedWorker())
         tracked.command_in_flight = False
         if outcome == CommandOutcome.LOST:
--- a/oakmux/core/leadership/roles.py
+++ b/oakmux/core/leadership/roles.py
@@ -106,7 +106,13 @@
         self.claiming.discard(role)
         if status == 200:
             self.context.replica.apply(role_key(role), value, result[0])
-            event("role_acquired", role=role, revision=result[0])
+            event(
+                "role_acquired",
+                role=role,
+                revision=result[0],
+                incarnation=self.context.incarnation,
+                term=self.context.term,
+            )
         elif status == 400:
             self.lease.on_lost("no_such_lease")
 
