--- a/tests/fakes/checks.py
+++ b/tests/fakes/checks.py
@@ -22,6 +22,9 @@
         self.cancel_requested: set[str] = set()
         self.starts = 0
         self.start_log: list[tuple[float, str, int, str]] = []
+        # Attempts started so far, by machine and agent epoch, and those that started again.
+        self.started_attempts: set[tuple[str, int, str, int]] = set()
+        self.repeated_starts: list[tuple[float, str, int, str]] = []
         # When a start command was last issued, by task and attempt.
         self.start_commanded_at: dict[tuple[str, int], float] = {}
         # Starts after the cancellation of their job was confirmed: task, and the seconds from the
@@ -138,6 +141,10 @@
         """Check the rules at the moment a start command is executed."""
         task, attempt = key
         job_id = task.partition("/")[0]
+        started = (worker.name, worker.agent_epoch, task, attempt)
+        if started in self.started_attempts:
+            self.repeated_starts.append((self.now, task, attempt, worker.name))
+        self.started_attempts.add(started)
         for name in self.specs[job_id].waits_on:
             missing = {f"{name}/{i}" for i in range(self.specs[name].tasks)} - self.completed
             assert not missing, f"too_early: {task} before {sorted(missing)[0]}"
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -3,9 +3,20 @@
 import heapq
 import random
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 
+class RequestKind(StrEnum):
+    """Requests of which a copy may arrive after the original was answered."""
+
+    WORKER = "worker"  # a controller's direct commands
+    STORE = "store"  # transactions, reads, leases and their renewals
+    CLOUD = "cloud"  # rentals, returns and lists
+    PEER = "peer"  # messages between controllers
+    USER = "user"  # submissions, cancellations and queries
+
+
 class FakeNetwork:
     """The event queue and the links between controllers, workers, store and cloud.
 
@@ -24,6 +35,11 @@
         )  # (from, to): messages are delayed in this direction
         self.loss_rate = self.duplicate_rate = self.slow_rate = 0.0
         self.store_delay_s = 0.0  # maximum delay of messages from and to the store
+        # Share of answered requests of a kind of which a copy is served once more, and the range
+        # of seconds after the answer. Nobody gets the answer to a copy.
+        self.copy_shares: dict[RequestKind, float] = {}
+        self.copy_delay_s = (0.5, 40.0)
+        self.copies = 0  # copies served so far
         self.muted: set[str] = set()  # machines that reach no controller but receive commands
 
     def after(self, seconds: float, run: Callable[[], None]) -> None:
@@ -64,18 +80,21 @@
         on_answer: Callable[[Any], None],
         timeout_answer: Any,
         timeout: float,
+        kind: RequestKind,
         defer: Callable[[Callable[[], None]], None] = lambda run: run(),
     ) -> None:
         """Send a request that is served at most once and perhaps late.
 
         Passes the answer to `on_answer`, or `timeout_answer` after `timeout` seconds; `defer` lets
-        the server postpone the work.
+        the server postpone the work. A copy of an answered request may be served once more.
         """
         state = {"open": True, "served": False}
 
         def answer(value: Any) -> None:
             if state["open"]:
                 state["open"] = False
+                if value is not timeout_answer:
+                    self.copy_later(kind, lambda: defer(serve))
                 on_answer(value)
 
         def at_server() -> None:
@@ -90,6 +109,18 @@
         self.after(timeout, lambda: answer(timeout_answer))
         self.deliver(a, b, at_server)
 
+    def copy_later(self, kind: RequestKind, serve: Callable[[], Any]) -> None:
+        """Serve a copy of an answered request later, if copies of its kind are drawn."""
+        share = self.copy_shares.get(kind, 0.0)
+        if not share or self.rng.random() >= share:
+            return
+
+        def serve_copy() -> None:
+            self.copies += 1
+            serve()
+
+        self.after(self.rng.uniform(*self.copy_delay_s), serve_copy)
+
     def mute(self, names: list[str], seconds: float) -> None:
         """Block messages from machines to controllers, but not commands to the machines."""
         self.muted.update(names)
--- a/tests/fakes/simulation.py
+++ b/tests/fakes/simulation.py
@@ -19,8 +19,10 @@
 from oakmux.settings import SchedulingOptions, Settings, Team, UpcomingLimits
 from tests.fakes import deployment
 from tests.fakes.consistency import check_counts
+from tests.fakes.network import RequestKind
 from tests.fakes.objectives import Objectives
 from tests.fakes.store import FakeStore
+from tests.fakes.worker import FakeWorker
 
 
 def behave_as_first_version(core: Controller) -> None:
@@ -74,6 +76,8 @@
         self.late_write_share = 0.0
         self.lost_answer_share = 0.0
         self.verify_counts = False
+        # Direct commands that a worker carried out and answered.
+        self.answered_commands: list[tuple[FakeWorker, messages.SendWorkerCommands]] = []
         # By sender, its incarnation and the peer: the incarnation in the peer's last answer.
         self.peer_incarnations: dict[tuple[str, int, str], int] = {}
         self.store = FakeStore(self)
@@ -186,6 +190,12 @@
             self.check_start_commands(label, commands)
             worker = self.workers.get(addr)
             if worker is not None:
+
+                def commands_answered(value: tuple) -> None:
+                    if value[0] == "ok":
+                        self.answered_commands.append((worker, effect))
+                    complete(value)
+
                 self.call(
                     label,
                     addr,
@@ -194,16 +204,35 @@
                         if not worker.dead
                         else ("lost", None)
                     ),
-                    complete,
+                    commands_answered,
                     ("lost", None),
                     2.0,
+                    RequestKind.WORKER,
                     worker.run_when_awake,
                 )
         elif isinstance(effect, messages.CloudOperation):
-            self.call(label, "cloud", lambda: self.cloud(effect), complete, (0, None), 5.0)
+            self.call(
+                label,
+                "cloud",
+                lambda: self.cloud(effect),
+                complete,
+                (0, None),
+                5.0,
+                RequestKind.CLOUD,
+            )
         else:
             self.send_to_store(label, effect, complete)
 
+    def repeat_answered_commands(self) -> None:
+        """Deliver a copy of each direct command that was carried out and answered."""
+        for worker, effect in self.answered_commands:
+            if not worker.dead:
+                worker.run_when_awake(
+                    lambda worker=worker, effect=effect: worker.receive_commands(
+                        effect.fencing_token, effect.agent_epoch, effect.commands
+                    )
+                )
+
     def send_to_store(
         self, label: str, effect: messages.StoreOperation, complete: Callable[[tuple], None]
     ) -> None:
@@ -220,7 +249,15 @@
             self.after(self.delay(), serve)
             self.after(constants.STORE_TIMEOUT_S, lambda: complete((0, None)))
         else:
-            self.call(label, "state", serve, complete, (0, None), constants.STORE_TIMEOUT_S)
+            self.call(
+                label,
+                "state",
+                serve,
+                complete,
+                (0, None),
+                constants.STORE_TIMEOUT_S,
+                RequestKind.STORE,
+            )
 
     def send_to_peer(self, label: str, incarnation: int, peer: str, message: PeerMessage) -> None:
         sent_at, sender = self.now, self.cores[label]
@@ -263,7 +300,7 @@
             if restarted:
                 self.command(label, messages.PeerRestarted(peer))
 
-        self.call(label, peer, serve, complete, None, 2.0)
+        self.call(label, peer, serve, complete, None, 2.0, RequestKind.PEER)
 
     def on_write(self, key: str, value: Any) -> None:
         """Called when the store writes a key; a new role holder gets the stale heartbeats."""
--- a/tests/fakes/users.py
+++ b/tests/fakes/users.py
@@ -7,6 +7,7 @@
 from oakmux.core.model import JobSpec
 from oakmux.settings import Team
 from tests.fakes.checks import ProtocolChecks
+from tests.fakes.network import RequestKind
 
 
 class FakeUsers(ProtocolChecks):
@@ -89,6 +90,9 @@
             self.check_answer(job_id, status, answer, previous, sent)
             if state["open"]:
                 state["open"] = False
+                self.copy_later(
+                    RequestKind.USER, lambda: self.command(label, make(lambda *answer: None))
+                )
                 if not is_final(status, answer):
                     self.after(1.0, lambda: self._request_until_answered(job_id, make, is_final))
 
