Tests: copied starts after each way in which an attempt ends, and beside the version before

Controllers with one term for all workers (the version before) start and are taken over by the present one, and the other way; random runs with one or two of three of that version.

--- a/oakmux/core/context.py
+++ b/oakmux/core/context.py
@@ -88,10 +88,15 @@
 
     # --- terms ---
 
+    @staticmethod
+    def range_end(first_term: int) -> int:
+        """Return the last term of the range that begins with a term."""
+        return first_term + constants.TERMS_PER_RANGE - 1
+
     @property
     def last_term(self) -> int:
         """The last term of the range that this controller allocated last, or 0 without one."""
-        return self.term + constants.TERMS_PER_RANGE - 1 if self.term else 0
+        return self.range_end(self.term) if self.term else 0
 
     def owns_term(self, fencing_token: int) -> bool:
         """Whether a worker's fencing token is a term of the range allocated last."""
--- a/oakmux/core/leadership/terms.py
+++ b/oakmux/core/leadership/terms.py
@@ -36,7 +36,7 @@
             return
         recorded, mod_revision = self.context.replica.term
         new_term = max(recorded, self.highest_token, self.context.last_term) + 1
-        last_term = new_term + constants.TERMS_PER_RANGE - 1
+        last_term = self.context.range_end(new_term)
         self.in_flight = True
         self.context.call(
             lambda status, result: self._on_raised(new_term, status, result),
--- a/tests/fakes/simulation.py
+++ b/tests/fakes/simulation.py
@@ -41,6 +41,15 @@
     replica.apply = apply_known_records  # type: ignore[method-assign]
 
 
+def use_single_terms(core: Controller) -> None:
+    """Make a controller command and forget as the version before ranges of terms does."""
+    context = core.context
+    context.range_end = lambda first_term: first_term  # type: ignore[method-assign]
+    core.agents.terms.for_forgets = (  # type: ignore[method-assign]
+        lambda tracked, machine, exited, start_pending: context.term
+    )
+
+
 class Simulation(Objectives):
     """Controllers with all fakes; the protocol rules are checked at every event."""
 
@@ -54,6 +63,7 @@
         scheduling: SchedulingOptions | None = None,
         teams: tuple[Team, ...] = deployment.TEAMS,
         known_format: int | None = None,
+        single_terms: tuple[str, ...] = (),
     ) -> None:
         labels = [f"h{i}" for i in range(count)]
         super().__init__(seed, labels, teams)
@@ -61,6 +71,8 @@
         self.scheduling = scheduling or SchedulingOptions()
         self.upcoming_limits = upcoming_limits
         self.first_version = set(first_version)
+        # Controllers of a version that has one term for all workers.
+        self.single_terms = set(single_terms)
         # By label of a controller of an earlier version: the latest format that it can read.
         self.known_formats: dict[str, int] = {}
         if known_format is not None:
@@ -96,6 +108,8 @@
         )
         if label in self.first_version:
             behave_as_first_version(core)
+        if label in self.single_terms:
+            use_single_terms(core)
         if label in self.known_formats:
             core.context.replica.known_format = self.known_formats[label]
         self.cores[label] = core
--- a/tests/helpers/copies.py
+++ b/tests/helpers/copies.py
@@ -72,10 +72,15 @@
 
 
 def run_with_copied_commands(
-    seed: int, disruption: Disruption, copy_share: float = COPY_SHARE, seconds: float = 120.0
+    seed: int,
+    disruption: Disruption,
+    copy_share: float = COPY_SHARE,
+    seconds: float = 120.0,
+    single_terms: tuple[str, ...] = (),
 ) -> Simulation:
     """Submit and cancel random jobs while copies of answered commands arrive."""
-    sim = Simulation(seed, 3, teams=MIXED_QUOTAS if seed % 2 else TEAMS)
+    teams = MIXED_QUOTAS if seed % 2 else TEAMS
+    sim = Simulation(seed, 3, teams=teams, single_terms=single_terms)
     rng = random.Random(seed)
     sim.run(8)
     sim.copy_shares[RequestKind.WORKER] = copy_share
