Tests: copies of every kind of answered request, drawn by the random faults from now on

The random-fault runs draw copies of all answered requests (workers, store, cloud, peers, users; 0.5 to 40 s or 30 to 180 s late) and count attempts that begin twice.

--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -40,6 +40,7 @@
         self.copy_shares: dict[RequestKind, float] = {}
         self.copy_delay_s = (0.5, 40.0)
         self.copies = 0  # copies served so far
+        self.serving_copy = False
         self.muted: set[str] = set()  # machines that reach no controller but receive commands
 
     def after(self, seconds: float, run: Callable[[], None]) -> None:
@@ -117,7 +118,11 @@
 
         def serve_copy() -> None:
             self.copies += 1
-            serve()
+            self.serving_copy = True
+            try:
+                serve()
+            finally:
+                self.serving_copy = False
 
         self.after(self.rng.uniform(*self.copy_delay_s), serve_copy)
 
--- a/tests/helpers/faults.py
+++ b/tests/helpers/faults.py
@@ -16,6 +16,7 @@
     Simulation,
     spec,
 )
+from tests.fakes.network import RequestKind
 from tests.helpers.clusters import MIXED_QUOTAS
 
 
@@ -74,6 +75,8 @@
                 "stale_heartbeats",
                 "query_bursts",
                 "cancel_running",
+                "copied_requests",
+                "copied_requests",
             ]
         )
         if fault == "crash":
@@ -103,6 +106,10 @@
         elif fault == "lost_inbound" and sim.workers:
             names = sorted(sim.workers)
             sim.drop_inbound(rng.sample(names, min(3, len(names))), rng.uniform(2, 30))
+        elif fault == "copied_requests":
+            share = rng.choice([0.0, 0.1, 0.3])
+            sim.copy_shares = dict.fromkeys(RequestKind, share)
+            sim.copy_delay_s = rng.choice([(0.5, 40.0), (30.0, 180.0)])
         elif fault == "late_copies":
             sim.late_copy_share = rng.choice([0.0, 0.1, 0.4])
         elif fault == "isolation":
@@ -174,6 +181,7 @@
     sim.loss_rate = sim.duplicate_rate = sim.slow_rate = sim.late_copy_share = (
         sim.late_write_share
     ) = sim.store_delay_s = 0.0
+    sim.copy_shares = {}
     sim.lost_answer_share = sim.stale_heartbeat_share = 0.0
     sim.muted.clear()
     sim.cuts.clear()
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -12,6 +12,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
 def test_rules_hold_under_random_faults(seed):
     sim = run_with_random_faults(seed)
+    assert sim.repeated_starts == []
     assert sim.unanswered_jobs() == set()
     assert sim.startable_jobs() == set()
     assert sim.unfinished_jobs(150) == set()
@@ -21,6 +22,7 @@
 @pytest.mark.parametrize("seed", [11, 12])
 def test_rules_hold_under_random_faults_with_seven_controllers(seed):
     sim = run_with_random_faults(seed, 100.0, count=7)
+    assert sim.repeated_starts == []
     assert sim.unanswered_jobs() == set()
     assert sim.startable_jobs() == set()
     assert sim.unfinished_jobs(150) == set()
