A refused start frees its binding also after its manager's term was raised

What callers saw: nothing yet; found while reading for other paths. A job cancelled before its start was sent keeps its place in the team's limit and on the machine for as long as the machine keeps its agent epoch.

Cause: a check in one path and not in another. "Refused" proves that a start was never sent only while the manager still has the binding's term. If the term was raised before the job's scheduler saw the refusal (its view lost, say), the refusal no longer counted, and because it was listed, the proof for attempts that a worker does not list was never asked.

Fix: a refused start whose binding's term lies below the worker's fencing token ends by that proof: the worker lists no such attempt and refuses any start of it.

--- a/oakmux/core/agents/termination.py
+++ b/oakmux/core/agents/termination.py
@@ -18,6 +18,10 @@
     """Whether the task saved a checkpoint when it was stopped."""
 
 
+# The state of a task that its worker does not list.
+_UNLISTED_STATE = ""
+_UNLISTED = (_UNLISTED_STATE, "", False)
+
 _LOST = Termination(LOST, False)
 _REFUSED = Termination(REFUSED, False)
 
@@ -46,13 +50,11 @@
         return None
     if machine.agent_epoch > binding.agent_epoch:
         return _LOST  # the worker killed all tasks of the earlier epoch
-    status = visible_tasks.get(task)
-    if status is None:
-        # The worker refuses a start command under a term below its fencing token.
-        return _LOST if machine.fencing_token > binding.term else None
-    state, reason, saved = status
+    state, reason, saved = visible_tasks.get(task, _UNLISTED)
     if state == EXITED:
         return Termination(reason, saved)
     if state == REFUSED and machine.manager_term == binding.term:
         return _REFUSED
+    if state in (_UNLISTED_STATE, REFUSED) and machine.fencing_token > binding.term:
+        return _LOST  # the worker refuses a start command under a term below its fencing token
     return None
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,5 +1,6 @@
 """Crashes, restarts and freezes of controllers and machines."""
 
+import random
 from collections.abc import Callable
 
 import pytest
@@ -7,7 +8,13 @@
 from oakmux import constants
 from oakmux.core import messages
 from oakmux.core.agents import reachability
-from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Simulation, spec
+from oakmux.core.agents.termination import prove_termination
+from oakmux.core.context import Context
+from oakmux.core.machine import Machine
+from oakmux.core.model import Heartbeat
+from oakmux.core.state.records import Binding
+from oakmux.task_status import LOST, REFUSED
+from tests.fakes import CANCEL_S, LEASE_S, REPORT_S, Simulation, settings_for, spec
 from tests.helpers.clusters import (
     busiest_controller,
     busy_cluster,
@@ -323,3 +330,16 @@
     assert sim.reported_state["job-1"] == "cancelled"
     assert sim.startable_jobs() == set()
     check_recovered(sim, 200)
+
+
+def test_a_refused_start_frees_its_binding_after_its_managers_term_was_raised():
+    context = Context(settings_for("h0"), random.Random(1), 0)
+    binding = Binding(1, "m0", 1, 3, "a", False)
+    machine = Machine(Heartbeat("m0", "a:1", "big", "a", False, 1, 1, 3, None, {}), 0.0)
+    machine.manager_term = 5  # raised before the scheduler saw the refusal
+    visible = {("job-1/0", 1): (REFUSED, "", False)}
+    assert prove_termination(context, machine, ("job-1/0", 1), binding, visible) is None
+    machine.fencing_token = 5
+    proof = prove_termination(context, machine, ("job-1/0", 1), binding, visible)
+    assert proof is not None
+    assert proof.reason == LOST
