Count heartbeats in the command log without building a name for each

Cause: the counters' names were formatted at every heartbeat, a path that every worker takes. Change: callers pass the whole name.

--- a/oakmux/core/agents/command_log.py
+++ b/oakmux/core/agents/command_log.py
@@ -71,8 +71,8 @@
         event("worker_commands_done", machine=name, term=term, outcome=outcome, **shown)
 
     def heartbeat(self, answer: str) -> None:
-        """Count a heartbeat by how it was answered."""
-        self.counts[f"heartbeats_{answer}"] += 1
+        """Count a heartbeat by how it was answered: `heartbeats_own_term` and so on."""
+        self.counts[answer] += 1
 
     def tick(self) -> None:
         """Log the counts since the last time, at most every WORKER_TRAFFIC_LOG_S."""
--- a/oakmux/core/agents/heartbeats.py
+++ b/oakmux/core/agents/heartbeats.py
@@ -72,7 +72,7 @@
         machine = self.accept_heartbeat(tracked, heartbeat)
         peer = self._peer_with_store()
         if peer is not None:
-            self.log.heartbeat("redirected")
+            self.log.heartbeat("heartbeats_redirected")
             context.answer(request, 421, ("report_to", peer))
         elif self.commands.late_start_possible(tracked, machine):
             self._unavailable(request, "a cancelled start is on its way")
@@ -101,7 +101,7 @@
         return None
 
     def _unavailable(self, request: Any, reason: str) -> None:
-        self.log.heartbeat("refused_" + reason.replace(" ", "_"))
+        self.log.heartbeat("heartbeats_" + reason.replace(" ", "_"))
         self.context.answer(request, 503, ("error", reason))
 
     def _peer_with_store(self) -> str | None:
@@ -140,7 +140,7 @@
     def _answer(self, request: Any, machine: Machine, batch: CommandBatch) -> None:
         """Answer 200, which renews the worker's lease, with commands."""
         own = self.context.owns_term(batch.term)
-        self.log.heartbeat("own_term" if own else "other_term")
+        self.log.heartbeat("heartbeats_own_term" if own else "heartbeats_other_term")
         self.log.sent(machine, ANSWER, batch)
         self.context.answer(request, 200, ("orders", batch.term, batch.bodies()))
 
