--- a/oakmux/constants/controller.py
+++ b/oakmux/constants/controller.py
@@ -15,8 +15,6 @@
 MAX_QUEUED_COMMANDS = 2000
 # Entries in each of the controller's smaller caches and sets of past events (count).
 MAX_CACHE_ENTRIES = 2000
-# Repeats the definition above.
-NEVER = -1e9
 # Seconds between two steps after which the process counts as paused. It ticks ten times a second;
 # under load, gaps stay within some tenths of a second.
 PROCESS_PAUSE_S = 3.0
--- a/oakmux/core/agents/heartbeats.py
+++ b/oakmux/core/agents/heartbeats.py
@@ -8,6 +8,7 @@
 from oakmux.core.agents.cancellation_log import CancellationLog
 from oakmux.core.agents.command_batch import CommandBatch, CommandKind
 from oakmux.core.agents.command_log import ANSWER, CommandLog
+from oakmux.core.agents.late_starts import late_start_possible
 from oakmux.core.agents.reachability import assess_heartbeat, assess_new_machine
 from oakmux.core.agents.reservation_queue import ReservationQueue
 from oakmux.core.agents.tracked_workers import TrackedWorker, WorkerTable
@@ -74,7 +75,7 @@
         if peer is not None:
             self.log.heartbeat("heartbeats_redirected")
             context.answer(request, 421, ("report_to", peer))
-        elif self.commands.late_start_possible(tracked, machine):
+        elif late_start_possible(context, self.cancellations, tracked, machine):
             self._unavailable(request, "a cancelled start is on its way")
         elif heartbeat.fencing_token > context.last_term or not context.term:
             self._answer_without_term(request, heartbeat, tracked, machine)
--- a/oakmux/core/agents/worker_commands.py
+++ b/oakmux/core/agents/worker_commands.py
@@ -7,6 +7,8 @@
 from oakmux.core.agents.cancellation_log import CancellationLog
 from oakmux.core.agents.command_batch import CommandBatch, CommandKind
 from oakmux.core.agents.command_log import DIRECT, CommandLog
+from oakmux.core.agents.gang_starts import waits_for_gang_images
+from oakmux.core.agents.orphaned_tasks import OrphanedTasks
 from oakmux.core.agents.tracked_workers import TrackedWorker, WorkerTable
 from oakmux.core.agents.worker_terms import WorkerTerms, worker_term
 from oakmux.core.context import Context
@@ -16,7 +18,7 @@
 from oakmux.core.peer_messages import MoveTask
 from oakmux.core.state.records import Binding, Job
 from oakmux.logs import event
-from oakmux.task_status import EXITED, FETCHING, RUNNING, SAVING, STARTING
+from oakmux.task_status import EXITED, RUNNING, SAVING
 
 
 class WorkerCommands:
@@ -35,7 +37,7 @@
         self.workers = workers
         self.cancellations = cancellations
         self.leadership = leadership
-        self.terms = terms
+        self.orphans = OrphanedTasks(context, cancellations, terms)
         self.log = log
         # Applies a heartbeat that answers direct commands; set by the agent manager.
         self.accept_heartbeat: Callable[[TrackedWorker, Heartbeat], Machine]
@@ -73,7 +75,7 @@
         self.stop_cancelled(tracked, machine, bound_tasks, batch)
         self._drop_outdated(tracked, machine, bound_tasks)
         if end_unbound:
-            self._end_unbound(tracked, machine, batch, bound_tasks)
+            self.orphans.end(tracked, machine, batch, bound_tasks)
         return batch
 
     def _start_or_refuse(
@@ -100,7 +102,7 @@
             if task not in tracked.refused_starts:
                 tracked.refused_starts.add(task)
                 context.changed_workers.add(machine.name)
-        elif self._waits_for_gang_images(tracked, machine, job, binding, task):
+        elif waits_for_gang_images(context, tracked, machine, job, binding, task):
             self.machines_with_delayed_starts.add(machine.name)
         elif task not in tracked.refused_starts and self.cancellations.store_fresh():
             batch.start(task)
@@ -140,75 +142,6 @@
             ):
                 self._stop(tracked, machine, batch, task, state[0], None, True)
 
-    def late_start_possible(self, tracked: TrackedWorker, machine: Machine) -> bool:
-        """Whether a start of a cancelled job may take effect after the job must have ended.
-
-        This is possible if the answer to the command was lost or another controller sent it.
-        Workers refuse it under a newer term, but without the store no term can be raised, so the
-        lease has to expire.
-        """
-        context = self.context
-        if self.cancellations.store_fresh():
-            return False
-        if (
-            machine.fencing_token > context.last_term
-            and tracked.attached_at + context.facts.workers.lease_s > context.store_seen_at
-            and self.cancellations.has_unrecorded_older_than(
-                self.cancellations.staleness_bound_s()
-            )
-        ):
-            # The worker's former controller could command it for at most one more lease. It may
-            # have started a task whose job is cancelled by now and whose binding is unknown here.
-            return True
-        for (job_id, index), binding in context.replica.bindings.by_machine.get(
-            machine.name, {}
-        ).items():
-            task = (f"{job_id}/{index}", binding.attempt)
-            start_sent = not context.owns_term(binding.term) or task in tracked.unresolved_starts
-            if (
-                start_sent
-                and binding.agent_epoch == machine.agent_epoch
-                and machine.fencing_token <= binding.term
-                and task not in machine.tasks
-                and self.cancellations.is_cancelled(job_id)
-                and context.now - self.cancellations.cancelled.get(job_id, constants.NEVER)
-                >= self.cancellations.staleness_bound_s()
-            ):
-                return True
-        return False
-
-    def _waits_for_gang_images(
-        self, tracked: TrackedWorker, machine: Machine, job: Job, binding: Binding, task: Task
-    ) -> bool:
-        """Whether to delay a gang task that has its image while other tasks still fetch theirs.
-
-        A started task waits at most `gang_wait_s` for the others and then ends the attempt of the
-        whole gang. A longer fetch would be aborted and restarted for ever.
-        """
-        context, spec = self.context, job.spec
-        if spec is None or not spec.gang_scheduled or spec.image not in machine.images:
-            return False
-        longest_fetch_s = context.fetch_s(spec, machine.type) * constants.FETCH_TIME_FACTOR
-        max_delay_s = (
-            longest_fetch_s - context.facts.workers.gang_wait_s * constants.GANG_WAIT_SHARE
-        )
-        if context.now - tracked.delayed_since.setdefault(task, context.now) >= max_delay_s:
-            return False
-        for block in job.blocks.values():
-            for index, other in block.bindings.items():
-                if other.attempt != binding.attempt or other.machine == machine.name:
-                    continue
-                other_machine = context.machines.get(other.machine)
-                if other_machine is None:
-                    continue
-                state = other_machine.tasks.get((f"{job.id}/{index}", other.attempt))
-                if state is None and spec.image not in other_machine.images:
-                    return True
-                # While the start is in flight, it is unknown whether the image is present.
-                if state is not None and state[0] in (FETCHING, STARTING):
-                    return True
-        return False
-
     def _must_checkpoint(self, machine: Machine, job: Job, state: str) -> bool:
         """Whether a task must save a checkpoint now because the cloud reclaims its machine soon.
 
@@ -254,80 +187,6 @@
             why="job_ended" if ended else "requested",
         )
 
-    def _end_unbound(
-        self,
-        tracked: TrackedWorker,
-        machine: Machine,
-        batch: CommandBatch,
-        bound_tasks: set[Task],
-    ) -> None:
-        """Forget exited tasks without a binding, and stop the others."""
-        context = self.context
-        orphans = {
-            task: tracked.unbound_since.get(task, context.now)
-            for task in machine.tasks
-            if task not in bound_tasks
-        }
-        tracked.unbound_since = orphans
-        if not self.cancellations.store_fresh():
-            return
-        exited = []
-        for task, since in orphans.items():
-            # Wait a while: the binding may not have reached the local replica yet.
-            if machine.tasks[task][0] == EXITED:
-                if (
-                    context.now - since >= constants.PEER_HEARTBEAT_S
-                    and task not in tracked.unresolved_starts
-                ):
-                    exited.append(task)
-            elif context.now - since >= constants.ORPHAN_GRACE_S:
-                self._stop_orphan(machine, batch, task)
-        if exited:
-            self._forget(tracked, machine, batch, exited)
-
-    def _stop_orphan(self, machine: Machine, batch: CommandBatch, task: Task) -> None:
-        batch.stop(task, 0.0)
-        event(
-            "task_stop",
-            task=task[0],
-            attempt=task[1],
-            machine=machine.name,
-            grace=0.0,
-            why="unbound",
-        )
-
-    def _forget(
-        self,
-        tracked: TrackedWorker,
-        machine: Machine,
-        batch: CommandBatch,
-        exited: list[Task],
-    ) -> None:
-        """Forget exited attempts, if there is a term that rules out copies of their starts."""
-        pending = self._start_pending(tracked, machine, batch.term)
-        term = self.terms.for_forgets(tracked, machine, len(exited), pending)
-        if term is None:
-            return
-        batch.raise_term(term)
-        tracked.term = term
-        for task in exited:
-            batch.forget(task)
-
-    def _start_pending(self, tracked: TrackedWorker, machine: Machine, term: int) -> bool:
-        """Whether a task may still be started, or its start be refused, under a worker's term."""
-        context = self.context
-        if tracked.command_in_flight or tracked.unresolved_starts or tracked.refused_starts:
-            return True
-        if any(offer.expires_at > context.now for offer in tracked.offers.values()):
-            return True
-        bindings = context.replica.bindings.by_machine.get(machine.name, {})
-        return any(
-            binding.term == term
-            and binding.agent_epoch == machine.agent_epoch
-            and (f"{job_id}/{index}", binding.attempt) not in machine.tasks
-            for (job_id, index), binding in bindings.items()
-        )
-
     def reconcile(self, name: str) -> None:
         """Send a direct request with the starts and stops that a worker needs, if any."""
         context = self.context
