--- a/tests/helpers/copies.py
+++ b/tests/helpers/copies.py
@@ -75,7 +75,7 @@
     seed: int,
     disruption: Disruption,
     copy_share: float = COPY_SHARE,
-    seconds: float = 120.0,
+    seconds: float = 150.0,
     single_terms: tuple[str, ...] = (),
 ) -> Simulation:
     """Submit and cancel random jobs while copies of answered commands arrive."""
