A job that runs on some machine is no longer held back by failures on three others

Cause: a job that failed on three machines counted as suspect until one of its tasks was done. A replica is never done. A suspect job starts a task only while none is bound, and a replica that runs stays bound for ever; arrays of long tasks were held alike.

Evidence: in the record of the case the third failure comes at 15.9 s and nothing is started until 106 s, beside three empty machines. The set of excluded machines is empty by then (three of four were in it) and the pause is 4 s, so only the suspicion is left.

Fix: a task that was reported running for twice as long as the longest failed run (10 to 20 s) clears the job; failures count for ten minutes; after 30 s a suspect job starts another task although the last one has neither failed nor run for long. The same cause on related paths: failures during a pause no longer lengthen it, and the other tasks of the job come before one that failed. A job that fails everywhere never runs longer than its failures and stays suspect. New log events job_suspected, job_cleared and job_backs_off tell it.

--- a/oakmux/constants/scheduling.py
+++ b/oakmux/constants/scheduling.py
@@ -135,6 +135,23 @@
 # Machines on which a job must fail, with no task done, before the failures are attributed to the
 # job instead of the machines (count): two faulty machines at a time are rare, three tries cheap.
 SUSPECT_MACHINES = 3
-# Backoff before a failed task is retried (s): first and largest.
+# Seconds for which a task of a suspect job must run to clear the job: at least, at most, and in
+# multiples of the longest run that ended in a failure. With RETRY_MAX_S, the most is below the
+# 90 s for which no job may wait beside free capacity.
+CLEARING_RUN_MIN_S = 10.0
+CLEARING_RUN_MAX_S = 20.0
+CLEARING_RUN_FACTOR = 2.0
+# Seconds between two examinations of the running tasks of a suspect job.
+SUSPECT_EXAMINED_S = 2.0
+# Seconds after which a suspect job starts one more task although the last one has neither failed
+# nor run for long enough: its machine may hang.
+SUSPECT_START_INTERVAL_S = 30.0
+# Seconds for which a failure counts, and machines remembered for each job (count). A job that
+# fails everywhere is retried every RETRY_MAX_S and stays suspect.
+FAILURE_MEMORY_S = 600.0
+MAX_FAILED_MACHINES = 32
+# Backoff before a failed task is retried (s): first and largest; and seconds without a failure
+# after which it begins anew.
 RETRY_FIRST_S = 1.0
 RETRY_MAX_S = 60.0
+RETRY_RESET_S = 120.0
--- a/oakmux/core/agents/heartbeats.py
+++ b/oakmux/core/agents/heartbeats.py
@@ -279,7 +279,9 @@
         machine.errors.clear()
     elif why == ERROR:
         job_id = task[0].partition("/")[0]
-        context.failures.record(job_id, machine.name)
+        started_at = machine.task_started_at.get(task, context.now)
+        run_s = context.now - started_at if old_state == RUNNING else 0.0
+        context.failures.record(job_id, machine.name, run_s)
         if job_id not in machine.errors:
             machine.errors.append(job_id)
             del machine.errors[: -constants.FAILED_JOBS_KEPT]
--- a/oakmux/core/context.py
+++ b/oakmux/core/context.py
@@ -50,12 +50,12 @@
         self.now = 0.0
         self.wall_start_ms = wall_start_ms
         self.replica = Replica()
-        self.failures = FailureAttribution(self.replica)
         self.types: dict[str, MachineType] = {}
         self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
         self.objectives = Objectives(settings.facts.objectives)
         self.array_share_gpus = _array_share_gpus(settings.facts)
         self.machines: dict[str, Machine] = {}
+        self.failures = FailureAttribution(self.replica, self.machines, lambda: self.now)
         # Machines that are certainly terminated, the newest last. Delayed copies of their
         # heartbeats may arrive even after their record is deleted.
         self.terminated: dict[str, None] = {}
--- a/oakmux/core/scheduling/binding.py
+++ b/oakmux/core/scheduling/binding.py
@@ -198,7 +198,10 @@
         ]
         # Offers of one machine stay together: its tasks share one image fetch.
         ranked.sort(key=lambda entry: (entry[0], entry[1].machine))
+        startable = self.startable_tasks(job, spec, state, bool(self.buffer.bindings(job)))
         for _, offer in ranked:
+            if startable <= 0:
+                break
             zones = [binding.zone for binding in self.buffer.bindings(job)]
             if not zone_allowed(spec, zones, offer.zone):
                 continue
@@ -208,10 +211,24 @@
             if index is None:
                 break
             state.next_task = index + 1
+            startable -= 1
             self._bind(job, [index], [offer])
             state.offers.remove(offer)
         self.decline_offers(state)
 
+    def startable_tasks(self, job: Job, spec: JobSpec, state: PendingJob, bound: bool) -> int:
+        """Return how many tasks of a job may start now; `bound` says whether any task is bound."""
+        wanted = self.buffer.unbound_tasks(job)
+        if spec.kind == "gang" and bound:
+            return 0  # a new attempt waits until every task of the old attempt has ended
+        if spec.gang_scheduled or not self.context.failures.is_suspect(job):
+            return wanted
+        # The job fails on every machine: start one task at a time. Otherwise each attempt of a
+        # faulty array would occupy hundreds of slots and cause as many image fetches.
+        since_last_s = self.context.now - state.last_bound_at
+        held = bound and since_last_s < constants.SUSPECT_START_INTERVAL_S
+        return 0 if held else min(wanted, 1)
+
     def decline_offers(self, state: PendingJob) -> None:
         """Decline all offers that a job holds."""
         for offer in state.offers:
@@ -234,6 +251,9 @@
                 attempt, offer.machine, offer.agent_epoch, offer.term, offer.zone
             )
             event("task_bound", task=f"{job.id}/{index}", attempt=attempt, machine=offer.machine)
+        state = self.pending_jobs.get(job.id)
+        if state is not None:
+            state.last_bound_at = self.context.now
 
     # --- ends of bindings ---
 
@@ -340,21 +360,41 @@
         """Decide when, and on which machines, a task that ended may start again."""
         if reason != DONE:
             self.schedule.enqueue(job)
-        state.next_task = min(state.next_task, index)
         if reason == ERROR:
-            self._back_off(state, machine)
-        elif reason in NOT_ACCEPTED:
+            state.next_task = index + 1  # the other tasks first: this one alone may be faulty
+            self._exclude(state, machine)
+            self._back_off(job, state)
+            return
+        state.next_task = min(state.next_task, index)
+        if reason in NOT_ACCEPTED:
             state.retry_at = self.context.now + constants.RETRY_FIRST_S
 
-    def _back_off(self, state: PendingJob, machine: str) -> None:
-        """Exclude a machine on which a task failed; repeated failures back off exponentially.
+    def _exclude(self, state: PendingJob, machine: str) -> None:
+        """Exclude a machine on which a task of a job failed.
 
         Once more than half of the machines are excluded, all are allowed again: the job itself
         is at fault.
         """
-        state.failures += 1
         state.excluded_machines.add(machine)
         if len(state.excluded_machines) > max(1, len(self.context.machines) // 2):
             state.excluded_machines.clear()
-        pause_s = min(constants.RETRY_FIRST_S * 2 ** (state.failures - 1), constants.RETRY_MAX_S)
-        state.retry_at = self.context.now + (pause_s if state.failures > 1 else 0.0)
+
+    def _back_off(self, job: Job, state: PendingJob) -> None:
+        """Let a job pause after a failure; repeated failures back off exponentially.
+
+        Failures during a pause don't lengthen it. Otherwise the tasks of a large array that fail
+        one after the other would keep the tasks that could run from being started.
+        """
+        now = self.context.now
+        if now < state.retry_at:
+            return
+        if now - state.retry_at > constants.RETRY_RESET_S:
+            state.failures = 0
+        state.failures += 1
+        pause_s = 0.0
+        if state.failures > 1:
+            pause_s = min(
+                constants.RETRY_FIRST_S * 2 ** (state.failures - 1), constants.RETRY_MAX_S
+            )
+        state.retry_at = now + pause_s
+        event("job_backs_off", job=job.id, failures=state.failures, pause_s=pause_s)
--- a/oakmux/core/scheduling/failure_attribution.py
+++ b/oakmux/core/scheduling/failure_attribution.py
@@ -4,47 +4,139 @@
 result is not stored: a new process starts a faulty job a few more times.
 """
 
+import math
+from collections.abc import Callable, Mapping
+
+import msgspec
+
 from oakmux import constants
+from oakmux.core.machine import Machine
 from oakmux.core.state.records import Job
 from oakmux.core.state.replica import Replica
+from oakmux.logs import event
+from oakmux.task_status import RUNNING
+
+
+class FailureHistory(msgspec.Struct, eq=False):
+    """The failures of one unfinished job. Times are local times in seconds."""
+
+    # When a task failed last on each machine; the oldest entry comes first.
+    failed_at: dict[str, float] = {}
+    # The machines among these whose failures may be the job's own fault.
+    unexplained: set[str] = set()
+    # The longest time (s) for which a task ran before it failed.
+    longest_run_s: float = 0.0
+    # When the running tasks of the suspect job were last examined.
+    examined_at: float = constants.NEVER
 
 
 class FailureAttribution:
-    """The machines on which tasks of unfinished jobs exited with an error."""
+    """The machines on which tasks of unfinished jobs exited with an error.
+
+    Args:
+        replica: the records of all jobs.
+        machines: the machines by name, as last heard.
+        clock: returns the local time in seconds.
+    """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(
+        self, replica: Replica, machines: Mapping[str, Machine], clock: Callable[[], float]
+    ) -> None:
         self.replica = replica
-        self.failed_on: dict[str, set[str]] = {}
-
-    def record(self, job_id: str, machine: str) -> None:
-        """Record that a task of a job failed on a machine."""
-        machines = self.failed_on.setdefault(job_id, set())
-        if len(machines) < constants.SUSPECT_MACHINES + 1:
-            machines.add(machine)
-        if len(self.failed_on) > constants.MAX_CACHE_ENTRIES:
-            self.failed_on = {
-                other: machines
-                for other, machines in self.failed_on.items()
+        self.machines = machines
+        self.clock = clock
+        self.histories: dict[str, FailureHistory] = {}
+
+    def record(self, job_id: str, machine: str, run_s: float = 0.0) -> None:
+        """Record that a task of a job failed on a machine after it ran for `run_s` seconds."""
+        now = self.clock()
+        history = self.histories.setdefault(job_id, FailureHistory())
+        was_suspected = len(history.unexplained) >= constants.SUSPECT_MACHINES
+        history.failed_at.pop(machine, None)
+        history.failed_at[machine] = now
+        history.unexplained.add(machine)
+        history.longest_run_s = max(history.longest_run_s, run_s)
+        self._forget_old_failures(history, now)
+        if not was_suspected and len(history.unexplained) >= constants.SUSPECT_MACHINES:
+            event("job_suspected", job=job_id, machines=len(history.unexplained))
+        if len(self.histories) > constants.MAX_CACHE_ENTRIES:
+            self.histories = {
+                other: history
+                for other, history in self.histories.items()
                 if other in self.replica.active
             }
 
+    @staticmethod
+    def _forget_old_failures(history: FailureHistory, now: float) -> None:
+        """Drop failures that are too old or too many to say anything about the job."""
+        for machine, failed_at in list(history.failed_at.items()):
+            if (
+                now - failed_at <= constants.FAILURE_MEMORY_S
+                and len(history.failed_at) <= constants.MAX_FAILED_MACHINES
+            ):
+                break
+            del history.failed_at[machine]
+            history.unexplained.discard(machine)
+
     def is_suspect(self, job: Job) -> bool:
         """Whether a job itself seems to be at fault.
 
-        A suspect job has failed on several machines and never completed a task. It is still
-        tried, but it reserves and preempts nothing that others need.
+        A suspect job has failed on several machines, never completed a task, and none of its tasks
+        has run for longer than those that failed. It is still tried, but it reserves and preempts
+        nothing that others need.
         """
+        history = self.histories.get(job.id)
         return (
-            len(self.failed_on.get(job.id, ())) >= constants.SUSPECT_MACHINES
+            history is not None
+            and len(history.unexplained) >= constants.SUSPECT_MACHINES
             and not job.done_count()
+            and not self._is_cleared(job, history)
+        )
+
+    def _is_cleared(self, job: Job, history: FailureHistory) -> bool:
+        """Clear a suspect job once one of its tasks has run for long enough.
+
+        The job then does not fail on every machine, so the machines are the likelier cause.
+        """
+        now = self.clock()
+        if now - history.examined_at < constants.SUSPECT_EXAMINED_S:
+            return False
+        history.examined_at = now
+        required_s = min(
+            constants.CLEARING_RUN_MAX_S,
+            max(
+                constants.CLEARING_RUN_MIN_S,
+                constants.CLEARING_RUN_FACTOR * history.longest_run_s,
+            ),
         )
+        if not self._has_run_for(job, required_s):
+            return False
+        history.unexplained.clear()
+        event("job_cleared", job=job.id, run_s=round(required_s, 1))
+        return True
+
+    def _has_run_for(self, job: Job, required_s: float) -> bool:
+        """Whether a bound task was reported running for at least `required_s` seconds."""
+        for block in job.blocks.values():
+            for index, binding in block.bindings.items():
+                machine = self.machines.get(binding.machine)
+                task = (f"{job.id}/{index}", binding.attempt)
+                if (
+                    machine is not None
+                    and machine.tasks.get(task, ("",))[0] == RUNNING
+                    and machine.last_heartbeat_at - machine.task_started_at.get(task, math.inf)
+                    >= required_s
+                ):
+                    return True
+        return False
 
     def counts_against_machine(self, job_id: str, machine: str) -> bool:
         """Whether a job's failure on a machine counts against the machine.
 
-        It does not if the job has failed on other machines too and never completed a task.
+        It does not if the job has failed on other machines too and is not known to run anywhere.
         Otherwise three faulty jobs would cause the quarantine of every machine in turn.
         """
         job = self.replica.jobs.get(job_id)
-        elsewhere = self.failed_on.get(job_id, set()) - {machine}
+        history = self.histories.get(job_id)
+        elsewhere = set() if history is None else history.unexplained - {machine}
         return not elsewhere or job is None or job.done_count() > 0
--- a/oakmux/core/scheduling/pending_job.py
+++ b/oakmux/core/scheduling/pending_job.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from oakmux import constants
+
 
 class CapacityOffer(NamedTuple):
     """Capacity for one task that an agent manager offers to a job.
@@ -37,8 +39,10 @@
     offers: list[CapacityOffer] = []
     # The search for a task that is neither done nor bound begins at this index.
     next_task: int = 0
+    # The failures that lengthened the backoff, and when it ends.
     failures: int = 0
     retry_at: float = 0.0
+    last_bound_at: float = constants.NEVER
     # Machines on which a task of the job ended with an error.
     excluded_machines: set[str] = set()
     backoff_until: float = 0.0
--- a/oakmux/core/scheduling/sampling.py
+++ b/oakmux/core/scheduling/sampling.py
@@ -144,11 +144,9 @@
             schedule.defer(job.id, not_before)
             return
         zones = [binding.zone for binding in self.buffer.bindings(job)]
-        wanted = self._tasks_to_start(job, spec, bool(zones))
+        wanted = self.binder.startable_tasks(job, spec, state, bool(zones))
         if not wanted:
-            self.gangs.end_gathering(job, state)
-            self.gangs.end_backfill(job, state)
-            schedule.defer(job.id, math.inf)  # until one of its tasks is proven to have ended
+            self._wait_for_bound_tasks(job, spec, state)
             return
         shape = schedule.queues.put(job, spec)
         if self.quota_claims.exceeds_limit(job, spec, spec.tasks if spec.kind == "gang" else 1):
@@ -174,16 +172,18 @@
             0, constants.GANG_BACKOFF_S
         )
 
-    def _tasks_to_start(self, job: Job, spec: JobSpec, bound: bool) -> int:
-        """Return how many tasks of a job may start now; `bound` says whether any task is bound."""
-        wanted = self.buffer.unbound_tasks(job)
-        if spec.kind == "gang" and bound:
-            return 0  # a new attempt waits until every task of the old attempt has ended
-        if not spec.gang_scheduled and self.context.failures.is_suspect(job):
-            # The job fails on every machine: start one task at a time. Otherwise each attempt of a
-            # faulty array would occupy hundreds of slots and cause as many image fetches.
-            return min(wanted, 0 if bound else 1)
-        return wanted
+    def _wait_for_bound_tasks(self, job: Job, spec: JobSpec, state: PendingJob) -> None:
+        """Defer a job that may start no task until one of its bound tasks ends.
+
+        A suspect job may start more tasks once one has run for long enough, so it is examined
+        again.
+        """
+        self.gangs.end_gathering(job, state)
+        self.gangs.end_backfill(job, state)
+        until = math.inf
+        if spec.kind != "gang" and self.buffer.unbound_tasks(job):
+            until = self.context.now + constants.SUSPECT_EXAMINED_S
+        self.schedule.defer(job.id, until)
 
     def _wait_for_limit(self, job: Job, spec: JobSpec, state: PendingJob, shape: Shape) -> None:
         """Close the queue of a job that can't start because of its team's limit."""
--- a/tests/fakes/tasks.py
+++ b/tests/fakes/tasks.py
@@ -3,6 +3,8 @@
 from oakmux.core.model import JobSpec
 from tests.fakes.cloud import FakeCloud
 
+FAILING_RUN_S = 0.5
+
 
 class TaskRuntime(FakeCloud):
     """The state changes of tasks across machines."""
@@ -11,6 +13,9 @@
         super().__init__(seed, labels)
         self.specs: dict[str, JobSpec] = {}
         self.failing_jobs: set[str] = set()  # jobs that fail on every machine
+        # By task: how many of its next starts fail, each after FAILING_RUN_S.
+        self.failing_starts: dict[str, int] = {}
+        self.failing_attempts: set[tuple[str, int]] = set()
         self.completed: set[str] = set()
         self.simulate_fetches = False  # whether image fetches take time: 1 s per GB
 
@@ -18,6 +23,14 @@
         job = self.specs[task.partition("/")[0]]
         return 1e9 if job.kind == "service" else job.estimate_s
 
+    def start_run_s(self, key: tuple[str, int]) -> float:
+        """Return how long an attempt at a task runs until it completes or fails."""
+        task = key[0]
+        if key not in self.failing_attempts and self.failing_starts.get(task, 0):
+            self.failing_starts[task] -= 1
+            self.failing_attempts.add(key)
+        return FAILING_RUN_S if key in self.failing_attempts else self.run_s(task)
+
     def start_waiting_tasks(self, key: tuple[str, int], row: list, job: JobSpec) -> None:
         """Start a task that has its image.
 
@@ -34,7 +47,7 @@
         ]
         if job.kind != "gang" or len(rows) == job.tasks:
             for entry in rows if job.kind == "gang" else [row]:
-                entry[0], entry[2] = "running", self.now + self.run_s(key[0])
+                entry[0], entry[2] = "running", self.now + self.start_run_s(key)
         elif row[2] <= self.now:
             row[:2] = ["exited", "alone"]
 
@@ -54,7 +67,7 @@
         complete = len(rows) == (job.tasks if job.kind == "gang" else 1)
         reason = (
             "error"
-            if fails_tasks or job_id in self.failing_jobs
+            if fails_tasks or job_id in self.failing_jobs or key in self.failing_attempts
             else "done"
             if complete
             else "peers"
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -222,7 +222,7 @@
             key = (order["piece"], order["try"])
             if order["verb"] == "launch" and key not in self.tasks:
                 self.sim.on_start(self, key)
-                self.tasks[key] = ["running", "", self.sim.now + self.sim.run_s(key[0])]
+                self.tasks[key] = ["running", "", self.sim.now + self.sim.start_run_s(key)]
                 job = self.sim.specs[key[0].partition("/")[0]]
                 if self.sim.simulate_fetches:
                     fetch = 0.0 if job.image in self.images else job.image_gb
