The backoff of a job that has failed more than a thousand times stays finite

Cause: 2 ** failures is computed before the pause is limited to 60 s, and from 1,025 failures on it can't be converted to a float. One array of that many tasks on faulty machines was enough, since each failure counted. The doublings are limited instead. The test fails on the code before with OverflowError.

--- a/oakmux/constants/scheduling.py
+++ b/oakmux/constants/scheduling.py
@@ -150,8 +150,9 @@
 # fails everywhere is retried every RETRY_MAX_S and stays suspect.
 FAILURE_MEMORY_S = 600.0
 MAX_FAILED_MACHINES = 32
-# Backoff before a failed task is retried (s): first and largest; and seconds without a failure
-# after which it begins anew.
+# Backoff before a failed task is retried (s): first and largest, the most doublings between them
+# (count), and seconds without a failure after which it begins anew.
 RETRY_FIRST_S = 1.0
 RETRY_MAX_S = 60.0
+RETRY_DOUBLINGS = 6
 RETRY_RESET_S = 120.0
--- a/oakmux/core/scheduling/binding.py
+++ b/oakmux/core/scheduling/binding.py
@@ -393,8 +393,7 @@
         state.failures += 1
         pause_s = 0.0
         if state.failures > 1:
-            pause_s = min(
-                constants.RETRY_FIRST_S * 2 ** (state.failures - 1), constants.RETRY_MAX_S
-            )
+            doublings = min(state.failures - 1, constants.RETRY_DOUBLINGS)
+            pause_s = min(constants.RETRY_FIRST_S * 2**doublings, constants.RETRY_MAX_S)
         state.retry_at = now + pause_s
         event("job_backs_off", job=job.id, failures=state.failures, pause_s=pause_s)
--- a/tests/test_failed_tasks.py
+++ b/tests/test_failed_tasks.py
@@ -81,6 +81,19 @@
     assert binder.startable_tasks(job, job.spec, state, bound=True) == 1
 
 
+def test_the_backoff_of_a_job_that_fails_for_days_stays_finite():
+    # Guards against an OverflowError from 2 ** failures, after which the task stays bound.
+    sim = cluster_with_idle_machines(4)
+    sim.submit("job-2", spec("array", 2, "red", estimate_s=300.0))
+    sim.run(3)
+    core = sim.cores[role_holder(sim, "red")]
+    binder, job = core.scheduler.binder, core.context.replica.jobs["job-2"]
+    state = binder.pending_jobs["job-2"]
+    state.failures, state.retry_at = 5000, core.context.now
+    binder._back_off(job, state)
+    assert state.retry_at == core.context.now + constants.RETRY_MAX_S
+
+
 @pytest.mark.parametrize("run_s", [0.5, 5.0, 9.0])
 @pytest.mark.parametrize("kind", ["array", "service"])
 def test_a_job_that_fails_everywhere_starts_few_tasks(kind, run_s, monkeypatch):
