A job that fits starts although a larger one of its queue does not fit

Cause: CPUs and memory count in sixteenths of a machine where jobs are put into queues, and only the first job of a queue is sampled; if it finds nothing, the queue closes. Jobs behind it that need less within the same sixteenth were never tried. The same assumption stood where the team's limit closes a queue, in the sampler and in the autoscaler, and a gang that gathers in vain was followed by the next one of its queue.

Fix: each queue keeps its jobs by size and knows the least sizes. If none of them fits, no job does; so only they are tried when the first job finds nothing, and the first job of the queue that fits where one of them does is sampled. The first job is still tried first, and a starving one gets a machine kept for 60 s at a time, so that smaller ones can't take each bit of capacity before there is enough for it.

--- a/oakmux/constants/scheduling.py
+++ b/oakmux/constants/scheduling.py
@@ -15,6 +15,13 @@
 # if no change is known: which tasks may be preempted changes with time. Urgent jobs do so sooner.
 QUEUE_RESAMPLE_MAX_S = 6.4
 QUEUE_RESAMPLE_URGENT_S = 1.6
+# Behind a first job without capacity: sizes of jobs that are tried at a time, and jobs of which
+# the first that fits is taken (count).
+SIZES_BEHIND_FIRST = 16
+JOBS_BEHIND_FIRST = 64
+# Seconds for which a machine is kept at a time for the first job of a queue if it starves while
+# others pass it over: less than the 90 s for which no job may wait beside free capacity.
+PASSED_OVER_RESERVE_S = 60.0
 # Jobs for which a scheduler samples machines in one tick (count), and further queues from which it
 # takes one job each (count).
 SAMPLED_JOBS_PER_TICK = 40
--- a/oakmux/core/autoscaling/scale_out.py
+++ b/oakmux/core/autoscaling/scale_out.py
@@ -1,6 +1,7 @@
 """Scaling out: places pending tasks on expected capacity, and rents machines for the rest."""
 
 import heapq
+from enum import Enum, auto
 from typing import NamedTuple
 
 from oakmux import constants
@@ -32,6 +33,14 @@
     position: int
 
 
+class _NextJob(Enum):
+    """Which job of a queue follows one that was placed or not."""
+
+    BEHIND = auto()
+    LEAST_DEMANDING = auto()
+    NONE = auto()
+
+
 class ScaleOut:
     """Determines missing capacity and rents it."""
 
@@ -81,8 +90,9 @@
     def _place_pending(self, placement: DemandPlacement) -> None:
         """Place the jobs of all queues in order of rank, at most MAX_DEMAND_TASKS tasks.
 
-        A queue is abandoned at the first job that can't be placed: the jobs behind it need the
-        same resources.
+        A queue is abandoned at the first job that can't be placed: the jobs behind it fit the same
+        machines when these are empty. If its team's limit is the reason, the job of the queue that
+        needs the fewest CPUs is next.
         """
         usage = dict(quotas.usage(self.context))
         heads = [
@@ -94,9 +104,13 @@
         budget = constants.MAX_DEMAND_TASKS
         while heads and budget > 0:
             head = heads[0]
-            placed, proceed = self._place_job(head.job_id, placement, usage, budget)
+            placed, next_job = self._place_job(head.job_id, placement, usage, budget)
             budget -= placed
-            following = self._queue_head(head.shape, head.position + 1, usage) if proceed else None
+            following = None
+            if next_job is _NextJob.BEHIND:
+                following = self._queue_head(head.shape, head.position + 1, usage)
+            elif next_job is _NextJob.LEAST_DEMANDING:
+                following = self._least_demanding(head, usage)
             if following is None:
                 heapq.heappop(heads)
             else:
@@ -111,6 +125,18 @@
         rank = queue_rank(self.context, job, spec, usage)
         return _QueueHead(rank, job.eligible_ms, job_id, shape, position)
 
+    def _least_demanding(self, head: _QueueHead, usage: TeamUsage) -> _QueueHead | None:
+        """Return the job behind a head that needs the fewest CPUs, if it needs fewer."""
+        _, spec = self._pending(head.job_id)
+        sizes = self.queues.sizes[head.shape]
+        least = sizes.least()[0]
+        if least.cpus >= spec.cpus:
+            return None
+        position = self.queues.by_shape[head.shape].index(sizes.first(least))
+        if position <= head.position:
+            return None
+        return self._queue_head(head.shape, position, usage)
+
     def _pending(self, job_id: str) -> tuple[Job, JobSpec]:
         """Return a queued job and its specification, which queued jobs always have."""
         job = self.context.replica.jobs[job_id]
@@ -119,8 +145,8 @@
 
     def _place_job(
         self, job_id: str, placement: DemandPlacement, usage: TeamUsage, budget: int
-    ) -> tuple[int, bool]:
-        """Place a job; return how many tasks were placed and whether to continue its queue."""
+    ) -> tuple[int, _NextJob]:
+        """Place a job; return how many tasks were placed and which job of its queue is next."""
         context = self.context
         job, spec = self._pending(job_id)
         wanted = min(
@@ -129,9 +155,9 @@
         if context.failures.is_suspect(job):
             wanted = min(wanted, 1)  # a job suspected to fail starts one task at a time
         if wanted <= 0:
-            return 0, False  # the team is at its limit
+            return 0, _NextJob.LEAST_DEMANDING  # the team is at its limit
         if job_id in self.cancellations.cancelled:
-            return 0, True
+            return 0, _NextJob.BEHIND
         zones = [binding.zone for binding in job.bindings()]
         slots = placement.place(spec, zones, wanted)
         if len(slots) < wanted or any(slot.name == UNNAMED for slot in slots):
@@ -141,4 +167,4 @@
         cpus, gpus = usage.get(job.team, NO_USAGE)
         usage[job.team] = Usage(cpus + len(slots) * spec.cpus, gpus + len(slots) * spec.gpus)
         # A job with bindings may be limited to their zones; the jobs behind it may not be.
-        return len(slots), bool(slots) or bool(zones)
+        return len(slots), _NextJob.BEHIND if slots or zones else _NextJob.NONE
--- a/oakmux/core/scheduling/backfill_planner.py
+++ b/oakmux/core/scheduling/backfill_planner.py
@@ -60,7 +60,20 @@
         if context.now < state.next_backfill_at:  # announcements are valid for longer
             return bool(state.backfill_machines)
         state.next_backfill_at = context.now + constants.BACKFILL_PLAN_INTERVAL_S
-        plan = self._plan(job, spec, state)
+        return self._reserve(job, spec, state, spec.tasks)
+
+    def update_for_task(self, job: Job, spec: JobSpec, state: PendingJob) -> None:
+        """Update and announce the reservation of one machine for a job's next task."""
+        if (
+            self.context.replica.format >= FORMAT_COMPACT
+            and self.context.now >= state.next_backfill_at
+        ):
+            state.next_backfill_at = self.context.now + constants.BACKFILL_PLAN_INTERVAL_S
+            self._reserve(job, spec, state, 1)
+
+    def _reserve(self, job: Job, spec: JobSpec, state: PendingJob, tasks: int) -> bool:
+        """Plan and announce machines for a number of tasks; return whether there is a plan."""
+        plan = self._plan(job, spec, state, tasks)
         if plan is None:
             return False
         if set(plan.machines) != set(state.backfill_machines):
@@ -88,7 +101,7 @@
             >= 1000 * constants.BACKFILL_MIN_WAIT_S
         )
 
-    def _plan(self, job: Job, spec: JobSpec, state: PendingJob) -> BackfillPlan | None:
+    def _plan(self, job: Job, spec: JobSpec, state: PendingJob, tasks: int) -> BackfillPlan | None:
         """Choose the machines to reserve, or None if there is no acceptable plan.
 
         Spare capacity is reserved too if there is enough, since machines may fail meanwhile.
@@ -105,10 +118,10 @@
             ),
         )
         need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
-        spare = math.ceil(spec.tasks * constants.BACKFILL_SPARE_SHARE)
+        spare = math.ceil(tasks * constants.BACKFILL_SPARE_SHARE) if tasks > 1 else 0
         plan = choose_plan(
-            need, spec.tasks + spare, candidates, spec.one_zone, state.backfill_machines
-        ) or choose_plan(need, spec.tasks, candidates, spec.one_zone, state.backfill_machines)
+            need, tasks + spare, candidates, spec.one_zone, state.backfill_machines
+        ) or choose_plan(need, tasks, candidates, spec.one_zone, state.backfill_machines)
         if plan is None or plan.ready_s > constants.BACKFILL_HORIZON_S:
             return None
         # The first reservation is always allowed. Others must leave enough machines to other work.
--- a/oakmux/core/scheduling/pending_job.py
+++ b/oakmux/core/scheduling/pending_job.py
@@ -49,6 +49,11 @@
     # Until this time, capacity from requested preemption may be offered.
     preempt_at: float = 0.0
     next_wide_sample_at: float = 0.0
+    # When to look again for jobs that fit behind this one, whether any was tried before it, and
+    # when a machine began to be kept for it.
+    next_behind_at: float = 0.0
+    passed_over: bool = False
+    reserved_since: float = constants.NEVER
     # Until when to wait for machines that hold the image; None before the first such wait.
     image_wait_until: float | None = None
     # Gangs only: requests by machine, and when the offers gathered so far are declined.
--- a/oakmux/core/scheduling/pending_queues.py
+++ b/oakmux/core/scheduling/pending_queues.py
@@ -1,7 +1,8 @@
 """Pending queues: jobs that wait for capacity, one queue for each shape of job.
 
-If the first job of a queue finds no capacity, the jobs behind it find none either. So the cost of
-pending jobs depends on the number of queues and not on the number of jobs.
+If the first job of a queue finds no capacity, only jobs behind it that need less may find some:
+their shapes are alike, but CPUs and memory are rounded. `QueueSizes` tells which need least. So
+the cost of pending jobs depends on the number of queues and not on the number of jobs.
 """
 
 import heapq
@@ -19,6 +20,7 @@
     misses_objective,
     starvation_s,
 )
+from oakmux.core.scheduling.queue_sizes import QueueSizes, TaskSize, size_of
 from oakmux.core.state.records import Job
 
 
@@ -84,6 +86,7 @@
     shape: Shape
     position: QueuePosition
     submitted_ms: float
+    size: TaskSize
 
 
 class TypeSize(NamedTuple):
@@ -142,6 +145,7 @@
     def __init__(self, context: Context) -> None:
         self.context = context
         self.by_shape: dict[Shape, SortedList] = {}
+        self.sizes: dict[Shape, QueueSizes] = {}
         # The jobs of each queue by age: (submission time in ms, job id).
         self.by_age: dict[Shape, SortedList] = {}
         self.entries: dict[str, QueueEntry] = {}
@@ -175,19 +179,22 @@
         """Queue a job, or move it to its current position; return the shape of its queue."""
         shape = shape_of(self.context, job, spec)
         position = position_of(self.context, job, spec)
-        if self.entries.get(job.id) != (shape, position, job.eligible_ms):
+        entry = QueueEntry(shape, position, job.eligible_ms, size_of(spec))
+        if self.entries.get(job.id) != entry:
             self.drop(job.id)
-            self._insert(QueueEntry(shape, position, job.eligible_ms))
+            self._insert(entry)
             self._watch_starvation(job)
         return shape
 
     def _insert(self, entry: QueueEntry) -> None:
-        shape, position, submitted_ms = entry
+        shape, position, submitted_ms, size = entry
         queue = self.by_shape.get(shape)
         if queue is None:
             queue = self.by_shape[shape] = SortedList()
             self.by_age[shape] = SortedList()
+            self.sizes[shape] = QueueSizes()
         queue.add(position)
+        self.sizes[shape].add(size, position)
         self.by_age[shape].add((submitted_ms, position.job_id))
         self.entries[position.job_id] = entry
 
@@ -212,13 +219,15 @@
         entry = self.entries.pop(job_id, None)
         if entry is None:
             return
-        shape, position, submitted_ms = entry
+        shape, position, submitted_ms, size = entry
         queue = self.by_shape[shape]
         queue.remove(position)
+        self.sizes[shape].discard(size, position)
         self.by_age[shape].remove((submitted_ms, job_id))
         if not queue:
             del self.by_shape[shape]
             del self.by_age[shape]
+            del self.sizes[shape]
 
     def oldest(self, shape: Shape) -> str:
         """Return the id of the oldest job of an existing queue."""
@@ -243,15 +252,26 @@
             self.put(job, job.spec)
         return None
 
+    def is_first(self, job_id: str, shape: Shape) -> bool:
+        """Whether a job is the first of a queue."""
+        head = self.head(shape)
+        return head is not None and head.job_id == job_id
+
     def first(self, shape: Shape, count: int) -> Iterator[str]:
         """Return the ids of up to `count` jobs at the front of a queue."""
         queue = self.by_shape.get(shape)
         return iter(()) if queue is None else (head.job_id for head in queue.islice(0, count))
 
+    def first_of_size(self, shape: Shape, size: TaskSize) -> str:
+        """Return the id of the first job of an existing size in a queue."""
+        position: QueuePosition = self.sizes[shape].first(size)
+        return position.job_id
+
     def clear(self) -> None:
         """Remove all jobs."""
         self.by_shape.clear()
         self.by_age.clear()
+        self.sizes.clear()
         self.entries.clear()
         self.starving_at.clear()
         self.in_starving_heap.clear()
--- a/oakmux/core/scheduling/sampling.py
+++ b/oakmux/core/scheduling/sampling.py
@@ -3,6 +3,7 @@
 import functools
 import heapq
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from oakmux import constants
@@ -14,8 +15,9 @@
 from oakmux.core.scheduling.capacity_claims import CapacityClaims
 from oakmux.core.scheduling.gangs import GangScheduler
 from oakmux.core.scheduling.machine_index import MachineIndex, SampledMachine
+from oakmux.core.scheduling.passed_over import PassedOver
 from oakmux.core.scheduling.pending_job import PendingJob
-from oakmux.core.scheduling.pending_queues import Shape
+from oakmux.core.scheduling.pending_queues import Shape, shape_of
 from oakmux.core.scheduling.placement import (
     PreemptionRequest,
     choose_machines,
@@ -67,6 +69,14 @@
         self.gangs = gangs
         self.schedule = schedule
         self.claims = CapacityClaims(context, until_bound=True)
+        self.passed_over = PassedOver(
+            context,
+            index,
+            schedule.queues,
+            self.pending_jobs,
+            self.quota_claims,
+            gangs.backfill_planner,
+        )
         self.team_usage: dict[str, Usage] = {}
 
     def sample(self) -> None:
@@ -138,7 +148,7 @@
         """
         context, schedule = self.context, self.schedule
         if state.hold_until and context.now >= state.hold_until:
-            self._give_up_gathering(job, state)
+            self._give_up_gathering(job, spec, state)
         not_before = max(state.backoff_until, state.retry_at)
         if context.now < not_before:
             schedule.defer(job.id, not_before)
@@ -164,13 +174,17 @@
         else:
             self._sample_tasks(sample)
 
-    def _give_up_gathering(self, job: Job, state: PendingJob) -> None:
-        """Decline the offers that a gang gathered; it starts over after a random backoff."""
+    def _give_up_gathering(self, job: Job, spec: JobSpec, state: PendingJob) -> None:
+        """Decline the offers that a gang gathered; it starts over after a random backoff.
+
+        A gang that fits comes before the next one that would gather capacity in vain.
+        """
         self.binder.decline_offers(state)
         self.gangs.end_gathering(job, state)
         state.backoff_until = self.context.now + self.context.rng.uniform(
             0, constants.GANG_BACKOFF_S
         )
+        self._sample_smaller(job, spec, shape_of(self.context, job, spec))
 
     def _wait_for_bound_tasks(self, job: Job, spec: JobSpec, state: PendingJob) -> None:
         """Defer a job that may start no task until one of its bound tasks ends.
@@ -193,6 +207,8 @@
         self.gangs.end_backfill(job, state)
         self.quota_claims.claim(job, spec, self._tasks_wanted(shape, spec))
         self.schedule.close_by_limit(shape)
+        if self.schedule.queues.is_first(job.id, shape):
+            self._sample_behind(lambda: self.passed_over.job_within_limit(job, spec, shape))
 
     def _tasks_wanted(self, shape: Shape, spec: JobSpec) -> int:
         """Count the tasks that the first jobs of a queue have to start, up to a maximum."""
@@ -208,7 +224,7 @@
 
     def _sample_gang(self, sample: Sample) -> None:
         """Look for capacity for all tasks of a gang."""
-        job, spec, state, shape, zones, wanted, _ = sample
+        job, spec, state, shape, _, wanted, _ = sample
         if is_starving(self.context, job):
             # Claims the gang's part of the limit while it gathers capacity. Otherwise younger work
             # of its team takes that part, and the gang starts over for minutes.
@@ -218,7 +234,7 @@
             self.schedule.capacity_requested(shape, 0, None)
         else:
             self.gangs.end_gathering(job, state)
-            self._nothing_found(job, state, shape, zones)
+            self._nothing_found(sample)
 
     def _sample_tasks(self, sample: Sample) -> None:
         """Look for capacity for tasks that start one by one."""
@@ -240,17 +256,44 @@
             self.schedule.defer(job.id, state.preempt_at)
             self.schedule.capacity_requested(shape, 0, None)
         else:
-            self._nothing_found(job, state, shape, zones)
+            self._nothing_found(sample)
 
-    def _nothing_found(self, job: Job, state: PendingJob, shape: Shape, zones: list[str]) -> None:
-        """Close the queue of a job that found no capacity.
+    def _nothing_found(self, sample: Sample) -> None:
+        """Close the queue of a job that found no capacity, and sample one that needs less.
 
         If the job's own excluded machines or zones may be the reason, only the job is deferred.
         """
+        job, spec, state, shape, zones, *_ = sample
         if state.excluded_machines or len(zones) < len(self.context.facts.zones):
             self.schedule.defer(job.id, self.context.now + constants.FULL_SAMPLE_INTERVAL_S)
-        else:
-            self.schedule.close_queue(shape)
+            return
+        self.schedule.close_queue(shape)
+        if self.schedule.queues.is_first(job.id, shape):
+            self._sample_smaller(job, spec, shape)
+            if not spec.gang_scheduled:
+                self.passed_over.reserve_if_starving(job, spec)
+
+    def _sample_smaller(self, job: Job, spec: JobSpec, shape: Shape) -> None:
+        """Sample a job of a queue that fits where `job` does not, if there is one."""
+        due_at = self.pending_jobs[job.id].next_behind_at
+        if self.context.now < due_at:
+            self.schedule.reopen_by(shape, due_at)
+            return
+        claims = self.gangs.claims if spec.gang_scheduled else self.claims
+        self._sample_behind(lambda: self.passed_over.job_that_fits(job, spec, shape, claims))
+
+    def _sample_behind(self, find_job: Callable[[], str | None]) -> None:
+        """Sample the job found behind the first of a queue.
+
+        A job whose tasks are all bound leaves the queue when it is sampled; then the next is due.
+        """
+        for _ in range(constants.JOBS_BEHIND_FIRST):
+            job_id = find_job()
+            if job_id is None:
+                return
+            self._sample(job_id)
+            if self.pending_jobs[job_id].next_sample_at < math.inf:
+                return
 
     def _sample_widely(self, sample: Sample) -> bool:
         """Request preemption, and queue reservations at feasible machines although they are full.
--- a/oakmux/core/scheduling/sampling_schedule.py
+++ b/oakmux/core/scheduling/sampling_schedule.py
@@ -144,6 +144,12 @@
                 requests[0].until, constants.FULL_SAMPLE_INTERVAL_S, False
             )
 
+    def reopen_by(self, shape: Shape, at: float) -> None:
+        """Reopen a closed queue at a time (s) at the latest."""
+        closed = self.closed.get(shape)
+        if closed is not None:
+            closed.until = min(closed.until, at)
+
     def reopen_fitting(self, gained_classes: Collection[CapacityClass]) -> None:
         """Reopen the queues whose jobs may fit into capacity that machines gained."""
         if not gained_classes:
