A machine on which a job failed is used for it again, and another is rented meanwhile

Cause: the machine stayed excluded for the job until more than half of all machines were. The exclusion lay in the scheduler's state of the job, where the autoscaler did not see it: it took the excluded machine for the job's capacity, rented no other and kept this one.

Fix: FailureAttribution alone knows on which machines a job failed and when, and the sampler, binder, gangs, preemption, backfill plans and the autoscaler ask it. An exclusion ends after 60 s, is void for a suspect job, and others are rented in place of at most two excluded machines, so that a job that fails everywhere does not rent one after the other. All controllers hear the failures, so the loss of the role's holder changes nothing.

--- a/oakmux/constants/scheduling.py
+++ b/oakmux/constants/scheduling.py
@@ -153,6 +153,9 @@
 # Seconds after which a suspect job starts one more task although the last one has neither failed
 # nor run for long enough: its machine may hang.
 SUSPECT_START_INTERVAL_S = 30.0
+# Seconds for which a job's tasks are not started on a machine on which one failed: less than the
+# 90 s for which no job may wait beside free capacity.
+EXCLUSION_S = 60.0
 # Seconds for which a failure counts, and machines remembered for each job (count). A job that
 # fails everywhere is retried every RETRY_MAX_S and stays suspect.
 FAILURE_MEMORY_S = 600.0
--- a/oakmux/core/autoscaling/demand_placement.py
+++ b/oakmux/core/autoscaling/demand_placement.py
@@ -1,6 +1,7 @@
 """Places pending tasks on expected capacity, and chooses instances to rent for the others."""
 
 from collections import Counter
+from collections.abc import Collection
 
 from oakmux.core.autoscaling.expected_capacity import ExpectedCapacity
 from oakmux.core.autoscaling.rental_requests import RentalRequests
@@ -15,10 +16,13 @@
 class _TaskGroup:
     """Tasks of one job that are placed together, and the slots found for them so far."""
 
-    __slots__ = ("slots", "spec", "wanted", "zones")
+    __slots__ = ("excluded", "slots", "spec", "wanted", "zones")
 
-    def __init__(self, spec: JobSpec, wanted: int, zones: list[str]) -> None:
+    def __init__(
+        self, spec: JobSpec, wanted: int, zones: list[str], excluded: Collection[str]
+    ) -> None:
         self.spec = spec
+        self.excluded = excluded
         self.wanted = wanted
         # Zones of the job's bindings and of the slots found.
         self.zones = list(zones)
@@ -26,6 +30,8 @@
 
     def fill(self, slot: Slot) -> bool:
         """Place as many tasks in a slot as fit; return whether all tasks of the group have one."""
+        if slot.name in self.excluded:
+            return False
         spec, zones, zone, free = self.spec, self.zones, slot.kind.zone, slot.free
         missing = self.wanted - len(self.slots)
         while missing > 0 and fits_resources(free, spec) and zone_allowed(spec, zones, zone):
@@ -52,12 +58,14 @@
         self.to_rent: dict[InstanceKind, int] = {}
         self.machines_by_zone = Counter(slot.kind.zone for slot in self.slots)
 
-    def place(self, spec: JobSpec, zones: list[str], wanted: int) -> list[Slot]:
+    def place(
+        self, spec: JobSpec, zones: list[str], wanted: int, excluded: Collection[str] = ()
+    ) -> list[Slot]:
         """Return a slot for each task that fits; `zones` are the zones of the job's bindings.
 
-        Expected capacity is used first, then instances to rent.
+        Expected capacity outside the `excluded` machines is used first, then instances to rent.
         """
-        group = _TaskGroup(spec, wanted, zones)
+        group = _TaskGroup(spec, wanted, zones, excluded)
         allowed = self.context.facts.zones if spec.zone is None else [spec.zone]
         ranked = self.pool.ranked_classes(
             spec, [zone for zone in allowed if zone_allowed(spec, group.zones, zone)]
--- a/oakmux/core/autoscaling/scale_out.py
+++ b/oakmux/core/autoscaling/scale_out.py
@@ -1,6 +1,7 @@
 """Scaling out: places pending tasks on expected capacity, and rents machines for the rest."""
 
 import heapq
+from collections.abc import Collection
 from enum import Enum, auto
 from typing import NamedTuple
 
@@ -125,6 +126,14 @@
         rank = queue_rank(self.context, job, spec, usage)
         return _QueueHead(rank, job.eligible_ms, job_id, shape, position)
 
+    def _excluded_machines(self, job: Job) -> Collection[str]:
+        """Return the machines in whose place others are rented for a job.
+
+        None are once the job has failed on several: it would fail on the rented ones too.
+        """
+        excluded = self.context.failures.excluded_machines(job)
+        return excluded if len(excluded) < constants.SUSPECT_MACHINES else ()
+
     def _least_demanding(self, head: _QueueHead, usage: TeamUsage) -> _QueueHead | None:
         """Return the job behind a head that needs the fewest CPUs, if it needs fewer."""
         _, spec = self._pending(head.job_id)
@@ -159,7 +168,7 @@
         if job_id in self.cancellations.cancelled:
             return 0, _NextJob.BEHIND
         zones = [binding.zone for binding in job.bindings()]
-        slots = placement.place(spec, zones, wanted)
+        slots = placement.place(spec, zones, wanted, self._excluded_machines(job))
         if len(slots) < wanted or any(slot.name == UNNAMED for slot in slots):
             self.unplaced = True
         for slot in slots:
--- a/oakmux/core/scheduling/backfill_planner.py
+++ b/oakmux/core/scheduling/backfill_planner.py
@@ -114,7 +114,9 @@
             job,
             spec,
             self.index.sample(
-                feasible - reserved, constants.BACKFILL_CANDIDATES, state.excluded_machines
+                feasible - reserved,
+                constants.BACKFILL_CANDIDATES,
+                context.failures.excluded_machines(job),
             ),
         )
         need = Resources(spec.cpus, spec.gpus, spec.memory_gb)
--- a/oakmux/core/scheduling/binding.py
+++ b/oakmux/core/scheduling/binding.py
@@ -142,7 +142,7 @@
         if (
             machine.agent_epoch != offer.agent_epoch
             or not is_schedulable(context, machine)
-            or machine.name in state.excluded_machines
+            or machine.name in context.failures.excluded_machines(job)
             or not context.is_eligible(job.spec, machine)
             or context.now < state.retry_at
         ):
@@ -322,7 +322,7 @@
         elif spec.kind == "gang":
             stop_attempt(self.buffer, job, spec, binding.attempt)
         if state is not None:
-            self._schedule_retry(job, state, index, binding.machine, reason)
+            self._schedule_retry(job, state, index, reason)
 
     def _unbind_due(self, job: Job, number: int, reason: str) -> float:
         """Return the time (s) by which the end of a binding in a task block is written.
@@ -354,31 +354,18 @@
             in_batch = self.buffer.block(job, number).batch is not None
             self.buffer.edit(job, number, due if in_batch else self.context.now)
 
-    def _schedule_retry(
-        self, job: Job, state: PendingJob, index: int, machine: str, reason: str
-    ) -> None:
-        """Decide when, and on which machines, a task that ended may start again."""
+    def _schedule_retry(self, job: Job, state: PendingJob, index: int, reason: str) -> None:
+        """Decide when a task that ended may start again."""
         if reason != DONE:
             self.schedule.enqueue(job)
         if reason == ERROR:
             state.next_task = index + 1  # the other tasks first: this one alone may be faulty
-            self._exclude(state, machine)
             self._back_off(job, state)
             return
         state.next_task = min(state.next_task, index)
         if reason in NOT_ACCEPTED:
             state.retry_at = self.context.now + constants.RETRY_FIRST_S
 
-    def _exclude(self, state: PendingJob, machine: str) -> None:
-        """Exclude a machine on which a task of a job failed.
-
-        Once more than half of the machines are excluded, all are allowed again: the job itself
-        is at fault.
-        """
-        state.excluded_machines.add(machine)
-        if len(state.excluded_machines) > max(1, len(self.context.machines) // 2):
-            state.excluded_machines.clear()
-
     def _back_off(self, job: Job, state: PendingJob) -> None:
         """Let a job pause after a failure; repeated failures back off exponentially.
 
--- a/oakmux/core/scheduling/failure_attribution.py
+++ b/oakmux/core/scheduling/failure_attribution.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import msgspec
 
@@ -130,6 +130,21 @@
                     return True
         return False
 
+    def excluded_machines(self, job: Job) -> Collection[str]:
+        """Return the machines on which a job is not started, since a task failed there lately.
+
+        Each is excluded for EXCLUSION_S, in which the job may show elsewhere that it runs. None is
+        excluded if the job itself seems to be at fault, or if more than half of all machines are.
+        """
+        history = self.histories.get(job.id)
+        if history is None:
+            return ()
+        since = self.clock() - constants.EXCLUSION_S
+        excluded = {name for name, failed_at in history.failed_at.items() if failed_at > since}
+        if len(excluded) > max(1, len(self.machines) // 2) or self.is_suspect(job):
+            return ()
+        return excluded
+
     def counts_against_machine(self, job_id: str, machine: str) -> bool:
         """Whether a job's failure on a machine counts against the machine.
 
--- a/oakmux/core/scheduling/gangs.py
+++ b/oakmux/core/scheduling/gangs.py
@@ -268,7 +268,7 @@
         """
         job, spec, state = gang
         available = functools.partial(self.claims.available, job, spec)
-        excluded = {*state.excluded_machines, *state.requested}
+        excluded = {*self.context.failures.excluded_machines(job), *state.requested}
         if not spec.spread:
             return self.index.draw(spec, zones, excluded, missing, available)
         sampled: list[SampledMachine] = []
--- a/oakmux/core/scheduling/passed_over.py
+++ b/oakmux/core/scheduling/passed_over.py
@@ -89,7 +89,7 @@
         drawn = self.index.draw(
             spec,
             self.context.facts.zones,
-            self.pending_jobs[job.id].excluded_machines,
+            self.context.failures.excluded_machines(job),
             wanted,
             functools.partial(claims.available, job, spec),
         )
--- a/oakmux/core/scheduling/pending_job.py
+++ b/oakmux/core/scheduling/pending_job.py
@@ -43,8 +43,6 @@
     failures: int = 0
     retry_at: float = 0.0
     last_bound_at: float = constants.NEVER
-    # Machines on which a task of the job ended with an error.
-    excluded_machines: set[str] = set()
     backoff_until: float = 0.0
     # Until this time, capacity from requested preemption may be offered.
     preempt_at: float = 0.0
--- a/oakmux/core/scheduling/placement.py
+++ b/oakmux/core/scheduling/placement.py
@@ -210,7 +210,7 @@
     context: Context, index: MachineIndex, request: PreemptionRequest
 ) -> list[PreemptionOption]:
     """Return the sampled machines where preemption is worth its cost, the cheapest first."""
-    job, spec, state, candidates, wanted, max_cost_s = request
+    job, spec, _, candidates, wanted, max_cost_s = request
     used = quotas.usage(context)
     candidates = candidates & index.preemptible(
         job, quotas.teams_over_guarantee(context, job, spec, used)
@@ -219,10 +219,9 @@
         math.ceil(constants.PREEMPTION_CANDIDATE_RATIO * wanted) + constants.SAMPLE_EXTRA_MACHINES
     )
     with_image = candidates & index.image_holders.get(spec.image, BitMap())
-    machines = index.sample(with_image, limit, state.excluded_machines)
-    machines += index.sample(
-        candidates - with_image, limit - len(machines), state.excluded_machines
-    )
+    excluded = context.failures.excluded_machines(job)
+    machines = index.sample(with_image, limit, excluded)
+    machines += index.sample(candidates - with_image, limit - len(machines), excluded)
     options: list[PreemptionOption] = []
     for machine in machines:
         preemption = plan_preemption(context, machine, job, spec, used)
--- a/oakmux/core/scheduling/sampling.py
+++ b/oakmux/core/scheduling/sampling.py
@@ -242,7 +242,7 @@
         sampled = self.index.draw(
             spec,
             zones,
-            state.excluded_machines,
+            self.context.failures.excluded_machines(job),
             probes,
             functools.partial(self.claims.available, job, spec),
         )
@@ -263,8 +263,9 @@
 
         If the job's own excluded machines or zones may be the reason, only the job is deferred.
         """
-        job, spec, state, shape, zones, *_ = sample
-        if state.excluded_machines or len(zones) < len(self.context.facts.zones):
+        job, spec, _, shape, zones, *_ = sample
+        excluded = self.context.failures.excluded_machines(job)
+        if excluded or len(zones) < len(self.context.facts.zones):
             self.schedule.defer(job.id, self.context.now + constants.FULL_SAMPLE_INTERVAL_S)
             return
         self.schedule.close_queue(shape)
@@ -313,9 +314,8 @@
             PreemptionRequest(job, spec, state, feasible, wanted, math.inf),
         )
         chosen: dict[str, int] = {}
-        while probes > 0 and (
-            machines := self.index.sample(feasible, probes, state.excluded_machines)
-        ):
+        excluded = context.failures.excluded_machines(job)
+        while probes > 0 and (machines := self.index.sample(feasible, probes, excluded)):
             for machine in machines:
                 chosen[machine.name] = chosen.get(machine.name, 0) + 1
             probes -= len(machines)
@@ -338,7 +338,7 @@
             machines = self.index.sample(
                 self.index.feasible(oldest.spec, self.context.facts.zones),
                 constants.MAX_RESERVATIONS_PER_JOB,
-                self.pending_jobs[oldest.id].excluded_machines,
+                self.context.failures.excluded_machines(oldest),
             )
             reserve(self.context, oldest, {machine.name: 1 for machine in machines})
 
@@ -370,7 +370,9 @@
             task_capacity(candidate.free, spec) for candidate in with_image
         ) and self._waits_for_image(spec, state, sampled[0].machine):
             state.next_sample_at = self.context.now + constants.IMAGE_WAIT_RESAMPLE_S
-            full = self.index.sample(image_holders, probes, state.excluded_machines)
+            full = self.index.sample(
+                image_holders, probes, self.context.failures.excluded_machines(job)
+            )
             chosen = {machine.name: 1 for machine in full}
             chosen.update(choose_machines(self.context, job, spec, with_image, probes))
         else:
--- a/tests/test_failed_tasks.py
+++ b/tests/test_failed_tasks.py
@@ -65,6 +65,75 @@
     assert len(sim.running_tasks()) == 8
 
 
+@pytest.mark.parametrize("holder_ends", [False, True])
+@pytest.mark.parametrize("kind", ["array", "service", "gang"])
+@pytest.mark.parametrize("machines", [1, 2])
+def test_a_job_that_failed_once_starts_again_on_the_same_machine(kind, machines, holder_ends):
+    # Guards against review/1: a machine on which a job failed once was excluded for ever.
+    sim = idle_cluster()
+    sim.capacity = machines
+    if machines == 2:
+        sim.submit("job-1", spec("service", 1, "blue", cpus=8.0))
+        sim.run(15)
+    tasks = 2 if kind == "gang" else 1
+    sim.failing_starts["job-2/0"] = 1
+    sim.submit("job-2", spec(kind, tasks, cpus=4.0 / tasks, estimate_s=400.0))
+    sim.run(15)
+    assert not sim.failing_starts["job-2/0"]
+    if holder_ends:
+        sim.crash(role_holder(sim, "red"))
+    assert missing_at_worst(sim, "job-2", 110.0) < WAITING_LIMIT_S
+    assert len([task for _, task, _ in sim.running_tasks() if "job-2/" in task]) == tasks
+
+
+def test_another_machine_is_rented_for_a_job_that_failed_on_the_only_one_with_room():
+    # Guards against review/1: the autoscaler took the excluded machine for the job's capacity.
+    sim = idle_cluster()
+    sim.submit("job-1", spec("service", 1, "blue", cpus=8.0))
+    sim.run(15)
+    sim.failing_starts["job-2/0"] = 1
+    sim.submit("job-2", spec("array", 1, cpus=4.0, estimate_s=400.0))
+    sim.run(constants.EXCLUSION_S / 2)
+    starts = [machine for _, task, _, machine in sim.start_log if task == "job-2/0"]
+    assert len(starts) == 2
+    assert starts[0] != starts[1]
+
+
+def test_no_machine_is_rented_for_a_job_that_failed_on_several():
+    # Guards against renting one machine after the other for a job that fails everywhere.
+    sim = idle_cluster()
+    sim.submit("job-1", spec("service", 1, "blue", cpus=8.0))
+    sim.run(15)
+    before = len(sim.workers)
+    sim.failing_starts["job-2/0"] = 1000
+    sim.submit("job-2", spec("array", 1, cpus=4.0, estimate_s=400.0))
+    sim.run(400)
+    assert sum(task == "job-2/0" for _, task, _, _ in sim.start_log) >= 6
+    assert len(sim.workers) - before <= constants.SUSPECT_MACHINES + 400 / constants.RETRY_MAX_S
+
+
+def test_a_task_that_always_fails_does_not_keep_the_others_of_its_job_from_starting():
+    # Guards against a suspect job that tries the same faulty task again and again.
+    sim = cluster_with_idle_machines(1)
+    sim.failing_starts["job-2/0"] = 1000
+    sim.submit("job-2", spec("array", 6, cpus=7.0, estimate_s=5.0))
+    sim.run(150)
+    assert {f"job-2/{index}" for index in range(1, 6)} <= sim.completed
+
+
+def test_failures_one_after_the_other_do_not_keep_a_job_from_retrying():
+    # Guards against a backoff that each further failure of a large array began anew.
+    sim = cluster_with_idle_machines(4)
+    for index in range(2):
+        sim.failing_starts[f"job-2/{index}"] = 1000
+    sim.submit("job-2", spec("array", 8, cpus=2.0, estimate_s=300.0))
+    sim.run(60)
+    starts_before = len(sim.start_log)
+    sim.run(WAITING_LIMIT_S)
+    retried = {task for _, task, _, _ in sim.start_log[starts_before:]}
+    assert {"job-2/0", "job-2/1"} <= retried
+
+
 def test_a_suspect_job_starts_another_task_although_the_last_one_never_runs():
     # Guards against a suspect job that waits for as long as the machine of its only task hangs.
     sim = cluster_with_idle_machines(4)
@@ -109,4 +178,5 @@
     # All tasks on each of the machines that make it suspect, then one task after each pause.
     assert within_minute <= 12 * constants.SUSPECT_MACHINES + 6
     sim.run(240)
-    assert len(sim.start_log) - before - within_minute <= 240 / constants.RETRY_MAX_S + 2
+    later = len(sim.start_log) - before - within_minute
+    assert 240 / constants.RETRY_MAX_S - 1 <= later <= 240 / constants.RETRY_MAX_S + 2
