A queue counts requested capacity once, so that work of lower priority does not get what is left

What callers saw: with urgent jobs waiting, an array of the lowest priority started now and then on capacity that was freed.

Cause: a queue closes once its jobs have requested all free capacity that was found. Since claims hide what other jobs of the shard have requested, that count leaves earlier requests out, and SamplingSchedule still added them up: of three free GPUs two were requested (1 < 3, then 1 + 1 >= 2), the urgent queue closed, and the queue of the lowest priority, next in the same tick, requested the third.

Fix: requests whose capacity is claimed are not added up; those that wait for image holders, which claim nothing, still are. The new test fails on the code before (two of three GPUs requested).

--- a/oakmux/core/scheduling/sampling.py
+++ b/oakmux/core/scheduling/sampling.py
@@ -247,11 +247,13 @@
             functools.partial(self.claims.available, job, spec),
         )
         if sampled:
-            self._request_capacity(sample, sampled)
+            claimed = self._request_capacity(sample, sampled)
             self.schedule.defer(job.id, state.next_sample_at)
             found = sum(task_capacity(candidate.free, spec) for candidate in sampled)
             all_drawn = found < probes * constants.SAMPLE_RATIO + constants.SAMPLE_EXTRA_TASKS
-            self.schedule.capacity_requested(shape, wanted, found if all_drawn else None)
+            self.schedule.capacity_requested(
+                shape, wanted, found if all_drawn else None, claimed=claimed
+            )
         elif self._sample_widely(sample):
             self.schedule.defer(job.id, state.preempt_at)
             self.schedule.capacity_requested(shape, 0, None)
@@ -342,8 +344,11 @@
             )
             reserve(self.context, oldest, {machine.name: 1 for machine in machines})
 
-    def _request_capacity(self, sample: Sample, sampled: list[SampledMachine]) -> None:
-        """Reserve capacity on drawn machines, or wait for machines that hold the image."""
+    def _request_capacity(self, sample: Sample, sampled: list[SampledMachine]) -> bool:
+        """Reserve capacity on drawn machines, or wait for machines that hold the image.
+
+        Returns whether the capacity is claimed.
+        """
         job, spec, state, _, zones, wanted, probes = sample
         image_holders = self.index.feasible_with_image(spec, zones)
         with_image = [candidate for candidate in sampled if candidate.has_image]
@@ -365,10 +370,11 @@
             )
         ):
             state.next_sample_at = state.preempt_at
-            return
-        if len(image_holders) >= wanted > sum(
+            return False
+        waits_for_image = len(image_holders) >= wanted > sum(
             task_capacity(candidate.free, spec) for candidate in with_image
-        ) and self._waits_for_image(spec, state, sampled[0].machine):
+        ) and self._waits_for_image(spec, state, sampled[0].machine)
+        if waits_for_image:
             state.next_sample_at = self.context.now + constants.IMAGE_WAIT_RESAMPLE_S
             full = self.index.sample(
                 image_holders, probes, self.context.failures.excluded_machines(job)
@@ -380,6 +386,7 @@
             until = self.context.now + constants.RESAMPLE_S
             self.claims.add(job.id, spec, chosen, until, wanted)
         reserve(self.context, job, chosen)
+        return not waits_for_image
 
     def _waits_for_image(self, spec: JobSpec, state: PendingJob, machine: Machine) -> bool:
         """Whether to wait for machines that hold the image instead of fetching it.
--- a/oakmux/core/scheduling/sampling_schedule.py
+++ b/oakmux/core/scheduling/sampling_schedule.py
@@ -54,7 +54,7 @@
         self.pending_jobs = pending_jobs
         self.queues = PendingQueues(context)
         self.closed: dict[Shape, ClosedQueue] = {}
-        # Capacity that a queue's jobs have requested within RESAMPLE_S.
+        # Capacity that a queue's jobs have requested within RESAMPLE_S; 0 tasks if it is claimed.
         self.requested: dict[Shape, list[CapacityRequest]] = {}
         # Heap of the times to which jobs are deferred. Stale entries are skipped when popped.
         self.timers: list[tuple[float, str]] = []
@@ -127,19 +127,23 @@
             self.context.now + constants.RESAMPLE_S, constants.FULL_SAMPLE_INTERVAL_S, True
         )
 
-    def capacity_requested(self, shape: Shape, tasks: int, found: int | None) -> None:
+    def capacity_requested(
+        self, shape: Shape, tasks: int, found: int | None, *, claimed: bool = False
+    ) -> None:
         """Record that a job of a queue requested capacity for `tasks` tasks.
 
-        `found` is the number of tasks that fit into all free capacity; None if it was not fully
-        counted. Once the queue has requested all of it, the queue is closed until the first
-        request expires: the next jobs would request the same capacity.
+        `found` is the number of tasks that fit into all free capacity that other jobs have not
+        claimed; None if it was not fully counted. Once the queue has requested all of it, the
+        queue is closed until the first request expires: the next jobs would request the same
+        capacity. If the capacity is `claimed`, the next jobs' counts leave it out.
         """
         now = self.context.now
         self.closed.pop(shape, None)
         requests = [request for request in self.requested.get(shape, ()) if request.until > now]
-        requests.append(CapacityRequest(now + constants.RESAMPLE_S, tasks))
+        unclaimed = sum(request.tasks for request in requests)
+        requests.append(CapacityRequest(now + constants.RESAMPLE_S, 0 if claimed else tasks))
         self.requested[shape] = requests
-        if found is not None and sum(request.tasks for request in requests) >= found:
+        if found is not None and unclaimed + tasks >= found:
             self.closed[shape] = ClosedQueue(
                 requests[0].until, constants.FULL_SAMPLE_INTERVAL_S, False
             )
--- a/tests/test_pending_queues.py
+++ b/tests/test_pending_queues.py
@@ -243,6 +243,23 @@
     assert not completed_tasks(sim, "job-0")
 
 
+@pytest.mark.parametrize("claimed", [True, False])
+def test_a_queue_closes_only_once_its_jobs_have_requested_all_free_capacity(claimed):
+    # Guards against counting a request twice: idle work got room for which urgent jobs waited.
+    context = Context(settings_for("h0"), random.Random(1), 0)
+    context.types = {"big": TYPE}
+    schedule = SamplingSchedule(context, {})
+    job = Job("job-1", "red", "queued", 1, spec(priority=2), 0, 1)
+    context.replica.jobs[job.id] = job
+    shape = schedule.queues.put(job, job.spec)
+    for requested in range(3):
+        assert schedule.head(shape) is not None
+        # What other jobs have claimed is not found any more.
+        found = 3 - requested if claimed else 3
+        schedule.capacity_requested(shape, 1, found, claimed=claimed)
+    assert schedule.head(shape) is None
+
+
 def test_jobs_that_missed_their_objective_follow_jobs_that_can_meet_it():
     # By age alone all jobs of a burst above capacity are late: each starts when its time is over.
     context = Context(settings_for("h0"), random.Random(1), 0)
