A job that fails everywhere starts one task at a time on one or two machines too

Fix: after two rounds of failures (tasks that fail within a second are one round) a job starts one task at a time, and the autoscaler rents for one, until a task is done or has run for long enough. The burn test plays one, two and six machines and allows two rounds: 12 of its 18 cases, those with one and two machines, fail without this change.

--- a/oakmux/constants/scheduling.py
+++ b/oakmux/constants/scheduling.py
@@ -142,6 +142,10 @@
 # Machines on which a job must fail, with no task done, before the failures are attributed to the
 # job instead of the machines (count): two faulty machines at a time are rare, three tries cheap.
 SUSPECT_MACHINES = 3
+# Rounds of failures after which a job starts one task at a time, also with fewer machines (count),
+# and seconds in which failures count as one round.
+SUSPECT_ROUNDS = 2
+FAILURE_ROUND_S = 1.0
 # Seconds for which a task of a suspect job must run to clear the job: at least, at most, and in
 # multiples of the longest run that ended in a failure. With RETRY_MAX_S, the most is below the
 # 90 s for which no job may wait beside free capacity.
--- a/oakmux/core/autoscaling/scale_out.py
+++ b/oakmux/core/autoscaling/scale_out.py
@@ -161,8 +161,8 @@
         wanted = min(
             job.unbound_count(), budget, quotas.tasks_left(context, job.team, spec, usage)
         )
-        if context.failures.is_suspect(job):
-            wanted = min(wanted, 1)  # a job suspected to fail starts one task at a time
+        if context.failures.starts_one_at_a_time(job):
+            wanted = min(wanted, 1)
         if wanted <= 0:
             return 0, _NextJob.LEAST_DEMANDING  # the team is at its limit
         if job_id in self.cancellations.cancelled:
--- a/oakmux/core/scheduling/binding.py
+++ b/oakmux/core/scheduling/binding.py
@@ -221,10 +221,10 @@
         wanted = self.buffer.unbound_tasks(job)
         if spec.kind == "gang" and bound:
             return 0  # a new attempt waits until every task of the old attempt has ended
-        if spec.gang_scheduled or not self.context.failures.is_suspect(job):
+        if spec.gang_scheduled or not self.context.failures.starts_one_at_a_time(job):
             return wanted
-        # The job fails on every machine: start one task at a time. Otherwise each attempt of a
-        # faulty array would occupy hundreds of slots and cause as many image fetches.
+        # The job may fail on every machine. Each attempt of a faulty array would occupy hundreds
+        # of slots, and cause as many image fetches.
         since_last_s = self.context.now - state.last_bound_at
         held = bound and since_last_s < constants.SUSPECT_START_INTERVAL_S
         return 0 if held else min(wanted, 1)
--- a/oakmux/core/scheduling/failure_attribution.py
+++ b/oakmux/core/scheduling/failure_attribution.py
@@ -24,6 +24,10 @@
     failed_at: dict[str, float] = {}
     # The machines among these whose failures may be the job's own fault.
     unexplained: set[str] = set()
+    # Since the job was last cleared: how many times tasks failed that had not been started
+    # together, and when those that failed last began to.
+    rounds: int = 0
+    round_began_at: float = constants.NEVER
     # The longest time (s) for which a task ran before it failed.
     longest_run_s: float = 0.0
     # When the running tasks of the suspect job were last examined.
@@ -55,6 +59,9 @@
         history.failed_at.pop(machine, None)
         history.failed_at[machine] = now
         history.unexplained.add(machine)
+        if now - history.round_began_at > constants.FAILURE_ROUND_S:
+            history.rounds += 1
+            history.round_began_at = now
         history.longest_run_s = max(history.longest_run_s, run_s)
         self._forget_old_failures(history, now)
         if not was_suspected and len(history.unexplained) >= constants.SUSPECT_MACHINES:
@@ -89,12 +96,30 @@
         return (
             history is not None
             and len(history.unexplained) >= constants.SUSPECT_MACHINES
-            and not job.done_count()
-            and not self._is_cleared(job, history)
+            and self._may_be_at_fault(job, history)
         )
 
+    def starts_one_at_a_time(self, job: Job) -> bool:
+        """Whether a job starts one task at a time: it is suspect, or all that it tried failed.
+
+        A job that fails everywhere never becomes suspect where there are only one or two machines.
+        """
+        history = self.histories.get(job.id)
+        return (
+            history is not None
+            and (
+                len(history.unexplained) >= constants.SUSPECT_MACHINES
+                or history.rounds >= constants.SUSPECT_ROUNDS
+            )
+            and self._may_be_at_fault(job, history)
+        )
+
+    def _may_be_at_fault(self, job: Job, history: FailureHistory) -> bool:
+        """Whether nothing shows that a job which failed runs on some machine."""
+        return not job.done_count() and not self._is_cleared(job, history)
+
     def _is_cleared(self, job: Job, history: FailureHistory) -> bool:
-        """Clear a suspect job once one of its tasks has run for long enough.
+        """Clear a job once one of its tasks has run for long enough.
 
         The job then does not fail on every machine, so the machines are the likelier cause.
         """
@@ -112,6 +137,7 @@
         if not self._has_run_for(job, required_s):
             return False
         history.unexplained.clear()
+        history.rounds = 0
         event("job_cleared", job=job.id, run_s=round(required_s, 1))
         return True
 
--- a/tests/test_failed_tasks.py
+++ b/tests/test_failed_tasks.py
@@ -163,11 +163,12 @@
     assert state.retry_at == core.context.now + constants.RETRY_MAX_S
 
 
+@pytest.mark.parametrize("machines", [1, 2, 6])
 @pytest.mark.parametrize("run_s", [0.5, 5.0, 9.0])
 @pytest.mark.parametrize("kind", ["array", "service"])
-def test_a_job_that_fails_everywhere_starts_few_tasks(kind, run_s, monkeypatch):
-    # Guards against clearing a suspect job by runs that are no longer than those that failed.
-    sim = cluster_with_idle_machines(6)
+def test_a_job_that_fails_everywhere_starts_few_tasks(kind, run_s, machines, monkeypatch):
+    # Guards against clearing a job by runs that are no longer than those that failed.
+    sim = cluster_with_idle_machines(machines)
     monkeypatch.setattr("tests.fakes.tasks.FAILING_RUN_S", run_s)
     for index in range(12):
         sim.failing_starts[f"job-2/{index}"] = 1000
@@ -175,8 +176,8 @@
     sim.submit("job-2", spec(kind, 12, cpus=1.0, gpus=0.5, estimate_s=300.0))
     sim.run(60)
     within_minute = len(sim.start_log) - before
-    # All tasks on each of the machines that make it suspect, then one task after each pause.
-    assert within_minute <= 12 * constants.SUSPECT_MACHINES + 6
+    # All tasks in each of two rounds, then one task after each pause.
+    assert within_minute <= 12 * constants.SUSPECT_ROUNDS + 6
     sim.run(240)
     later = len(sim.start_log) - before - within_minute
     assert 240 / constants.RETRY_MAX_S - 1 <= later <= 240 / constants.RETRY_MAX_S + 2
