A quarantined machine on which tasks run is tried again 60 s after the last failure

What callers would see: once tasks of three jobs have failed in a row on a machine, nothing is started there again as long as a service runs on it, beside free CPUs and GPUs, and where the cloud has no other machine every job waits. A quarantined machine is returned once it is empty, which a service prevents, and only a task done there ended the quarantine, which could not start.

Fix: quarantine needs a failure within the last 60 s. An empty machine is still returned after 8 s, and the next failure on one that is not begins the quarantine again.

--- a/oakmux/constants/agents.py
+++ b/oakmux/constants/agents.py
@@ -28,6 +28,9 @@
 # failed jobs kept for each machine (count).
 QUARANTINE_FAILED_JOBS = 3
 FAILED_JOBS_KEPT = 8
+# Seconds for which a machine stays in quarantine after the last failure: less than the 90 s for
+# which no job may wait beside free capacity.
+QUARANTINE_MAX_S = 60.0
 
 # Seconds added to the workers' lease before a cancellation counts as complete.
 CANCELLATION_MARGIN_S = 4.0
--- a/oakmux/core/agents/capacity.py
+++ b/oakmux/core/agents/capacity.py
@@ -122,9 +122,14 @@
 
 
 def is_quarantined(context: Context, machine: Machine) -> bool:
-    """Whether tasks of several jobs failed on a machine, and the machine is the likely cause."""
+    """Whether tasks of several jobs failed on a machine, and the machine is the likely cause.
+
+    A machine with running tasks can't be returned. It is tried again after QUARANTINE_MAX_S, and
+    the next failure puts it back into quarantine.
+    """
     return (
         len(machine.errors) >= constants.QUARANTINE_FAILED_JOBS
+        and context.failures.last_failure_s(machine) <= constants.QUARANTINE_MAX_S
         and sum(
             context.failures.counts_against_machine(job_id, machine.name)
             for job_id in machine.errors
--- a/oakmux/core/failure_attribution.py
+++ b/oakmux/core/failure_attribution.py
@@ -171,6 +171,19 @@
             return ()
         return excluded
 
+    def last_failure_s(self, machine: Machine) -> float:
+        """Return the seconds since a task of the jobs that failed in a row on a machine failed.
+
+        0 if the time is not known.
+        """
+        failed_at = [
+            history.failed_at[machine.name]
+            for job_id in machine.errors
+            if (history := self.histories.get(job_id)) is not None
+            and machine.name in history.failed_at
+        ]
+        return self.clock() - max(failed_at) if failed_at else 0.0
+
     def counts_against_machine(self, job_id: str, machine: str) -> bool:
         """Whether a job's failure on a machine counts against the machine.
 
