--- a/review/standins-2/state.py
+++ b/review/standins-2/state.py
@@ -72,6 +72,7 @@
         self.refused_400 = 0
         self.changed = asyncio.Event()
         self.out = False
+        self.refused: set[str] = set()  # controllers that are refused alone
 
     @property
     def now(self) -> float:
@@ -124,29 +125,34 @@
         fault = self.fault(label, method, path, body) or Fault()
         if fault.before_s:
             await asyncio.sleep(fault.before_s)
-        reply = await self.serve_now(method, path, body, fault)
+        reply = await self.serve_now(label, method, path, body, fault)
         if fault.after_s:
             await asyncio.sleep(fault.after_s)
         return None if fault.lost else reply
 
-    async def serve_now(self, method: str, path: str, body: Any, fault: Fault) -> Reply:
+    def blocked(self, label: str) -> bool:
+        """Whether a controller is refused now; its open watches wait."""
+        return self.out or label in self.refused
+
+    async def serve_now(
+        self, label: str, method: str, path: str, body: Any, fault: Fault
+    ) -> Reply:
         """Execute a request, or refuse it."""
-        if fault.refuse or (self.out and not path.startswith("/watch")):
+        if fault.refuse or self.blocked(label):
             return Reply(503, {"error": "trouble"})
         if not self.requests.take(self.now, self.limits.rps, 1):
             return Reply(429, {"error": "requests"})
         parts = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        return await self.route(method, parts.path, query, body)
+        if parts.path == "/watch":
+            block_s = int(query.get("block_ms", 0)) / 1000
+            return await self.watch(label, query["prefix"], int(query["since"]), block_s)
+        return self.route(method, parts.path, query, body)
 
-    async def route(self, method: str, path: str, query: dict[str, str], body: Any) -> Reply:
+    def route(self, method: str, path: str, query: dict[str, str], body: Any) -> Reply:
         """Execute a request."""
         if path == "/txn" and method == "POST":
             return self.transact(body.get("guards") or [], body.get("writes") or [])
-        if path == "/watch":
-            return await self.watch(
-                query["prefix"], int(query["since"]), int(query.get("block_ms", 0)) / 1000
-            )
         if path == "/kv":
             return self.page(query["prefix"], query.get("since", ""), int(query.get("page", 1000)))
         if path.startswith("/kv/"):
@@ -221,11 +227,11 @@
                 self.log(write["write"], write["v"])
         return Reply(200, {"epoch": self.epoch})
 
-    async def watch(self, prefix: str, since: int, block_s: float) -> Reply:
+    async def watch(self, label: str, prefix: str, since: int, block_s: float) -> Reply:
         """Wait for changes under a prefix; an outage keeps the watch waiting."""
         deadline = self.now + min(block_s, 60.0)
         while True:
-            if not self.out:
+            if not self.blocked(label):
                 if len(self.changes) == KEPT_CHANGES and self.changes[0][0] > since + 1:
                     return Reply(410)
                 events = [
@@ -239,7 +245,7 @@
                     return Reply(200, {"epoch": self.epoch, "events": events})
             changed = self.changed
             try:
-                async with asyncio.timeout(0.05 if self.out else deadline - self.now):
+                async with asyncio.timeout(0.05 if self.blocked(label) else deadline - self.now):
                     await changed.wait()
             except TimeoutError:
                 pass
