--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,7 +10,7 @@
 MACHINES_A_ZONE = 8
 ONE_TASK_JOBS, LARGE_JOBS, LARGE_TASKS = 60, 2, 20
 RUN_S = 10.0
-UP_AT_S = 8.0  # the machines come up at about this time
+UP_AFTER_S = 6.5  # after the first submission, the machines come up at about this time
 OUT_S = 5.0
 WAIT_S = 90.0  # once the troubles are over, no job may wait that long beside room
 END_S = 115.0
@@ -54,7 +54,8 @@
 async def play(bench: Bench) -> str | None:
     """Submit jobs, let machines come up and the service fail, look for jobs that wait."""
     fleet = bench.fleet
-    fleet.boot_s = lambda _: max(1.0, UP_AT_S - bench.at) + bench.rng.uniform(0.0, 0.5)
+    up_at = bench.at + UP_AFTER_S
+    fleet.boot_s = lambda _: max(1.0, up_at - bench.at) + bench.rng.uniform(0.0, 0.5)
     jobs = [job(100 + n, owner="team-1") for n in range(ONE_TASK_JOBS)]
     jobs += [job(500 + n, owner="team-1", pieces=LARGE_TASKS) for n in range(LARGE_JOBS)]
     waits_since: dict[str, float] = {}
