Log which transaction carries, settles or is refused with which records

records_sent, records_answered and record_settled are logged at debug, records_refused at info. No change of behaviour.

--- a/oakmux/core/state/record_writer.py
+++ b/oakmux/core/state/record_writer.py
@@ -4,6 +4,7 @@
 accumulate for the next transaction.
 """
 
+import logging
 from collections.abc import Iterable
 from typing import Any
 
@@ -15,6 +16,8 @@
 from oakmux.core.state.write_buffer import WriteBuffer
 from oakmux.logs import event
 
+log = logging.getLogger("oakmux.core")
+
 
 class RecordWriter:
     """The only writer of changed task blocks and completed jobs of teams whose roles are held."""
@@ -25,13 +28,15 @@
         self.builder = TransactionBuilder(context, buffer)
         # The earliest local time (s) of the next write.
         self.write_after = 0.0
-        self.in_flight = 0
+        # Transactions in flight, by number.
+        self.in_flight: dict[int, Transaction] = {}
+        self._last_number = 0
 
     def flush(self) -> None:
         """Write changes that are due, many in one transaction."""
         if (
             self.context.now < self.write_after
-            or self.in_flight >= constants.WRITES_IN_FLIGHT
+            or len(self.in_flight) >= constants.WRITES_IN_FLIGHT
             or not self._is_due()
         ):
             return
@@ -52,19 +57,39 @@
     def _send(self, transaction: Transaction) -> None:
         self.builder.busy_jobs |= transaction.jobs
         self.builder.busy_batches |= transaction.batches
-        self.in_flight += 1
+        self._last_number += 1
+        number = self._last_number
+        self.in_flight[number] = transaction
+        self._log_sent(number, transaction)
         self.context.call(
-            lambda status, result: self._on_outcome(transaction, status, result),
+            lambda status, result: self._on_outcome(number, status, result),
             messages.Transaction,
             list(transaction.conditions.items()),
             transaction.writes,
             1,
         )
 
-    def _on_outcome(self, transaction: Transaction, status: int, result: Any) -> None:
+    @staticmethod
+    def _log_sent(number: int, transaction: Transaction) -> None:
+        """Log what a transaction contains; blocks without a busy job or batch only ride along."""
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug(
+                "event=records_sent number=%s conditions=%s writes=%s bytes=%s blocks=%s "
+                "batches=%s jobs=%s",
+                number,
+                len(transaction.conditions),
+                len(transaction.writes),
+                transaction.bytes,
+                ",".join(f"{block.job_id}/{block.number}" for block in transaction.blocks),
+                ",".join(sorted(transaction.batches)),
+                ",".join(sorted(transaction.jobs)),
+            )
+
+    def _on_outcome(self, number: int, status: int, result: Any) -> None:
+        transaction = self.in_flight.pop(number)
+        log.debug("event=records_answered number=%s status=%s", number, status)
         self.builder.busy_jobs -= transaction.jobs
         self.builder.busy_batches -= transaction.batches
-        self.in_flight -= 1
         if status == 200:
             self._commit(transaction, result[0])
             return
@@ -76,6 +101,17 @@
                 self.buffer.dirty.setdefault(block, 0.0)
         self.write_after = self.context.now + constants.BACKOFF_FIRST_S
         if status == 400:
+            event(
+                "records_refused",
+                number=number,
+                conditions=len(transaction.conditions),
+                max_conditions=self.builder.max_conditions,
+                writes=len(transaction.writes),
+                max_writes=self.builder.max_writes,
+                bytes=transaction.bytes,
+                jobs=len(transaction.jobs),
+                batches=len(transaction.batches),
+            )
             # Not written, and can't be in this form: the store's limits have fallen.
             self.buffer.refused = True
             self.write_after = self.context.now + constants.BACKOFF_MAX_S
@@ -95,6 +131,12 @@
             event("job_done", job=job_id)
         for block in transaction.blocks:
             if block not in self.buffer.dirty:
+                log.debug(
+                    "event=record_settled block=%s/%s revision=%s",
+                    block.job_id,
+                    block.number,
+                    revision,
+                )
                 self.buffer.release_block(block.job_id, block.number)
 
     def _read_again(self, keys: Iterable[str]) -> None:
