--- a/oakmux/core/state/record_writer.py
+++ b/oakmux/core/state/record_writer.py
@@ -44,8 +44,8 @@
         if transaction.writes:
             self._send(transaction)
         else:
-            for block in transaction.blocks:
-                self.buffer.release_block(block.job_id, block.number)
+            for block_id, version in transaction.blocks.items():
+                self.buffer.settle(block_id, version)
 
     def _is_due(self) -> bool:
         """Whether a finished job or a changed block is due for writing."""
@@ -71,7 +71,7 @@
 
     @staticmethod
     def _log_sent(number: int, transaction: Transaction) -> None:
-        """Log what a transaction contains; blocks without a busy job or batch only ride along."""
+        """Log what a transaction contains."""
         if log.isEnabledFor(logging.DEBUG):
             log.debug(
                 "event=records_sent number=%s conditions=%s writes=%s bytes=%s blocks=%s "
@@ -129,15 +129,14 @@
         for job_id in transaction.completed_jobs:
             self.buffer.finished_jobs.pop(job_id, None)
             event("job_done", job=job_id)
-        for block in transaction.blocks:
-            if block not in self.buffer.dirty:
+        for block_id, version in transaction.blocks.items():
+            if self.buffer.settle(block_id, version):
                 log.debug(
                     "event=record_settled block=%s/%s revision=%s",
-                    block.job_id,
-                    block.number,
+                    block_id.job_id,
+                    block_id.number,
                     revision,
                 )
-                self.buffer.release_block(block.job_id, block.number)
 
     def _read_again(self, keys: Iterable[str]) -> None:
         """Read records whose state in the store is unknown."""
--- a/oakmux/core/state/transaction_builder.py
+++ b/oakmux/core/state/transaction_builder.py
@@ -56,7 +56,10 @@
         self.max_conditions = CONDITIONS_PER_WRITE * limits.txn_ops
 
     def build(self) -> Transaction:
-        """Return a transaction with the due changes; its blocks are no longer dirty."""
+        """Return a transaction with the due changes; its blocks are no longer dirty.
+
+        Blocks that turn out to be recorded already are settled.
+        """
         dirty = self._dirty_jobs()
         by_batch: dict[str, list[DirtyJob]] = {}
         for entry in dirty:
@@ -64,6 +67,7 @@
             if name is not None:
                 by_batch.setdefault(name, []).append(entry)
         transaction = Transaction()
+        visited_batches: set[str] = set()
         self._add_finished_jobs(transaction)
         for entry in dirty:
             if entry.due > self.context.now:
@@ -73,10 +77,13 @@
             name = self._batch_of(entry)
             if name is None:
                 self._add_blocks(transaction, entry)
-            elif name not in transaction.batches and name not in self.busy_batches:
+            elif name not in visited_batches and name not in self.busy_batches:
+                visited_batches.add(name)
                 self._add_batch(transaction, name, entry.job.team, by_batch[name])
-        for block in transaction.blocks:
-            self.buffer.dirty.pop(block, None)
+        for block_id in transaction.blocks:
+            self.buffer.dirty.pop(block_id, None)
+        for block_id, version in transaction.recorded_blocks.items():
+            self.buffer.settle(block_id, version)
         return transaction
 
     def _dirty_jobs(self) -> list[DirtyJob]:
@@ -92,6 +99,10 @@
         ]
         return sorted(dirty_jobs, key=lambda entry: entry.due)
 
+    def _carry(self, partial: Transaction, block_id: BlockId) -> None:
+        """Note that a transaction records the present version of a block."""
+        partial.blocks[block_id] = self.buffer.versions[block_id]
+
     def _is_busy(self, transaction: Transaction, job: Job) -> bool:
         """Whether a job is in a transaction in flight, or in this one."""
         return job.id in self.busy_jobs or job.id in transaction.jobs
@@ -139,7 +150,7 @@
         """Add one block: a write of its value, or its removal if it is obsolete."""
         key, old = block_key(job.id, number), job.blocks.get(number)
         partial.conditions[key] = old.mod_revision if old is not None else 0
-        partial.blocks.append(BlockId(job.id, number))
+        self._carry(partial, BlockId(job.id, number))
         if not self._is_obsolete(job, self.buffer.changed[job.id][number], finishing):
             partial.writes.append(Put(key, value))
         elif old is not None:
@@ -247,8 +258,8 @@
                 break
             if not self._is_busy(transaction, entry.job):
                 self._update_row(partial, rows, entry.job)
-        if rows == batch.rows:
-            transaction.blocks += partial.blocks  # the batch is unchanged: nothing to write
+        if rows == batch.rows:  # recorded already, by a transaction whose answer was lost
+            transaction.recorded_blocks |= partial.blocks
             return
         value = [row.to_value() for row in rows.values()]
         size = value_bytes(value)
@@ -278,5 +289,5 @@
         else:
             value = encode_block(block, self.buffer.record_format())
             rows[job.id] = BatchRow(job.id, job.tasks, value)
-        partial.blocks.append(BlockId(job.id, ONLY_BLOCK))
+        self._carry(partial, BlockId(job.id, ONLY_BLOCK))
         partial.jobs.add(job.id)
--- a/oakmux/core/state/transactions.py
+++ b/oakmux/core/state/transactions.py
@@ -34,8 +34,10 @@
         # The mod revisions that keys must have; 0 means that the key must not exist.
         self.conditions: dict[str, int] = {}
         self.writes: list[Write] = []
-        # Task blocks whose changes the transaction records.
-        self.blocks: list[BlockId] = []
+        # Task blocks whose changes the transaction records, and the versions that it records.
+        self.blocks: dict[BlockId, int] = {}
+        # Task blocks that need no write: the records already show these versions.
+        self.recorded_blocks: dict[BlockId, int] = {}
         self.jobs: set[str] = set()
         self.batches: set[str] = set()
         # Jobs that the transaction records as done.
@@ -46,7 +48,8 @@
         """Add everything in another transaction to this one."""
         self.conditions.update(other.conditions)
         self.writes += other.writes
-        self.blocks += other.blocks
+        self.blocks |= other.blocks
+        self.recorded_blocks |= other.recorded_blocks
         self.jobs |= other.jobs
         self.batches |= other.batches
         self.completed_jobs |= other.completed_jobs
--- a/oakmux/core/state/write_buffer.py
+++ b/oakmux/core/state/write_buffer.py
@@ -19,6 +19,7 @@
     value_limit,
 )
 from oakmux.core.state.records import Binding, Job, TaskBlock
+from oakmux.core.state.transactions import BlockId
 
 
 class OfferedCapacity(Protocol):
@@ -52,7 +53,10 @@
         # Changed copies of task blocks, by job and number.
         self.changed: dict[str, dict[int, TaskBlock]] = {}
         # When to write each changed block (local time, s); blocks in flight are not included.
-        self.dirty: dict[tuple[str, int], float] = {}
+        self.dirty: dict[BlockId, float] = {}
+        # The version of each changed block: every edit makes a new one, and none is used twice.
+        self.versions: dict[BlockId, int] = {}
+        self._last_version = 0
         # Jobs whose tasks are all completed but that are not recorded as done yet.
         self.finished_jobs: dict[str, None] = {}
         # Whether the store refused a transaction because of its size.
@@ -148,7 +152,10 @@
         if block is None:
             old = job.blocks.get(number)
             block = changed[number] = old.copy() if old is not None else self._new_block(job)
-        self.dirty[(job.id, number)] = min(due, self.dirty.get((job.id, number), math.inf))
+        block_id = BlockId(job.id, number)
+        self.dirty[block_id] = min(due, self.dirty.get(block_id, math.inf))
+        self._last_version += 1
+        self.versions[block_id] = self._last_version
         return block
 
     def _new_block(self, job: Job) -> TaskBlock:
@@ -160,12 +167,26 @@
             block.batch = self.batches.choose(job.team, job.id, job.tasks)
         return block
 
-    def release_block(self, job_id: str, number: int) -> None:
-        """Drop the changed copy of a block that is recorded."""
-        changed = self.changed.get(job_id, {})
-        changed.pop(number, None)
+    def settle(self, block_id: BlockId, version: int) -> bool:
+        """Drop the changed copy of a block that is recorded in this version.
+
+        A copy that was edited since stays: its newer version is not recorded yet, whether or not a
+        transaction with it is in flight. Returns whether the copy was dropped.
+        """
+        if self.versions.get(block_id) != version:
+            return False
+        self.dirty.pop(block_id, None)
+        self._drop(block_id)
+        return True
+
+    def _drop(self, block_id: BlockId) -> None:
+        """Drop the changed copy of a block."""
+        job_id, number = block_id
+        del self.versions[block_id]
+        changed = self.changed[job_id]
+        del changed[number]
         if not changed:
-            self.changed.pop(job_id, None)
+            del self.changed[job_id]
             self.batches.release(job_id)
 
     def blocks(self, job: Job) -> list[TaskBlock]:
@@ -242,6 +263,7 @@
         jobs = self.context.replica.jobs
         lost = [job_id for job_id in self.changed if jobs[job_id].team not in held]
         for job_id in lost:
-            for number in self.changed.pop(job_id):
-                self.dirty.pop((job_id, number), None)
-            self.batches.release(job_id)
+            for number in list(self.changed[job_id]):
+                block_id = BlockId(job_id, number)
+                self.dirty.pop(block_id, None)
+                self._drop(block_id)
--- a/tests/fakes/consistency.py
+++ b/tests/fakes/consistency.py
@@ -1,11 +1,36 @@
 """Compare a controller's incremental counts and machine index with full recomputations."""
 
+import logging
+
 import pytest
 from msgspec.structs import astuple
 
 from oakmux.core.agents.capacity import count_free_resources, is_schedulable
 from oakmux.core.controller import Controller
 from oakmux.core.scheduling.machine_index import MachineIndex
+from oakmux.core.state.keys import role_key
+
+
+class ExceptionRecorder(logging.Handler):
+    """Records exceptions that a controller logged and survived."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.texts: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.exc_info is not None:
+            self.texts.append(f"{record.getMessage()}: {record.exc_info[1]!r}")
+
+
+exceptions = ExceptionRecorder()
+logging.getLogger("oakmux.core").addHandler(exceptions)
+
+
+def check_no_exception(expected: bool) -> None:
+    """Check that no command and no subsystem of a controller raised one that is not expected."""
+    texts, exceptions.texts = exceptions.texts, []
+    assert expected or not texts, texts
 
 
 def check_counts(core: Controller) -> None:
@@ -36,6 +61,19 @@
             ), team
 
 
+def check_unsettled_records(core: Controller) -> None:
+    """Check that each block with a write in flight is still read from the write buffer."""
+    buffer, held_roles = core.scheduler.buffer, core.context.held_roles
+    jobs = core.context.replica.jobs
+    for transaction in core.scheduler.writer.in_flight.values():
+        for block_id in transaction.blocks:
+            team = jobs[block_id.job_id].team
+            if transaction.conditions.get(role_key(team)) == held_roles.get(team):
+                assert block_id.number in buffer.changed.get(block_id.job_id, ()), (
+                    f"{block_id} counts as recorded while a write of it is in flight"
+                )
+
+
 def check_machine_index(core: Controller) -> None:
     """Compare the machine index with one that is rebuilt from scratch."""
     context, index = core.context, core.scheduler.index
--- a/tests/helpers/faults.py
+++ b/tests/helpers/faults.py
@@ -72,6 +72,7 @@
                 "hang",
                 "mute",
                 "lost_answers",
+                "unanswered_slow_writes",
                 "stale_heartbeats",
                 "query_bursts",
                 "cancel_running",
@@ -151,6 +152,8 @@
                 sim.workers[name].hang(rng.uniform(0.5, 2.5 * LEASE_S))
         elif fault == "lost_answers":
             sim.lost_answer_share = rng.choice([0.0, 0.1, 0.4])
+        elif fault == "unanswered_slow_writes":
+            lose_answers_of_slow_store(sim, rng, rng.uniform(5, 15))
         elif fault == "stale_heartbeats":
             sim.stale_heartbeat_share = rng.choice([0.0, 0.1, 0.4])
         elif fault == "query_bursts":
@@ -191,6 +194,38 @@
     return sim
 
 
+def lose_answers_of_slow_store(sim: Simulation, rng: random.Random, seconds: float) -> None:
+    """Let the store be slow, lose answers and carry out transactions late for a while."""
+    sim.store_delay_s = rng.uniform(0.2, 1.0)
+    sim.lost_answer_share = rng.choice([0.1, 0.3])
+    sim.late_write_share = rng.choice([0.0, 0.1, 0.3])
+
+    def end() -> None:
+        sim.store_delay_s = sim.lost_answer_share = sim.late_write_share = 0.0
+
+    sim.after(seconds, end)
+
+
+def run_with_unanswered_writes(seed: int, seconds: float = 120.0) -> Simulation:
+    """Submit and cancel jobs of 1 to 40 tasks while answers of a slow store get lost."""
+    sim = Simulation(seed, 3, teams=MIXED_QUOTAS if seed % 2 else TEAMS)
+    rng = random.Random(seed)
+    sim.run(10)
+    for number in range(int(seconds)):
+        kind = rng.choice(["array", "array", "array", "gang", "service"])
+        tasks = rng.choice([1, 2, 3, 5, 9] if kind != "array" else [1, 2, 3, 5, 12, 20])
+        team, run_s = rng.choice(["red", "blue"]), rng.uniform(0.3, 4)
+        needs = {"cpus": 0.5, "gpus": 0.0, "memory_gb": 0.2} if tasks > 8 else {}
+        sim.submit(f"job-{number}", spec(kind, tasks, team, estimate_s=run_s, **needs))
+        if kind == "service" or rng.random() < 0.2:
+            sim.after(rng.uniform(0, 20), lambda n=number: sim.cancel(f"job-{n}"))
+        if number % 10 == 0:
+            lose_answers_of_slow_store(sim, rng, rng.uniform(4, 9))
+        sim.run(1)
+    sim.run(20)
+    return sim
+
+
 def record_heartbeat(
     context: Context, machine: Machine, manager: str, agent_epoch: int = 1, fencing_token: int = 0
 ) -> None:
--- a/tests/test_controller_errors.py
+++ b/tests/test_controller_errors.py
@@ -8,6 +8,7 @@
 def test_a_failing_command_does_not_stop_the_controller():
     sim = Simulation()
     sim.run(5)
+    sim.expects_exceptions = True
     sim.command("h0", messages.ReceiveHeartbeat(None, None))
     sim.command(
         "h0",
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -103,6 +103,7 @@
 
 def test_an_exception_in_one_component_does_not_stop_the_others():
     sim = idle_cluster()
+    sim.expects_exceptions = True
 
     def fail():
         raise KeyError("fault")
