--- a/oakmux/constants/state.py
+++ b/oakmux/constants/state.py
@@ -14,9 +14,19 @@
 # Largest size of a binding batch's rows in bytes: each change of a row writes the whole batch,
 # and every controller reads it.
 BATCH_BYTES = 4096
-# Bytes of values in one transaction. The store allows 64 KiB in total, of which the conditions of
-# a full transaction take nine.
-TRANSACTION_BYTES = 48 * 1024
+# Bytes of one transaction. The store allows 64 KiB, counted in JSON; how it spaces that is not
+# known.
+TRANSACTION_BYTES = 52 * 1024
+# Largest value in bytes, whatever the store allows: it must fit into a transaction.
+MAX_VALUE_BYTES = 48 * 1024
+# Most bytes of a condition and of a write in addition to its key and value, and of a key.
+CONDITION_BYTES = 48
+WRITE_BYTES = 60
+MAX_KEY_BYTES = 200
+# Seconds without a refusal after which a writer uses the store's limits in full again.
+REFUSAL_HOLD_S = 60.0
+# Refused transactions that a writer remembers (count), so as not to send them again.
+MAX_REFUSED_TRANSACTIONS = 32
 # Bytes of the value size limit left unused, in case the store counts a few more.
 VALUE_SLACK_BYTES = 24
 
--- a/oakmux/core/state/formats.py
+++ b/oakmux/core/state/formats.py
@@ -28,7 +28,9 @@
 
 def value_limit(limits: StoreLimits) -> int:
     """Return the maximum bytes of a value that a controller writes."""
-    return int(limits.value_kb * 1024) - constants.VALUE_SLACK_BYTES
+    return (
+        min(int(limits.value_kb * 1024), constants.MAX_VALUE_BYTES) - constants.VALUE_SLACK_BYTES
+    )
 
 
 def tasks_per_block(value_kb: float) -> int:
--- a/oakmux/core/state/record_writer.py
+++ b/oakmux/core/state/record_writer.py
@@ -12,6 +12,7 @@
 from oakmux.core import messages
 from oakmux.core.context import Context
 from oakmux.core.state.transaction_builder import TransactionBuilder
+from oakmux.core.state.transaction_limits import REFUSED
 from oakmux.core.state.transactions import Put, Transaction
 from oakmux.core.state.write_buffer import WriteBuffer
 from oakmux.logs import event
@@ -41,11 +42,13 @@
         ):
             return
         transaction = self.builder.build()
-        if transaction.writes:
-            self._send(transaction)
-        else:
+        if not transaction.writes:
             for block_id, version in transaction.blocks.items():
                 self.buffer.settle(block_id, version)
+        elif self.builder.limits.may_send(transaction):
+            self._send(transaction)
+        else:
+            self._make_dirty(transaction)
 
     def _is_due(self) -> bool:
         """Whether a finished job or a changed block is due for writing."""
@@ -79,7 +82,7 @@
                 number,
                 len(transaction.conditions),
                 len(transaction.writes),
-                transaction.bytes,
+                transaction.size.bytes,
                 ",".join(f"{block.job_id}/{block.number}" for block in transaction.blocks),
                 ",".join(sorted(transaction.batches)),
                 ",".join(sorted(transaction.jobs)),
@@ -96,31 +99,24 @@
         # The write failed or its outcome is unknown: retry it, conditional on the newest mod
         # revisions. A delayed duplicate then fails, since each successful write changes the mod
         # revisions that it checks.
-        for block in transaction.blocks:
-            if block.number in self.buffer.changed.get(block.job_id, ()):
-                self.buffer.dirty.setdefault(block, 0.0)
         self.write_after = self.context.now + constants.BACKOFF_FIRST_S
-        if status == 400:
-            event(
-                "records_refused",
-                number=number,
-                conditions=len(transaction.conditions),
-                max_conditions=self.builder.max_conditions,
-                writes=len(transaction.writes),
-                max_writes=self.builder.max_writes,
-                bytes=transaction.bytes,
-                jobs=len(transaction.jobs),
-                batches=len(transaction.batches),
-            )
+        self._make_dirty(transaction)
+        if status == REFUSED:
             # Not written, and can't be in this form: the store's limits have fallen.
             self.buffer.refused = True
-            self.write_after = self.context.now + constants.BACKOFF_MAX_S
+            self.builder.limits.note_refused(transaction)
         elif status == 409 and result is not None:
             self._read_again(result[1])
         elif status != 503:  # 503 guarantees that nothing was written
             event("write_outcome_unknown", status=status, jobs=len(transaction.jobs))
             self._read_again(write.key for write in transaction.writes)
 
+    def _make_dirty(self, transaction: Transaction) -> None:
+        """Mark the blocks of a transaction that was not carried out as not written."""
+        for block_id in transaction.blocks:
+            if block_id in self.buffer.versions:
+                self.buffer.dirty.setdefault(block_id, 0.0)
+
     def _commit(self, transaction: Transaction, revision: int) -> None:
         """Apply a committed transaction to the replica."""
         for write in transaction.writes:
--- a/oakmux/core/state/transaction_builder.py
+++ b/oakmux/core/state/transaction_builder.py
@@ -20,14 +20,12 @@
 from oakmux.core.state.formats import value_bytes
 from oakmux.core.state.keys import batch_key, block_key, job_key, role_key
 from oakmux.core.state.records import Job, TaskBlock
+from oakmux.core.state.transaction_limits import TransactionLimits
 from oakmux.core.state.transactions import BlockId, Delete, Put, Transaction
 from oakmux.core.state.write_buffer import WriteBuffer
 
 log = logging.getLogger("oakmux.core")
 
-# The limit on a transaction's conditions, as a multiple of the limit on its operations.
-CONDITIONS_PER_WRITE = 4
-
 
 class DirtyJob(NamedTuple):
     """A job with changed task blocks: the earliest due time (s), and the blocks' numbers."""
@@ -48,12 +46,12 @@
         self.busy_batches: set[str] = set()
         # Keys of records that exceed the size limit, to log each once.
         self.too_large_keys: set[str] = set()
-        limits = context.facts.store.strictest
-        # A transaction far above this controller's share of the write rate would delay all later
-        # writes.
-        share = int(constants.TRANSACTION_RATE_S * limits.write_rps / context.settings.size)
-        self.max_writes = min(limits.txn_ops, max(constants.TRANSACTION_MIN_CHANGES, share))
-        self.max_conditions = CONDITIONS_PER_WRITE * limits.txn_ops
+        strictest = context.facts.store.strictest
+        self.limits = TransactionLimits(strictest, lambda: context.now)
+        # Writes (count) up to which changes of several jobs and batches share a transaction: one
+        # far above this controller's share of the write rate would delay all later writes.
+        share = int(constants.TRANSACTION_RATE_S * strictest.write_rps / context.settings.size)
+        self.shared_writes = max(constants.TRANSACTION_MIN_CHANGES, share)
 
     def build(self) -> Transaction:
         """Return a transaction with the due changes; its blocks are no longer dirty.
@@ -113,78 +111,104 @@
             return None
         return self.buffer.changed[entry.job.id][ONLY_BLOCK].batch
 
+    def _admit(self, transaction: Transaction, partial: Transaction) -> bool:
+        """Add what belongs together to a transaction if it then keeps within all limits.
+
+        What the store refused is left out until it changes; everything else is written meanwhile.
+        """
+        size = transaction.size_with(partial)
+        if (
+            (transaction.writes and size.writes > self.shared_writes)
+            or not self.limits.allow(size)
+            or self.limits.was_refused(partial)
+        ):
+            return False
+        transaction.merge(partial)
+        return True
+
+    def _admit_alone(self, transaction: Transaction, partial: Transaction) -> None:
+        """Add to an empty transaction what can't be made smaller, or defer it."""
+        if not self._admit(transaction, partial):
+            self._defer(partial.blocks)
+
+    def _defer(self, blocks: Iterable[BlockId]) -> None:
+        """Look at blocks that can't be written again after a pause, or once they change."""
+        for block_id in blocks:
+            self.buffer.dirty[block_id] = self.context.now + constants.RETRY_MAX_S
+
     # --- task blocks with records of their own ---
 
     def _add_blocks(self, transaction: Transaction, entry: DirtyJob) -> None:
-        """Add a job's changed blocks, each as its own record."""
-        job, numbers = entry.job, entry.numbers
-        if len(transaction.writes) + len(numbers) + 1 > self.max_writes:
-            if transaction.writes:
-                return
-            numbers = numbers[: self.context.facts.store.strictest.txn_ops - 1]
-        record_format = self.buffer.record_format()
-        changed = self.buffer.changed[job.id]
-        values = {number: encode_block(changed[number], record_format) for number in numbers}
-        numbers = [n for n in numbers if not self._postpone_too_large(job.id, n, values[n])]
-        numbers = self._fitting_blocks(transaction, numbers, values)
-        if not numbers:
+        """Add a job's changed blocks, each as its own record.
+
+        A transaction takes all of them, with the job's end if they complete it, or none. One that
+        is empty takes as many as fit.
+        """
+        values = self._block_values(entry)
+        complete = len(values) == len(entry.numbers) and self._is_completed(entry.job)
+        if not values or self._admit(transaction, self._blocks(entry.job, values, complete)):
             return
+        if not transaction.writes:
+            self._admit_alone(transaction, self._fitting_blocks(entry.job, values))
+
+    def _block_values(self, entry: DirtyJob) -> dict[int, Value]:
+        """Return the values of a job's changed blocks; postpones those that are too large."""
+        record_format = self.buffer.record_format()
+        changed = self.buffer.changed[entry.job.id]
+        values = {number: encode_block(changed[number], record_format) for number in entry.numbers}
+        return {
+            number: value
+            for number, value in values.items()
+            if not self._postpone_too_large(entry.job.id, number, value)
+        }
+
+    def _blocks(self, job: Job, values: dict[int, Value], complete: bool) -> Transaction:
+        """Return the writes of a job's blocks, with the end of the job if they complete it."""
         partial = Transaction()
-        partial.bytes = sum(value_bytes(values[number]) for number in numbers)
-        finishing = (
-            job.id in self.buffer.finished_jobs
-            and not job.final
-            and len(numbers) == len(entry.numbers)
-        )
         self._add_job_conditions(partial, job)
-        if finishing:
+        if complete:
             self._record_completion(partial, job)
-        for number in numbers:
-            self._add_block(partial, job, number, values[number], finishing)
+        for number, value in values.items():
+            self._add_block(partial, job, number, value, complete)
         partial.jobs.add(job.id)
-        transaction.merge(partial)
+        return partial
+
+    def _fitting_blocks(self, job: Job, values: dict[int, Value]) -> Transaction:
+        """Return the writes of a job's first blocks, as many as an empty transaction takes."""
+        fitting = Transaction()
+        for number, value in values.items():
+            partial = self._blocks(job, {number: value}, complete=False)
+            if fitting.blocks and not self.limits.allow(fitting.size_with(partial)):
+                break
+            fitting.merge(partial)
+        return fitting
 
     def _add_block(
         self, partial: Transaction, job: Job, number: int, value: Value, finishing: bool
     ) -> None:
         """Add one block: a write of its value, or its removal if it is obsolete."""
         key, old = block_key(job.id, number), job.blocks.get(number)
-        partial.conditions[key] = old.mod_revision if old is not None else 0
+        partial.require(key, old.mod_revision if old is not None else 0)
         self._carry(partial, BlockId(job.id, number))
         if not self._is_obsolete(job, self.buffer.changed[job.id][number], finishing):
-            partial.writes.append(Put(key, value))
+            partial.add_write(Put(key, value))
         elif old is not None:
-            partial.writes.append(Delete(key))
+            partial.add_write(Delete(key))
 
-    @staticmethod
-    def _fitting_blocks(
-        transaction: Transaction, numbers: list[int], values: dict[int, Value]
-    ) -> list[int]:
-        """Return the blocks that fit into the transaction.
-
-        If it already has writes, these are all blocks or none; if it is empty, as many as fit,
-        and at least one.
-        """
-        remaining_bytes = constants.TRANSACTION_BYTES - transaction.bytes
-        fitting: list[int] = []
-        for number in numbers:
-            remaining_bytes -= value_bytes(values[number])
-            if remaining_bytes < 0 and (transaction.writes or fitting):
-                return [] if transaction.writes else fitting
-            fitting.append(number)
-        return fitting
+    def _is_completed(self, job: Job) -> bool:
+        """Whether a job has to be recorded as done."""
+        return job.id in self.buffer.finished_jobs and not job.final
 
     def _add_job_conditions(self, partial: Transaction, job: Job) -> None:
         """Add the conditions that the team's role is held and the job's record is unchanged."""
-        partial.conditions[role_key(job.team)] = self.context.held_roles[job.team]
-        partial.conditions[job_key(job.id)] = job.mod_revision
+        partial.require(role_key(job.team), self.context.held_roles[job.team])
+        partial.require(job_key(job.id), job.mod_revision)
 
     def _record_completion(self, partial: Transaction, job: Job) -> None:
         """Add the write that records a job as done."""
         spec = job.spec if self.buffer.bindings(job) else None
         value = encode_job("done", job.team, spec, job.submitted_ms, job.tasks)
-        partial.writes.append(Put(job_key(job.id), value))
-        partial.bytes += value_bytes(value)
+        partial.add_write(Put(job_key(job.id), value))
         partial.completed_jobs.add(job.id)
 
     @staticmethod
@@ -210,34 +234,36 @@
             self.too_large_keys.add(key)
             limit = self.buffer.max_value_bytes()
             log.error("event=record_too_large key=%s bytes=%s limit=%s", key, size, limit)
-        for block in blocks:
-            self.buffer.dirty[block] = self.context.now + constants.RETRY_MAX_S
+        self._defer(blocks)
 
     # --- task blocks in batches ---
 
     def _add_finished_jobs(self, transaction: Transaction) -> None:
-        """Record finished jobs with rows in batches as done at once, since users wait for that.
+        """Record finished jobs as done at once, since users wait for that.
 
-        Their rows are removed by a later write of the batch. Until then their tasks still count as
-        bound.
+        Their rows in batches are removed by a later write of the batch. Until then their tasks
+        still count as bound. A job with changed blocks of its own ends together with these.
         """
         for job_id in self.buffer.finished_jobs:
-            if len(transaction.writes) >= self.max_writes:
+            if len(transaction.writes) >= self.shared_writes:
                 return
             job = self.context.replica.jobs[job_id]
-            block = self.buffer.changed.get(job_id, {}).get(ONLY_BLOCK)
             if (
-                block is None
-                or block.batch is None
-                or job.final
-                or not self.buffer.owns(job)
-                or self._is_busy(transaction, job)
-                or len(transaction.conditions) + 2 > self.max_conditions
+                not job.final
+                and not self._has_own_changes(job)
+                and self.buffer.owns(job)
+                and not self._is_busy(transaction, job)
             ):
-                continue
-            self._add_job_conditions(transaction, job)
-            transaction.jobs.add(job_id)
-            self._record_completion(transaction, job)
+                partial = Transaction()
+                self._add_job_conditions(partial, job)
+                self._record_completion(partial, job)
+                partial.jobs.add(job_id)
+                self._admit(transaction, partial)
+
+    def _has_own_changes(self, job: Job) -> bool:
+        """Whether a job has changed blocks with records of their own."""
+        changed = self.buffer.changed.get(job.id, {})
+        return any(block.batch is None for block in changed.values())
 
     def _add_batch(
         self, transaction: Transaction, name: str, team: str, dirty: list[DirtyJob]
@@ -251,8 +277,8 @@
         rows = dict(batch.rows)
         partial = Transaction()
         partial.batches.add(name)
-        partial.conditions[role_key(team)] = self.context.held_roles[team]
-        partial.conditions[batch_key(name)] = batch.mod_revision
+        partial.require(role_key(team), self.context.held_roles[team])
+        partial.require(batch_key(name), batch.mod_revision)
         for entry in dirty:
             if not self._has_room_for_condition(transaction, partial):
                 break
@@ -266,24 +292,21 @@
         if size > self.buffer.max_value_bytes():
             self._postpone(batch_key(name), size, partial.blocks)
             return
-        if transaction.writes and (
-            transaction.bytes + size > constants.TRANSACTION_BYTES
-            or len(transaction.writes) >= self.max_writes
-        ):
-            return
-        partial.writes.append(Put(batch_key(name), value))
-        partial.bytes = size
-        transaction.merge(partial)
+        partial.add_write(Put(batch_key(name), value))
+        if transaction.writes:
+            self._admit(transaction, partial)
+        else:
+            self._admit_alone(transaction, partial)
 
     def _has_room_for_condition(self, transaction: Transaction, partial: Transaction) -> bool:
         """Whether the transaction has room for the condition of another row."""
-        return len(transaction.conditions.keys() | partial.conditions.keys()) < self.max_conditions
+        return transaction.size_with(partial).conditions < self.limits.current.conditions
 
     def _update_row(self, partial: Transaction, rows: dict[str, BatchRow], job: Job) -> None:
         """Update the row of one job."""
         block = self.buffer.changed[job.id][ONLY_BLOCK]
         if block.adds_bindings_to(job.blocks.get(ONLY_BLOCK)):
-            partial.conditions[job_key(job.id)] = job.mod_revision
+            partial.require(job_key(job.id), job.mod_revision)
         if self._is_obsolete(job, block, finishing=False):
             rows.pop(job.id, None)
         else:
--- a/oakmux/core/state/transactions.py
+++ b/oakmux/core/state/transactions.py
@@ -2,6 +2,9 @@
 
 from typing import Any, NamedTuple
 
+from oakmux import constants
+from oakmux.core.state.formats import value_bytes
+
 
 class Put(NamedTuple):
     """Write of a value; a record with a lease is deleted when the lease ends."""
@@ -27,6 +30,23 @@
     number: int
 
 
+class TransactionSize(NamedTuple):
+    """What the store limits in a transaction; `bytes` is an upper bound of its size as JSON."""
+
+    writes: int
+    conditions: int
+    bytes: int
+
+
+def _condition_bytes(key: str) -> int:
+    return constants.CONDITION_BYTES + len(key.encode())
+
+
+def _write_bytes(write: Write) -> int:
+    size = constants.WRITE_BYTES + len(write.key.encode())
+    return size + value_bytes(write.value) if isinstance(write, Put) else size
+
+
 class Transaction:
     """The writes and conditions of one transaction, and the blocks, jobs and batches involved."""
 
@@ -42,10 +62,36 @@
         self.batches: set[str] = set()
         # Jobs that the transaction records as done.
         self.completed_jobs: set[str] = set()
-        self.bytes = 0
+        self._bytes = 0
+
+    def require(self, key: str, mod_revision: int) -> None:
+        """Add the condition that a key has a mod revision."""
+        if key not in self.conditions:
+            self._bytes += _condition_bytes(key)
+        self.conditions[key] = mod_revision
+
+    def add_write(self, write: Write) -> None:
+        """Add a write."""
+        self._bytes += _write_bytes(write)
+        self.writes.append(write)
+
+    @property
+    def size(self) -> TransactionSize:
+        """What the store limits in this transaction."""
+        return TransactionSize(len(self.writes), len(self.conditions), self._bytes)
+
+    def size_with(self, other: "Transaction") -> TransactionSize:
+        """Return the size of both transactions in one; common conditions count once."""
+        common = self.conditions.keys() & other.conditions.keys()
+        return TransactionSize(
+            len(self.writes) + len(other.writes),
+            len(self.conditions) + len(other.conditions) - len(common),
+            self._bytes + other._bytes - sum(_condition_bytes(key) for key in common),
+        )
 
     def merge(self, other: "Transaction") -> None:
         """Add everything in another transaction to this one."""
+        self._bytes = self.size_with(other).bytes
         self.conditions.update(other.conditions)
         self.writes += other.writes
         self.blocks |= other.blocks
@@ -53,4 +99,3 @@
         self.jobs |= other.jobs
         self.batches |= other.batches
         self.completed_jobs |= other.completed_jobs
-        self.bytes += other.bytes
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -5,6 +5,8 @@
 
 from typing import Any
 
+import msgspec
+
 from oakmux.core.model import JobSpec, MachineType
 from oakmux.settings import (
     CloudLimits,
@@ -22,6 +24,7 @@
 TYPE = MachineType("big", 8.0, 4.0, 64.0, 100.0, 1.0, 10.0, 3.0, 3.0, ZONES)
 LEASE_S, REPORT_S, CANCEL_S, GANG_WAIT_S = 6.0, 1.0, 20.0, 8.0
 ANSWER_S = 4.0  # a worker drops answers that take longer
+STORE_LIMITS = StoreLimits(1000, 1000, 8, 12)
 TEAMS = (Team("red", gpus=4, gpus_max=8), Team("blue", gpus=4, gpus_max=10))
 # States in which a task counts as placed on its machine: from the end of the image fetch until it
 # exits.
@@ -33,6 +36,7 @@
     count: int = 3,
     upcoming_limits: UpcomingLimits | None = None,
     teams: tuple[Team, ...] = TEAMS,
+    store_limits: StoreLimits = STORE_LIMITS,
 ) -> Settings:
     """Return the settings of one controller of a small deployment."""
     peers = [Peer(f"h{i}", f"10.0.0.{i + 1}:81") for i in range(count) if f"h{i}" != label]
@@ -45,7 +49,9 @@
             ZONES,
             list(teams),
             WorkerTimings(REPORT_S, LEASE_S, GANG_WAIT_S, 3.0, CANCEL_S),
-            StoreLimits(1000, 1000, 8, 12, upcoming_limits or UpcomingLimits()),
+            msgspec.structs.replace(
+                store_limits, upcoming=upcoming_limits or store_limits.upcoming
+            ),
             CloudLimits(5, 2),
             count,
         ),
--- a/tests/fakes/simulation.py
+++ b/tests/fakes/simulation.py
@@ -16,7 +16,7 @@
 from oakmux.core.model import Heartbeat
 from oakmux.core.peer_messages import MachineView, PeerMessage
 from oakmux.core.state.formats import value_limit
-from oakmux.settings import SchedulingOptions, Settings, Team, UpcomingLimits
+from oakmux.settings import SchedulingOptions, Settings, StoreLimits, Team, UpcomingLimits
 from tests.fakes import deployment
 from tests.fakes.consistency import check_counts, check_no_exception, check_unsettled_records
 from tests.fakes.network import RequestKind
@@ -64,12 +64,14 @@
         teams: tuple[Team, ...] = deployment.TEAMS,
         known_format: int | None = None,
         single_terms: tuple[str, ...] = (),
+        store_limits: StoreLimits = deployment.STORE_LIMITS,
     ) -> None:
         labels = [f"h{i}" for i in range(count)]
         super().__init__(seed, labels, teams)
         self.subsystems = subsystems
         self.scheduling = scheduling or SchedulingOptions()
         self.upcoming_limits = upcoming_limits
+        self.store_limits = store_limits
         self.first_version = set(first_version)
         # Controllers of a version that has one term for all workers.
         self.single_terms = set(single_terms)
@@ -123,7 +125,11 @@
     def settings(self, label: str) -> Settings:
         """Return a controller's settings."""
         settings = deployment.settings_for(
-            label, len(self.labels), self.upcoming_limits, tuple(self.teams.values())
+            label,
+            len(self.labels),
+            self.upcoming_limits,
+            tuple(self.teams.values()),
+            self.store_limits,
         )
         return msgspec.structs.replace(settings, scheduling=self.scheduling)
 
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -2,8 +2,33 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
+from oakmux.codec.store import transaction_body
 from oakmux.core import messages
 from oakmux.core.state.formats import value_bytes
+from oakmux.settings import StoreLimits
+
+# Bytes of a transaction and of a key that the store accepts, and conditions a write.
+TRANSACTION_BYTES, KEY_BYTES, CONDITIONS_PER_WRITE = 64 * 1024, 200, 4
+
+
+def exceeds_limits(limits: StoreLimits, guards: list, writes: list) -> bool:
+    """Whether the store refuses a transaction for its size (400)."""
+    keys = [key for key, _ in guards] + [write[0] for write in writes]
+    return (
+        len(writes) > limits.txn_ops
+        or len(guards) > CONDITIONS_PER_WRITE * limits.txn_ops
+        or any(value_bytes(w[1]) > limits.value_kb * 1024 for w in writes if len(w) > 1)
+        or any(not 1 <= len(key.encode()) <= KEY_BYTES or " " in key for key in keys)
+        or value_bytes(transaction_body(guards, writes)) > TRANSACTION_BYTES
+    )
+
+
+def exceeds_burst(limits: StoreLimits, writes: list) -> bool:
+    """Whether a transaction has more changes than the store ever takes at once (429)."""
+    return len(writes) > limits.write_rps
+
 
 if TYPE_CHECKING:
     from tests.fakes.simulation import Simulation
@@ -23,8 +48,10 @@
         self.down = False
         self.down_until = 0.0
         self.refused: set[str] = set()  # controllers whose requests get 503
-        self.value_kb, self.txn_ops = 8.0, 12
-        self.too_large = 0  # transactions rejected for their size
+        self.limits = sim.store_limits
+        self.too_large = 0  # transactions rejected for their size, or for too many changes at once
+        # Transactions rejected for their size: none may be sent again as it was.
+        self.rejected: list[tuple[list, list]] = []
 
     def put(self, key: str, value: Any, lease: int | None) -> None:
         self.sim.on_write(key, value)
@@ -58,14 +85,12 @@
         raise TypeError(operation)
 
     def transact(self, guards: list, writes: list) -> tuple[int, Any]:
-        if (
-            len(writes) > self.txn_ops
-            or len(guards) > 4 * self.txn_ops
-            or any(value_bytes(w[1]) > self.value_kb * 1024 for w in writes if len(w) > 1)
-            or value_bytes([guards, writes]) > 64 * 1024
-        ):
-            self.too_large += 1
+        if exceeds_limits(self.limits, guards, writes):
+            self.reject(guards, writes)
             return 400, None
+        if exceeds_burst(self.limits, writes):
+            self.too_large += 1
+            return 503, None
         failed = [
             k for k, mod_revision in guards if self.rows.get(k, (0, 0, 0))[1] != mod_revision
         ]
@@ -82,6 +107,19 @@
                     self.put(*write)
         return 200, (self.revision, [])
 
+    def lower_limits(self, **limits: float) -> None:
+        """Replace some of the limits that the store enforces."""
+        self.limits = msgspec.structs.replace(self.limits, **limits)
+
+    def reject(self, guards: list, writes: list) -> None:
+        """Note a transaction that is too large; its sender must not repeat it."""
+        self.too_large += 1
+        if not self.sim.serving_copy:
+            assert (guards, writes) not in self.rejected, (
+                f"sent again as it was refused: {len(writes)} writes, {len(guards)} conditions"
+            )
+            self.rejected.append((guards, writes))
+
     def read_key(self, key: str) -> tuple[int, Any]:
         row = self.rows.get(key)
         return (404, (None, self.revision)) if row is None else (200, row[:2])
--- a/tests/helpers/faults.py
+++ b/tests/helpers/faults.py
@@ -9,6 +9,7 @@
 from oakmux.core.context import Context
 from oakmux.core.machine import Machine
 from oakmux.core.model import Heartbeat
+from oakmux.settings import StoreLimits, UpcomingLimits
 from tests.fakes import (
     CANCEL_S,
     LEASE_S,
@@ -19,12 +20,32 @@
 from tests.fakes.network import RequestKind
 from tests.helpers.clusters import MIXED_QUOTAS
 
+# Limits of the store that random runs draw from.
+STORE_LIMITS = [
+    StoreLimits(1000, 1000, 8, 12),
+    StoreLimits(1000, 1000, 8, 48),
+    StoreLimits(80, 20, 8, 12),
+    StoreLimits(1000, 60, 8, 4),
+    StoreLimits(1000, 1000, 8, 12, UpcomingLimits(value_kb=2.0, txn_ops=4)),
+    StoreLimits(1000, 60, 8, 48, UpcomingLimits(write_rps=20.0, value_kb=2.0, txn_ops=2)),
+]
+
 
 def run_with_random_faults(
-    seed: int, seconds: float = 150.0, verify_counts: bool = False, count: int = 3
+    seed: int,
+    seconds: float = 150.0,
+    verify_counts: bool = False,
+    count: int = 3,
+    store_limits: StoreLimits | None = None,
 ) -> Simulation:
-    """Submit random jobs under random faults, then end the faults."""
-    sim = Simulation(seed, count, teams=MIXED_QUOTAS if seed % 2 else TEAMS)
+    """Submit random jobs under random faults, then end the faults.
+
+    The limits of the store are drawn as well; those that are announced come into force in some
+    runs. No transaction may exceed them.
+    """
+    teams = MIXED_QUOTAS if seed % 2 else TEAMS
+    limits = store_limits or random.Random(seed).choice(STORE_LIMITS)
+    sim = Simulation(seed, count, teams=teams, store_limits=limits)
     sim.verify_counts = verify_counts
     sim.loss_rate, sim.duplicate_rate, sim.slow_rate = 0.01, 0.01, 0.005
     rng = random.Random(seed)
@@ -73,6 +94,8 @@
                 "mute",
                 "lost_answers",
                 "unanswered_slow_writes",
+                "burst_before_outage",
+                "announced_limits",
                 "stale_heartbeats",
                 "query_bursts",
                 "cancel_running",
@@ -154,6 +177,10 @@
             sim.lost_answer_share = rng.choice([0.0, 0.1, 0.4])
         elif fault == "unanswered_slow_writes":
             lose_answers_of_slow_store(sim, rng, rng.uniform(5, 15))
+        elif fault == "burst_before_outage":
+            fill_before_outage(sim, rng, 1000 * (number + 1), rng.uniform(1, 8))
+        elif fault == "announced_limits":
+            sim.store.limits = sim.store.limits.strictest
         elif fault == "stale_heartbeats":
             sim.stale_heartbeat_share = rng.choice([0.0, 0.1, 0.4])
         elif fault == "query_bursts":
@@ -191,6 +218,7 @@
     sim.one_way.clear()
     sim.boot_s = lambda: 2.0
     sim.store.refused, sim.cloud_down = set(), False
+    assert sim.store.too_large == 0
     return sim
 
 
@@ -206,6 +234,21 @@
     sim.after(seconds, end)
 
 
+def fill_before_outage(
+    sim: Simulation, rng: random.Random, first_job: int, seconds: float
+) -> None:
+    """Submit many small jobs and a few larger ones, and take the store out as they are bound."""
+    needs = {"cpus": 0.05, "gpus": 0.0, "memory_gb": 0.05}
+    small, large = rng.randint(20, 60), rng.randint(1, 3)
+    for number in range(first_job, first_job + small + large):
+        tasks = rng.choice([1, 1, 1, 2, 16]) if number < first_job + small else 20
+        team = rng.choice(["red", "red", "blue"])
+        job = spec("array", tasks, team, estimate_s=rng.uniform(1, 6), **needs)
+        sim.after(rng.uniform(0.0, 0.5), lambda n=number, job=job: sim.submit(f"job-{n}", job))
+    sim.after(rng.uniform(0.5, 0.9), lambda: sim.store.outage(seconds))
+    sim.run(1.0)
+
+
 def run_with_unanswered_writes(seed: int, seconds: float = 120.0) -> Simulation:
     """Submit and cancel jobs of 1 to 40 tasks while answers of a slow store get lost."""
     sim = Simulation(seed, 3, teams=MIXED_QUOTAS if seed % 2 else TEAMS)
--- a/tests/helpers/writer.py
+++ b/tests/helpers/writer.py
@@ -3,8 +3,6 @@
 import random
 from typing import Any
 
-import msgspec
-
 from oakmux.core import messages
 from oakmux.core.context import Context
 from oakmux.core.state.codecs import encode_job
@@ -15,7 +13,7 @@
 from oakmux.core.state.write_buffer import WriteBuffer
 from oakmux.settings import StoreLimits, Team
 from tests.fakes import spec
-from tests.fakes.deployment import settings_for
+from tests.fakes.deployment import STORE_LIMITS, settings_for
 
 TASKS_PER_RECORD = 64
 BINDING = Binding(1, "m1", 1, 1, "a")
@@ -25,12 +23,11 @@
     """A record writer whose transactions stay in flight until the test answers them."""
 
     def __init__(
-        self, teams: tuple[str, ...] = ("red",), limits: StoreLimits | None = None, count: int = 3
+        self, teams: tuple[str, ...] = ("red",), limits: StoreLimits = STORE_LIMITS, count: int = 3
     ) -> None:
-        settings = settings_for("h0", count, teams=tuple(Team(team) for team in teams))
-        if limits is not None:
-            facts = msgspec.structs.replace(settings.facts, store=limits)
-            settings = msgspec.structs.replace(settings, facts=facts)
+        settings = settings_for(
+            "h0", count, teams=tuple(Team(team) for team in teams), store_limits=limits
+        )
         self.context = Context(settings, random.Random(1), 0)
         self.context.now = 100.0
         self.revision = 0
@@ -60,6 +57,14 @@
         block.last_attempt = attempt
         block.bindings[index] = BINDING._replace(attempt=attempt, machine=machine)
 
+    def complete(self, job: Job) -> None:
+        """Let all tasks of a job complete."""
+        for index in range(job.tasks):
+            block = self.buffer.edit(job, index // TASKS_PER_RECORD)
+            block.bindings.pop(index, None)
+            block.completed_mask |= 1 << index % TASKS_PER_RECORD
+        self.buffer.finished_jobs[job.id] = None
+
     def flush(self, after_s: float = 5.0) -> list[messages.Transaction]:
         """Let the writer write what is due `after_s` later; return the transactions sent."""
         self.context.now += after_s
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -16,7 +16,7 @@
     """Return a settled deployment, on the new format and with the upcoming store limits."""
     sim = Simulation(seed, upcoming_limits=UPCOMING_LIMITS)
     sim.run(12)
-    sim.store.value_kb, sim.store.txn_ops = 2.0, 4
+    sim.store.lower_limits(value_kb=2.0, txn_ops=4)
     return sim
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -53,7 +53,7 @@
 
 def lower_store_limits(sim: Simulation, value_kb: float = 2.0) -> None:
     """Lower the limits on the size of values and transactions."""
-    sim.store.value_kb, sim.store.txn_ops = value_kb, 4
+    sim.store.lower_limits(value_kb=value_kb, txn_ops=4)
 
 
 def cpu_array(tasks: int, **fields):
