Reads, cascades and terminations keep within all limits of a transaction too

What callers would see: with a thousand changes a transaction, questions about many jobs answered 503 for ever, since four thousand conditions exceed the 64 KiB of a transaction; with fewer changes a second than a transaction may hold, a cascade of cancellations that is never recorded, since the store answers 429 each time; after limits fell without notice, the same transaction each second.

Comparisons hold as many conditions as fit whatever their keys, cascades and records of terminated machines use TransactionLimits, and all three send less after a refusal.

Test: test_reads_and_cascades_of_many_jobs_keep_within_the_limits.

--- a/oakmux/core/api/cancellation.py
+++ b/oakmux/core/api/cancellation.py
@@ -17,6 +17,8 @@
 from oakmux.core.state.codecs import encode_job
 from oakmux.core.state.keys import job_key
 from oakmux.core.state.records import Job
+from oakmux.core.state.transaction_limits import REFUSED, TransactionLimits
+from oakmux.core.state.transactions import Put, Transaction
 from oakmux.logs import event
 
 
@@ -30,7 +32,7 @@
         # When to write the cancellation of a job whose dependency was cancelled.
         self.cascade_due: dict[str, float] = {}
         self.cascade_in_flight = False
-        self.max_writes = context.facts.store.strictest.txn_ops
+        self.limits = TransactionLimits(context.facts.store.strictest, lambda: context.now)
 
     def cancel(self, request_id: RequestId, job_id: str, job: Job | None) -> None:
         """Record that a job is cancelled, then answer; `job` is its current record."""
@@ -82,24 +84,35 @@
         due = self._due_jobs()
         if not due or self.cascade_in_flight:
             return
-        context = self.context
+        transaction = self._cascade_transaction(due)
+        if not transaction.writes or not self.limits.may_send(transaction):
+            return
         self.cascade_in_flight = True
-        conditions, writes = [], []
-        for job_id in due:
-            job = context.replica.jobs[job_id]
-            self.cascade_due[job_id] = context.now + constants.CASCADE_RETRY_S
-            conditions.append((job_key(job_id), job.mod_revision))
-            writes.append((job_key(job_id), _cancelled_value(job), None))
-        context.call(
-            lambda status, result: self._on_cascade_written(writes, status, result),
+        self.context.call(
+            lambda status, result: self._on_cascade_written(transaction, status, result),
             messages.Transaction,
-            conditions,
-            writes,
+            list(transaction.conditions.items()),
+            transaction.writes,
             1,
         )
 
+    def _cascade_transaction(self, due: list[str]) -> Transaction:
+        """Return the cancellations of the due jobs, as many as fit into one transaction."""
+        transaction = Transaction()
+        for job_id in due:
+            job = self.context.replica.jobs[job_id]
+            cancellation = Transaction()
+            cancellation.require(job_key(job_id), job.mod_revision)
+            cancellation.add_write(Put(job_key(job_id), _cancelled_value(job)))
+            if not self.limits.allow(transaction.size_with(cancellation)):
+                break
+            self.cascade_due[job_id] = self.context.now + constants.CASCADE_RETRY_S
+            if not self.limits.was_refused(cancellation):
+                transaction.merge(cancellation)
+        return transaction
+
     def _due_jobs(self) -> list[str]:
-        """Update the due times; return the jobs to write now."""
+        """Update the due times; return the jobs whose cancellation is due."""
         context = self.context
         cascade = context.replica.dependencies.cascade_cancelled
         for job_id in cascade:
@@ -107,18 +120,18 @@
                 self.cascade_due.setdefault(job_id, context.now + constants.CASCADE_RETRY_S)
         for job_id in [job_id for job_id in self.cascade_due if job_id not in cascade]:
             del self.cascade_due[job_id]
-        due = [job_id for job_id, at in self.cascade_due.items() if at <= context.now]
-        return due[: self.max_writes]
+        return [job_id for job_id, at in self.cascade_due.items() if at <= context.now]
 
-    def _on_cascade_written(
-        self, writes: list[tuple[str, list[Any], None]], status: int, result: Any
-    ) -> None:
+    def _on_cascade_written(self, transaction: Transaction, status: int, result: Any) -> None:
         self.cascade_in_flight = False
+        if status == REFUSED:
+            self.limits.note_refused(transaction)
         if status != 200:
             return  # the watch delivers the changes, or the jobs become due again
-        for key, value, _ in writes:
-            self.context.replica.apply(key, value, result[0])
-            event("job_cancelled", job=key.rpartition("/")[2], why="dependency_cancelled")
+        for write in transaction.writes:
+            value = write.value if isinstance(write, Put) else None
+            self.context.replica.apply(write.key, value, result[0])
+            event("job_cancelled", job=write.key.rpartition("/")[2], why="dependency_cancelled")
 
 
 def _cancelled_value(job: Job) -> list[Any]:
--- a/oakmux/core/api/current_reads.py
+++ b/oakmux/core/api/current_reads.py
@@ -19,6 +19,7 @@
 from oakmux.core.context import Context
 from oakmux.core.state.keys import job_key
 from oakmux.core.state.records import Job
+from oakmux.core.state.transaction_limits import REFUSED, max_conditions
 
 Continuation = Callable[[Job | None], None]
 """Called with the current job, or None if there is no such job."""
@@ -52,7 +53,7 @@
         self.queued: list[_Read] = []
         self.in_flight = 0
         self.revision_waits: list[_RevisionWait] = []
-        self.max_conditions = 4 * context.facts.store.strictest.txn_ops
+        self.max_conditions = max_conditions(context.facts.store.strictest)
 
     def records_loaded(self, request_id: RequestId) -> bool:
         """Whether records are loaded; if not, answers that the user should retry."""
@@ -137,6 +138,8 @@
 
     def _on_comparison(self, batch: list[_Read], status: int, result: Any) -> None:
         self.in_flight -= 1
+        if status == REFUSED:
+            self.max_conditions = max(1, min(self.max_conditions, len(batch) // 2))
         failed = set(result[1]) if status == CONFLICT else set()
         for read in batch:
             if status not in (200, CONFLICT):
--- a/oakmux/core/autoscaling/instance_inventory.py
+++ b/oakmux/core/autoscaling/instance_inventory.py
@@ -12,11 +12,10 @@
 from oakmux.core.peer_messages import MachinesTerminated
 from oakmux.core.state.formats import value_bytes, value_limit
 from oakmux.core.state.keys import TYPES_KEY, termination_key
+from oakmux.core.state.transaction_limits import REFUSED, TransactionLimits
+from oakmux.core.state.transactions import Delete, Put, Transaction, Write
 from oakmux.logs import event
 
-StoreWrite = tuple[Any, ...]
-"""`(key, value, lease)` puts a record, `(key,)` deletes it."""
-
 UNKNOWN_KIND = InstanceKind("", "", False)
 """Kind of a machine that sends heartbeats or has bindings but is in no list."""
 
@@ -49,6 +48,7 @@
 
     def __init__(self, context: Context) -> None:
         self.context = context
+        self.limits = TransactionLimits(context.facts.store.strictest, lambda: context.now)
         self.role_acquired_at = 0.0
         self.instances: dict[str, Instance] = {}
         # Machines that are certainly terminated, and when this was found.
@@ -179,21 +179,35 @@
 
     def write_records(self) -> None:
         """Write changed machine types and new terminations; delete terminations not needed."""
-        writes = [*self._changed_types(), *self._missing_terminations()]
-        writes += self._expired_terminations()
-        if writes:
-            writes = writes[: max(1, self.context.facts.store.strictest.txn_ops // 2)]
+        transaction = self._fitting(
+            [*self._changed_types(), *self._missing_terminations(), *self._expired_terminations()]
+        )
+        if transaction.writes and self.limits.may_send(transaction):
             self.context.call(
-                lambda status, result: self._on_written(writes, status, result),
+                lambda status, result: self._on_written(transaction, status, result),
                 messages.Transaction,
                 [],
-                writes,
+                transaction.writes,
                 1,
             )
         if len(self.terminated_at) > constants.MAX_CACHE_ENTRIES:
             self._forget_oldest()
 
-    def _changed_types(self) -> list[StoreWrite]:
+    def _fitting(self, writes: list[Write]) -> Transaction:
+        """Return a transaction with the first writes, as many as fit; the others follow later."""
+        transaction = Transaction()
+        most_writes = max(1, self.limits.current.writes // 2)  # users' changes go first
+        for write in writes:
+            partial = Transaction()
+            partial.add_write(write)
+            size = transaction.size_with(partial)
+            if size.writes > most_writes or not self.limits.allow(size):
+                break
+            if not self.limits.was_refused(partial):
+                transaction.merge(partial)
+        return transaction
+
+    def _changed_types(self) -> list[Write]:
         context = self.context
         if set(context.types) == set(context.replica.types):
             return []
@@ -202,12 +216,12 @@
         ]
         if value_bytes(records) > value_limit(context.facts.store.strictest):
             return []
-        return [(TYPES_KEY, records, None)]
+        return [Put(TYPES_KEY, records)]
 
-    def _missing_terminations(self) -> list[StoreWrite]:
+    def _missing_terminations(self) -> list[Write]:
         """Return the missing records of terminated machines that bindings still refer to."""
         now, replica = self.context.now, self.context.replica
-        writes: list[StoreWrite] = []
+        writes: list[Write] = []
         for name in replica.bindings.by_machine:
             if (
                 name in self.terminated_at
@@ -216,19 +230,19 @@
                 > constants.STORE_TIMEOUT_S
             ):
                 self.record_touched_at[name] = now
-                writes.append((termination_key(name), True, None))
+                writes.append(Put(termination_key(name), True))
         return writes
 
-    def _expired_terminations(self) -> list[StoreWrite]:
+    def _expired_terminations(self) -> list[Write]:
         """Return deletions of records that no binding has needed for TERMINATION_KEEP_S."""
         now, replica = self.context.now, self.context.replica
-        writes: list[StoreWrite] = []
+        writes: list[Write] = []
         for name in replica.terminated_machines:
             if name in replica.bindings.by_machine:
                 self.record_touched_at[name] = now
             elif now - self.record_touched_at.setdefault(name, now) > constants.TERMINATION_KEEP_S:
                 self.record_touched_at[name] = now
-                writes.append((termination_key(name),))
+                writes.append(Delete(termination_key(name)))
         return writes
 
     def _forget_oldest(self) -> None:
@@ -237,7 +251,10 @@
                 del self.terminated_at[name]
                 self.record_touched_at.pop(name, None)
 
-    def _on_written(self, writes: list[StoreWrite], status: int, result: Any) -> None:
+    def _on_written(self, transaction: Transaction, status: int, result: Any) -> None:
+        if status == REFUSED:
+            self.limits.note_refused(transaction)
         if status == 200:
-            for key, *value in writes:
-                self.context.replica.apply(key, value[0] if value else None, result[0])
+            for write in transaction.writes:
+                value = write.value if isinstance(write, Put) else None
+                self.context.replica.apply(write.key, value, result[0])
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -11,7 +11,7 @@
 from oakmux.core.state.transaction_limits import TransactionLimits
 from oakmux.core.state.transactions import Delete, Put, Transaction
 from oakmux.settings import StoreLimits, UpcomingLimits
-from tests.fakes import Simulation
+from tests.fakes import Simulation, spec
 from tests.fakes.store import exceeds_burst, exceeds_limits
 from tests.helpers.faults import fill_before_outage, run_with_random_faults
 from tests.helpers.writer import DrivenWriter
@@ -215,3 +215,34 @@
     assert sim.unanswered_jobs() == set()
     assert sim.startable_jobs() == set()
     assert sim.unfinished_jobs(150) == set()
+
+
+# Guards users' answers and cascades: they compare, or cancel, many jobs in one transaction, which
+# the store refused for its bytes, or for more changes than it takes in a second.
+@pytest.mark.parametrize(
+    ("limits", "fallen"),
+    [
+        (StoreLimits(1000, 1000, 8.0, 1000), {}),
+        (StoreLimits(80, 5, 8.0, 48), {}),
+        (StoreLimits(1000, 1000, 8.0, 48), {"txn_ops": 4}),
+    ],
+)
+def test_reads_and_cascades_of_many_jobs_keep_within_the_limits(limits, fallen):
+    sim = Simulation(1, 3, store_limits=limits)
+    sim.run(12)
+    sim.submit("job-0", spec("array", 1, estimate_s=500.0))
+    sim.run(2)
+    for number in range(1, 400):
+        chain = spec("array", 1, waits_on=("job-0",), estimate_s=1.0)
+        sim.after(0.02 * number, lambda n=number, job=chain: sim.submit(f"job-{n}", job))
+    sim.run(15)
+    sim.store.lower_limits(**fallen)
+    for label in sim.labels:
+        for number in range(400):
+            sim.send_request(label, messages.QueryJob, f"job-{number}")
+    sim.run(1)
+    sim.cancel("job-0")
+    sim.run(100)
+    states = [row[0][0] for key, row in sim.store.rows.items() if key.startswith("ox/j/")]
+    assert states == ["cancelled"] * 400
+    assert bool(sim.store.too_large) == bool(fallen)
