A job whose bindings no batch can hold has a record of its own

What callers saw: under a limit of values below some 1.9 KiB, in force or announced, a controller that started a job of 11 to 16 tasks stood still and answered nobody.

Cause: the allocator looked for a batch with room for all of the job's bindings, of which there is none, without end; whether a job shares a batch was decided by its tasks alone.

Evidence: a traceback in BatchAllocator.choose after five seconds (11 tasks, 1.2 KiB).

Fix: a job shares a batch only if its bindings fit into an empty one.

Test: test_a_job_too_large_for_any_batch_has_a_record_of_its_own; before the fix the call it makes did not return (11 tasks).

--- a/oakmux/core/state/batch_allocator.py
+++ b/oakmux/core/state/batch_allocator.py
@@ -30,7 +30,10 @@
         self.reserved_bytes_by_batch: Counter[str] = Counter()
 
     def choose(self, team: str, job_id: str, tasks: int) -> str:
-        """Reserve space for a job's row in its team's first batch with room; return the name."""
+        """Reserve space for a job's row in its team's first batch with room; return the name.
+
+        The row must fit into an empty batch (`shares_batch`).
+        """
         row_bytes = reserved_bytes(tasks)
         for number in itertools.count():
             name = f"{team}/{number}"
--- a/oakmux/core/state/binding_batches.py
+++ b/oakmux/core/state/binding_batches.py
@@ -59,9 +59,15 @@
     return block
 
 
-def shares_batch(tasks: int, tasks_per_record: int) -> bool:
-    """Whether a job with this number of tasks stores its only block in a batch."""
-    return tasks <= min(constants.BATCH_JOB_TASKS, tasks_per_record)
+def shares_batch(tasks: int, tasks_per_record: int, batch_bytes: int) -> bool:
+    """Whether a job stores its only block in a batch, by its number of tasks.
+
+    All of its bindings must fit into a batch of at most `batch_bytes`.
+    """
+    return (
+        tasks <= min(constants.BATCH_JOB_TASKS, tasks_per_record)
+        and reserved_bytes(tasks) <= batch_bytes
+    )
 
 
 def reserved_bytes(tasks: int) -> int:
--- a/oakmux/core/state/write_buffer.py
+++ b/oakmux/core/state/write_buffer.py
@@ -162,7 +162,7 @@
         """Return an empty block, assigned to a batch if the job is small."""
         block = TaskBlock()
         if self.record_format() >= FORMAT_BATCHES and shares_batch(
-            job.tasks, self.tasks_per_record
+            job.tasks, self.tasks_per_record, self.batches.limit
         ):
             block.batch = self.batches.choose(job.team, job.id, job.tasks)
         return block
--- a/tests/test_binding_batches.py
+++ b/tests/test_binding_batches.py
@@ -14,9 +14,12 @@
 from oakmux.core.state.keys import FORMAT_KEY, batch_key, job_key
 from oakmux.core.state.records import Binding, TaskBlock
 from oakmux.core.state.replica import Replica
+from oakmux.settings import StoreLimits, UpcomingLimits
 from tests.fakes import LEASE_S, Simulation, spec
+from tests.fakes.store import exceeds_limits
 from tests.helpers.clusters import check_recovered
 from tests.helpers.faults import RepeatedTransactions, record_kinds
+from tests.helpers.writer import DrivenWriter
 from tools.capacity.cell import Cell, cpu_job
 
 # Cases: the number of controllers and the n-th batch write, at which a fault occurs.
@@ -142,6 +145,27 @@
     assert buffer.batches.choose("red", "job-9", 1) == "red/0"
 
 
+# Guards against a controller that stands still for ever: it looked for a batch with room for a job
+# whose bindings no batch can hold under the limit of a value, in force or announced.
+@pytest.mark.parametrize(
+    "limits",
+    [
+        StoreLimits(1000, 1000, 1.2, 12),
+        StoreLimits(1000, 1000, 8.0, 12, UpcomingLimits(value_kb=1.2)),
+    ],
+)
+@pytest.mark.parametrize("tasks", [1, 10, 11, 16, 17])
+def test_a_job_too_large_for_any_batch_has_a_record_of_its_own(limits, tasks):
+    driven = DrivenWriter(("red",), limits)
+    job = driven.add_job("job-1", tasks)
+    for index in range(tasks):
+        driven.bind(job, index, f"n-{index:06d}")
+    (sent,) = driven.flush()
+    keys = {write.key.split("/")[1] for write in sent.writes}
+    assert keys == ({"p"} if reserved_bytes(tasks) <= driven.buffer.batches.limit else {"t"})
+    assert not exceeds_limits(limits.strictest, sent.conditions, sent.writes)
+
+
 # --- reading batches ---
 
 
