Firings of schedules keep within all limits of a transaction

What callers saw: forty firings of jobs with descriptions of 6 KiB at the same time never happened; their transactions exceeded 64 KiB, were refused with 400 and built again as they were every minute.

Cause: the dispatcher looked after the number of writes alone, and so did the request that stores many entries.

Fix: both use TransactionLimits, the record of the shard included. After a refusal fewer firings are written at a time, and an entry that is refused alone is tried again after a minute while all others go on. A request whose change exceeds a transaction is answered 413 before it is sent.

--- a/oakmux/core/state/transactions.py
+++ b/oakmux/core/state/transactions.py
@@ -1,5 +1,6 @@
 """Store transactions that write changed records."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from oakmux import constants
@@ -47,6 +48,18 @@
     return size + value_bytes(write.value) if isinstance(write, Put) else size
 
 
+def as_transaction(
+    conditions: Iterable[tuple[str, int]], writes: Iterable[tuple[Any, ...]]
+) -> "Transaction":
+    """Return a transaction of conditions and writes: (key, value, lease), or (key,) to delete."""
+    transaction = Transaction()
+    for key, mod_revision in conditions:
+        transaction.require(key, mod_revision)
+    for write in writes:
+        transaction.add_write(Delete(*write) if len(write) == 1 else Put(*write))
+    return transaction
+
+
 class Transaction:
     """The writes and conditions of one transaction, and the blocks, jobs and batches involved."""
 
--- a/oakmux/schedules/api.py
+++ b/oakmux/schedules/api.py
@@ -15,6 +15,8 @@
 from oakmux.core import messages
 from oakmux.core.context import Context
 from oakmux.core.state.formats import value_bytes, value_limit
+from oakmux.core.state.transaction_limits import TransactionLimits
+from oakmux.core.state.transactions import Transaction, as_transaction
 from oakmux.logs import event
 from oakmux.schedules import templates, zones
 from oakmux.schedules.firings import Rule, RuleError, cron_rule, mark_at
@@ -55,6 +57,7 @@
         self.store = store
         self.wall_clock = wall_clock
         self.queries = ScheduleQueries(context, store)
+        self.limits = TransactionLimits(context.facts.store.strictest, lambda: context.now)
         self.retries: list[tuple[float, Callable[[], None]]] = []
         self.operations: dict[str, Callable[[Any, dict], None]] = {
             "template": self._put_template,
@@ -150,6 +153,8 @@
         if not writes:
             answer(status, body)
             return
+        if not self.limits.allow(as_transaction(guards.items(), writes).size):
+            raise RefusedError(413, "too large for the state service")
 
         def on_written(outcome: int, result: Any) -> None:
             if outcome == 200:
@@ -374,27 +379,27 @@
             if args.get("if_match"):
                 raise RefusedError(412, "no such entry")
             number, room = self._choose_shard(len(remaining))
-            limits = self.context.facts.store.strictest
-            guards = self.store.guards(shard_key(number))
-            writes: list[tuple] = []
+            contents = Transaction()
             slots: dict[str, Slot] = {}
             for entry in remaining[:room]:
                 if entry.name in self.store.entries:
                     break
                 self._check_entry_limits(entry, len(batch))
                 self._check_unique_uid(entry)
-                parts = self._text_part_writes(entry.name, texts.get(entry.name, ""))
-                if len(writes) + 2 + len(parts) > limits.txn_ops:
+                addition = self._new_entry(entry, number, texts.get(entry.name, ""))
+                slot = self._fresh_slot(entry, None)
+                shard = self._shard_change(number, {**slots, entry.name: slot})
+                shard.merge(addition)
+                if not self.limits.allow(contents.size_with(shard)):
                     break
-                record = msgspec.structs.replace(entry, shard=number, text_parts=len(parts))
-                guards[entry_key(entry.name)] = 0
-                guards.update(self.store.guards(template_key(entry.template)))
-                writes += [(entry_key(entry.name), self._encode_entry(record), None), *parts]
-                slots[entry.name] = self._fresh_slot(entry, None)
+                contents.merge(addition)
+                slots[entry.name] = slot
                 batch.append(entry)
             if not batch:
                 raise RefusedError(413, "too large for the state service")
-            return guards, [self.store.shard_write(number, slots), *writes], 201, {}
+            change = self._shard_change(number, slots)
+            change.merge(contents)
+            return change.conditions, list(change.writes), 201, {}
 
         def on_written(_: int, __: dict) -> None:
             for entry in batch:
@@ -414,6 +419,19 @@
 
         self._write(request, build, on_written)
 
+    def _new_entry(self, entry: Entry, shard: int, text: str) -> Transaction:
+        """Return the writes of a new entry and its text, without the record of its shard."""
+        parts = self._text_part_writes(entry.name, text)
+        record = msgspec.structs.replace(entry, shard=shard, text_parts=len(parts))
+        guards = {entry_key(entry.name): 0, **self.store.guards(template_key(entry.template))}
+        writes = [(entry_key(entry.name), self._encode_entry(record), None), *parts]
+        return as_transaction(guards.items(), writes)
+
+    def _shard_change(self, number: int, slots: dict[str, Slot]) -> Transaction:
+        """Return the write of a shard's record with some slots replaced."""
+        guards = self.store.guards(shard_key(number))
+        return as_transaction(guards.items(), [self.store.shard_write(number, slots)])
+
     def _check_entry_limits(self, entry: Entry, added: int) -> None:
         entries, calendar = self.store.entries, entry.name.rpartition("/")[0]
         self._check_limit(entry.team, "entries", entries, constants.TEAM_ENTRIES, added)
--- a/oakmux/schedules/dispatcher.py
+++ b/oakmux/schedules/dispatcher.py
@@ -18,6 +18,8 @@
 from oakmux.core.context import Context
 from oakmux.core.state.codecs import encode_job
 from oakmux.core.state.keys import job_key, role_key
+from oakmux.core.state.transaction_limits import REFUSED, TransactionLimits
+from oakmux.core.state.transactions import Put, Transaction, TransactionSize, as_transaction
 from oakmux.logs import event
 from oakmux.schedules import policy, records, templates
 from oakmux.schedules.firing_plan import DueFirings, FiringBatch, FiringPlan, Urgency
@@ -57,6 +59,9 @@
         self.next_queue_check = 0.0
         self.dispatched = 0
         self.id_attempts: dict[str, int] = {}
+        # Entries whose firings the store refused alone: when to try them again.
+        self.refused_until: dict[str, float] = {}
+        self.limits = TransactionLimits(context.facts.store.strictest, lambda: context.now)
 
     def tick(self) -> None:
         """Plan and dispatch firings, within limits per tick so that other work goes on."""
@@ -105,6 +110,7 @@
             self.retry_at,
             self.failures_in_row,
             self.id_attempts,
+            self.refused_until,
         ):
             collection.clear()
         if mod_revision:
@@ -228,8 +234,10 @@
         entry = plan.entry
         template = self.store.templates.get(entry.template)
         refusal = templates.refusal(self.context, template)
-        if template is not None and templates.awaits_upgrade(self.context, template):
-            # An upgrade is under way: dependencies can't be recorded yet. Other entries go on.
+        awaits_upgrade = template is not None and templates.awaits_upgrade(self.context, template)
+        if awaits_upgrade or self.refused_until.get(entry.name, 0.0) > self.context.now:
+            # Dependencies can't be recorded before an upgrade is complete; what the store refused
+            # is tried again later. Other entries go on.
             self.due.pop(entry.name)
             heapq.heappush(self.heap, (now_ms + 1000, entry.name, id(plan)))
             return True
@@ -277,7 +285,6 @@
     ) -> None:
         """Add the outcome of a firing to the batch, and advance the plan."""
         name, slot = plan.entry.name, due.decision.slot
-        batch.guards.update(self.store.guards(records.entry_key(name)))
         if due.firing is not None:
             plan.advance(slot)
             if slot.decisions[-1][1] == records.MISSED:
@@ -319,33 +326,26 @@
         self, batch: FiringBatch, plan: FiringPlan, decision: policy.Decision, at: int, now_ms: int
     ) -> bool:
         """Add the jobs of a decision if there is room in the transaction."""
-        limits = self.context.facts.store.strictest
-        if not decision.submit:
-            return len(batch.writes) + 1 <= limits.txn_ops
         entry, store = plan.entry, self.store
+        addition = Transaction()
+        for key, mod_revision in store.guards(records.entry_key(entry.name)).items():
+            addition.require(key, mod_revision)
+        if not decision.submit:
+            if not self._fits(batch, addition):
+                return False
+            batch.contents.merge(addition)
+            return True
         template = store.templates[entry.template]
         ids, guards, writes = templates.job_writes(entry, template, str(at), now_ms, plan.tries)
+        guards.update(store.guards(records.template_key(entry.template)))
+        addition.merge(as_transaction(guards.items(), writes))
         if decision.cancel_earlier:
-            for job in self.known_jobs(entry, plan.slot):
-                if not job.final and job.ready and job.spec is not None:
-                    writes.append(
-                        (
-                            job_key(job.id),
-                            encode_job(
-                                "cancelled", job.team, job.spec, job.submitted_ms, job.tasks
-                            ),
-                            None,
-                        )
-                    )
-                    guards[job_key(job.id)] = job.mod_revision
-        if len(batch.writes) + len(writes) + 1 > limits.txn_ops:
-            if batch.writes or batch.slots:
+            self._add_cancellations(batch, addition, plan)
+        if not self._fits(batch, addition):
+            if batch.slots:
                 return False
-            # Too large even alone: cancel as many jobs of earlier firings as fit.
-            writes = writes[: limits.txn_ops - 1]
-        batch.writes += writes
-        batch.guards.update({key: guards[key] for key, *_ in writes})
-        batch.guards.update(store.guards(records.template_key(entry.template)))
+            self._check_fits_alone(batch, addition)
+        batch.contents.merge(addition)
         batch.entry_of_job.update(dict.fromkeys(ids, entry.name))
         batch.log_fields.append(
             {
@@ -358,39 +358,93 @@
         )
         return True
 
+    def _add_cancellations(
+        self, batch: FiringBatch, addition: Transaction, plan: FiringPlan
+    ) -> None:
+        """Add cancellations of unfinished jobs of earlier firings, as many as fit if alone."""
+        for job in self.known_jobs(plan.entry, plan.slot):
+            if job.final or not job.ready or job.spec is None:
+                continue
+            value = encode_job("cancelled", job.team, job.spec, job.submitted_ms, job.tasks)
+            cancellation = as_transaction(
+                [(job_key(job.id), job.mod_revision)], [(job_key(job.id), value, None)]
+            )
+            both = Transaction()
+            both.merge(addition)
+            both.merge(cancellation)
+            if not batch.slots and not self._fits(batch, both):
+                return
+            addition.merge(cancellation)
+
+    def _fits(self, batch: FiringBatch, addition: Transaction) -> bool:
+        """Whether an addition fits into the batch's transaction under the limits in force."""
+        return self.limits.allow(self._size_with(batch, addition))
+
+    def _check_fits_alone(self, batch: FiringBatch, addition: Transaction) -> None:
+        """Check that a firing fits into an empty transaction; raises TemplateError.
+
+        A firing can't be divided, so limits that are lowered after a refusal don't count.
+        """
+        size = self._size_with(batch, addition)
+        if any(n > limit for n, limit in zip(size, self.limits.configured, strict=True)):
+            raise templates.TemplateError("its jobs exceed a transaction of the store")
+
+    def _size_with(self, batch: FiringBatch, addition: Transaction) -> TransactionSize:
+        """Return the size of a batch's transaction with an addition and the shard's record."""
+        size = batch.contents.size_with(addition)
+        shard = as_transaction(*self._shard_change(batch)).size
+        return TransactionSize(
+            size.writes + shard.writes,
+            size.conditions + shard.conditions,
+            size.bytes + shard.bytes + constants.SLOT_BYTES,
+        )
+
+    def _shard_change(self, batch: FiringBatch) -> tuple[list[tuple[str, int]], list[tuple]]:
+        """Return the conditions and the write that record a batch's decisions in its shard."""
+        write = self.store.shard_write(batch.shard, batch.slots)
+        guards = {role_key(CLOCK_ROLE): self.role_revision, **self.store.guards(write[0])}
+        return list(guards.items()), [write]
+
     def _send(self, batch: FiringBatch) -> None:
         shard = batch.shard
-        write = self.store.shard_write(shard, batch.slots)
-        guards = {
-            role_key(CLOCK_ROLE): self.role_revision,
-            **self.store.guards(write[0]),
-            **batch.guards,
-        }
+        guards, writes = self._shard_change(batch)
+        transaction = as_transaction(guards, writes)
+        transaction.merge(batch.contents)
+        if not self.limits.may_send(transaction):
+            self.retry_at[shard] = self.context.now + constants.FIRING_RETRY_S
+            self._replan(set(batch.slots))
+            return
         self.shards_in_flight.add(shard)
-        role_revision = self.role_revision
+        role_revision, value = self.role_revision, writes[0][1]
         self.context.call(
             lambda status, result: self._on_written(
-                batch, write[1], role_revision, status, result
+                batch, transaction, value, role_revision, status, result
             ),
             messages.Transaction,
-            list(guards.items()),
-            [write, *batch.writes],
+            list(transaction.conditions.items()),
+            transaction.writes,
             constants.FIRING_WRITE_PRIORITY,
         )
 
     def _on_written(
-        self, batch: FiringBatch, value: list, role_revision: int, status: int, result: Any
+        self,
+        batch: FiringBatch,
+        transaction: Transaction,
+        value: list,
+        role_revision: int,
+        status: int,
+        result: Any,
     ) -> None:
         if role_revision == self.role_revision:
             self.shards_in_flight.discard(batch.shard)
         if status != 200:
             if role_revision == self.role_revision:
-                self._on_write_failed(batch, status, result)
+                self._on_write_failed(batch, transaction, status, result)
             return
         self.failures_in_row.pop(batch.shard, None)
         replica, store = self.context.replica, self.store
-        for key, row, _ in batch.writes:
-            replica.apply(key, row, result[0])
+        for write in batch.contents.writes:
+            replica.apply(write.key, write.value if isinstance(write, Put) else None, result[0])
         for log_fields in batch.log_fields:
             event("firing", **log_fields)
             self.dispatched += 1
@@ -415,18 +469,26 @@
                 late_ms=batch.log_fields[-1]["late_ms"],
             )
 
-    def _on_write_failed(self, batch: FiringBatch, status: int, result: Any) -> None:
+    def _on_write_failed(
+        self, batch: FiringBatch, transaction: Transaction, status: int, result: Any
+    ) -> None:
         """Retry firings later.
 
         After a 409 the watch brings the conflicting change. Without an answer, the firings may
-        still be written late; then the retry fails on the shard's mod revision.
+        still be written late; then the retry fails on the shard's mod revision. After a refusal
+        fewer firings are written at a time; an entry that is refused alone holds up no other.
         """
         failures = self.failures_in_row.get(batch.shard, 0)
         delay_s = min(constants.BACKOFF_MAX_S, constants.FIRING_RETRY_S * 2**failures)
         self.failures_in_row[batch.shard] = min(failures + 1, 10)
-        if status == 400:
-            event("firings_refused", shard=batch.shard, jobs=len(batch.writes))
-            delay_s = constants.RETRY_MAX_S
+        if status == REFUSED:
+            event("firings_refused", shard=batch.shard, jobs=len(batch.contents.writes))
+            self.limits.note_refused(transaction)
+            delay_s = constants.FIRING_RETRY_S
+            if len(batch.slots) == 1:
+                self.refused_until[next(iter(batch.slots))] = (
+                    self.context.now + constants.RETRY_MAX_S
+                )
         self.retry_at[batch.shard] = self.context.now + delay_s
         if status == 409 and result is not None:
             self._resolve_id_conflicts(batch, result)
--- a/oakmux/schedules/firing_plan.py
+++ b/oakmux/schedules/firing_plan.py
@@ -4,6 +4,7 @@
 from itertools import takewhile
 from typing import Any, NamedTuple
 
+from oakmux.core.state.transactions import Transaction
 from oakmux.schedules.firings import Firing, firings
 from oakmux.schedules.records import Entry, Slot
 
@@ -100,8 +101,8 @@
 
     def __init__(self, shard: int) -> None:
         self.shard = shard
-        self.guards: dict[str, int] = {}
-        self.writes: list[tuple] = []
+        # The jobs' records and the conditions, without the record of the shard.
+        self.contents = Transaction()
         self.slots: dict[str, Slot] = {}
         # Fields of the log events that are written once the transaction has succeeded.
         self.log_fields: list[dict[str, Any]] = []
--- a/tests/test_schedule_firings.py
+++ b/tests/test_schedule_firings.py
@@ -291,6 +291,19 @@
     assert len(sim.firings) == 4
 
 
+# Guards against firings that wait for ever: those of one time exceeded the bytes of a transaction,
+# or limits that fell without notice, and were sent again as they were.
+@pytest.mark.parametrize("fallen", [{}, {"txn_ops": 4}])
+def test_firings_of_large_jobs_at_the_same_time_all_happen(fallen):
+    sim = settled_simulation("2026-12-01T02:59:30+00:00")
+    sim.put_template("red/t", flavours=["big", *(f"{n:0190d}" for n in range(30))])
+    store_entries(sim, 40, "0 3 * * *")
+    sim.store.lower_limits(**fallen)
+    sim.run(90)
+    assert sorted(fired_entries(sim)) == [f"red/n{n:03d}" for n in range(40)]
+    assert bool(sim.store.too_large) == bool(fallen)
+
+
 def test_firings_are_refused_while_the_team_is_removed():
     sim = settled_simulation("2026-12-01T03:00:30+00:00")
     sim.put_template("blue/t")
