One change a second at the store is enough to write and end jobs

What callers would see: with a limit of fewer than two changes a second, present or announced, the end of a job with records of its own was sent with its last block, which the store answers 429 each time.

Cause: a transaction was allowed two writes whatever the rate. Since a job whose blocks and end don't fit into one transaction ends in steps, one write is enough.

Test: the last set of limits of test_no_transaction_exceeds_a_limit_with_any_mix_of_jobs; the one before allowed two writes there by construction.

--- a/oakmux/core/state/transaction_limits.py
+++ b/oakmux/core/state/transaction_limits.py
@@ -12,7 +12,7 @@
 from oakmux import constants
 from oakmux.core.state.transactions import Transaction, TransactionSize
 from oakmux.logs import event
-from oakmux.settings import MIN_TXN_OPS, StoreLimits
+from oakmux.settings import StoreLimits
 
 REFUSED = 400
 """Status of a transaction that the store does not accept, mostly for its size."""
@@ -38,7 +38,7 @@
 
     The store takes no more writes at once than one second's worth of its rate.
     """
-    return max(MIN_TXN_OPS, min(limits.txn_ops, int(limits.write_rps)))
+    return max(1, min(limits.txn_ops, int(limits.write_rps)))
 
 
 class TransactionLimits:
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -24,6 +24,7 @@
     StoreLimits(80, 20, 8.0, 12, UpcomingLimits(value_kb=2.0, txn_ops=4)),
     StoreLimits(80, 5, 8.0, 12),  # a second's worth of changes comes first
     StoreLimits(80, 20, 2.0, 2),
+    StoreLimits(80, 1, 8.0, 12),  # a job's end and its blocks are written one after the other
 ]
 TEAMS = tuple(f"team-{number}" for number in range(6))
 
