Settings with names that no key can hold are refused

What callers saw: with a space in a team's name, or a name of more than some 190 bytes, no controller ever held the team's role: the store refuses such a key with 400, which was taken for a lost lease, and sent again.

Cause: names of teams and controllers go into keys, and nothing checked that they can.

Test: test_names_that_no_key_can_hold_are_refused; before, such settings were loaded.

--- a/oakmux/settings.py
+++ b/oakmux/settings.py
@@ -20,6 +20,9 @@
 MAX_VALUE = 1e12
 """Numbers in the settings must be below this."""
 
+MAX_NAME_BYTES = 150
+"""Longest name of a team or controller: keys in the store have at most 200 bytes."""
+
 MAX_PORT = 65535
 
 
@@ -215,6 +218,16 @@
             raise SettingsError(f"{name}: must be above 0, not {value}")
 
 
+def _check_names(settings: Settings) -> None:
+    """Check that the names of teams and controllers can be part of a key in the store."""
+    names = {f"facts.teams.{team.name}.name": team.name for team in settings.facts.teams}
+    names["label"] = settings.controller_id
+    names |= {f"members.{peer.controller_id}.label": peer.controller_id for peer in settings.peers}
+    for field, name in names.items():
+        if not 1 <= len(name.encode()) <= MAX_NAME_BYTES or any(map(str.isspace, name)):
+            raise SettingsError(f"{field}: must be 1 to {MAX_NAME_BYTES} bytes without spaces")
+
+
 def _check_teams(settings: Settings) -> None:
     for team in settings.facts.teams:
         for name, value in _file_fields(team):
@@ -251,6 +264,7 @@
     _check_transaction_size,
     _check_zones,
     _check_controller_ids,
+    _check_names,
 )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,6 +70,23 @@
         settings.load(str(config_file))
 
 
+# Guards against a service that never gets its roles: the store refuses keys with spaces, or of
+# more than 200 bytes, each time.
+@pytest.mark.parametrize("name", ["audit panel", "x" * 151, ""])
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('name = "red"', 'name = "{}"', "facts.teams.*name"),
+        ('label = "h0"', 'label = "{}"', "label"),
+    ],
+)
+def test_names_that_no_key_can_hold_are_refused(config_file, old, new, field, name):
+    assert old in CONFIG
+    config_file.write_text(CONFIG.replace(old, new.format(name), 1))
+    with pytest.raises(settings.SettingsError, match=field):
+        settings.load(str(config_file))
+
+
 def test_the_strictest_of_present_and_upcoming_limits_applies(config_file):
     config_file.write_text(CONFIG + UPCOMING_LIMITS)
     limits = settings.load(str(config_file)).facts.store
