Split the transaction builder: what is written, and what fits

record_writes.py builds the writes of blocks, batches and ends of jobs with their conditions; transaction_builder.py decides what goes into the next transaction.

--- a/oakmux/core/state/transaction_builder.py
+++ b/oakmux/core/state/transaction_builder.py
@@ -15,13 +15,14 @@
 
 from oakmux import constants
 from oakmux.core.context import Context
-from oakmux.core.state.binding_batches import ONLY_BLOCK, BatchRow, BindingBatch
-from oakmux.core.state.codecs import Value, encode_block, encode_job
+from oakmux.core.state.binding_batches import ONLY_BLOCK, BindingBatch
+from oakmux.core.state.codecs import Value
 from oakmux.core.state.formats import value_bytes
-from oakmux.core.state.keys import batch_key, block_key, job_key, role_key
-from oakmux.core.state.records import Job, TaskBlock
+from oakmux.core.state.keys import batch_key, block_key
+from oakmux.core.state.record_writes import RecordWrites
+from oakmux.core.state.records import Job
 from oakmux.core.state.transaction_limits import TransactionLimits
-from oakmux.core.state.transactions import BlockId, Delete, Put, Transaction
+from oakmux.core.state.transactions import BlockId, Put, Transaction
 from oakmux.core.state.write_buffer import WriteBuffer
 
 log = logging.getLogger("oakmux.core")
@@ -48,6 +49,7 @@
         self.too_large_keys: set[str] = set()
         strictest = context.facts.store.strictest
         self.limits = TransactionLimits(strictest, lambda: context.now)
+        self.record_writes = RecordWrites(context, buffer)
         # Writes (count) up to which changes of several jobs and batches share a transaction: one
         # far above this controller's share of the write rate would delay all later writes.
         share = int(constants.TRANSACTION_RATE_S * strictest.write_rps / context.settings.size)
@@ -97,10 +99,6 @@
         ]
         return sorted(dirty_jobs, key=lambda entry: entry.due)
 
-    def _carry(self, partial: Transaction, block_id: BlockId) -> None:
-        """Note that a transaction records the present version of a block."""
-        partial.blocks[block_id] = self.buffer.versions[block_id]
-
     def _is_busy(self, transaction: Transaction, job: Job) -> bool:
         """Whether a job is in a transaction in flight, or in this one."""
         return job.id in self.busy_jobs or job.id in transaction.jobs
@@ -146,76 +144,36 @@
         """
         values = self._block_values(entry)
         complete = len(values) == len(entry.numbers) and self._is_completed(entry.job)
-        if not values or self._admit(transaction, self._blocks(entry.job, values, complete)):
+        if not values or self._admit(
+            transaction, self.record_writes.blocks(entry.job, values, complete)
+        ):
             return
         if not transaction.writes:
             self._admit_alone(transaction, self._fitting_blocks(entry.job, values))
 
     def _block_values(self, entry: DirtyJob) -> dict[int, Value]:
         """Return the values of a job's changed blocks; postpones those that are too large."""
-        record_format = self.buffer.record_format()
-        changed = self.buffer.changed[entry.job.id]
-        values = {number: encode_block(changed[number], record_format) for number in entry.numbers}
+        values = self.record_writes.block_values(entry.job, entry.numbers)
         return {
             number: value
             for number, value in values.items()
             if not self._postpone_too_large(entry.job.id, number, value)
         }
 
-    def _blocks(self, job: Job, values: dict[int, Value], complete: bool) -> Transaction:
-        """Return the writes of a job's blocks, with the end of the job if they complete it."""
-        partial = Transaction()
-        self._add_job_conditions(partial, job)
-        if complete:
-            self._record_completion(partial, job)
-        for number, value in values.items():
-            self._add_block(partial, job, number, value, complete)
-        partial.jobs.add(job.id)
-        return partial
-
     def _fitting_blocks(self, job: Job, values: dict[int, Value]) -> Transaction:
         """Return the writes of a job's first blocks, as many as an empty transaction takes."""
         fitting = Transaction()
         for number, value in values.items():
-            partial = self._blocks(job, {number: value}, complete=False)
+            partial = self.record_writes.blocks(job, {number: value}, complete=False)
             if fitting.blocks and not self.limits.allow(fitting.size_with(partial)):
                 break
             fitting.merge(partial)
         return fitting
 
-    def _add_block(
-        self, partial: Transaction, job: Job, number: int, value: Value, finishing: bool
-    ) -> None:
-        """Add one block: a write of its value, or its removal if it is obsolete."""
-        key, old = block_key(job.id, number), job.blocks.get(number)
-        partial.require(key, old.mod_revision if old is not None else 0)
-        self._carry(partial, BlockId(job.id, number))
-        if not self._is_obsolete(job, self.buffer.changed[job.id][number], finishing):
-            partial.add_write(Put(key, value))
-        elif old is not None:
-            partial.add_write(Delete(key))
-
     def _is_completed(self, job: Job) -> bool:
         """Whether a job has to be recorded as done."""
         return job.id in self.buffer.finished_jobs and not job.final
 
-    def _add_job_conditions(self, partial: Transaction, job: Job) -> None:
-        """Add the conditions that the team's role is held and the job's record is unchanged."""
-        partial.require(role_key(job.team), self.context.held_roles[job.team])
-        partial.require(job_key(job.id), job.mod_revision)
-
-    def _record_completion(self, partial: Transaction, job: Job) -> None:
-        """Add the write that records a job as done."""
-        spec = job.spec if self.buffer.bindings(job) else None
-        value = encode_job("done", job.team, spec, job.submitted_ms, job.tasks)
-        partial.add_write(Put(job_key(job.id), value))
-        partial.completed_jobs.add(job.id)
-
-    @staticmethod
-    def _is_obsolete(job: Job, block: TaskBlock, finishing: bool) -> bool:
-        """Whether a block is no longer needed: its job is over and no task is bound."""
-        return (job.final or finishing) and not block.bindings
-
     def _postpone_too_large(self, job_id: str, number: int, value: Value) -> bool:
         """Postpone a block whose value exceeds the limit; return whether it does.
 
@@ -254,11 +212,7 @@
                 and self.buffer.owns(job)
                 and not self._is_busy(transaction, job)
             ):
-                partial = Transaction()
-                self._add_job_conditions(partial, job)
-                self._record_completion(partial, job)
-                partial.jobs.add(job_id)
-                self._admit(transaction, partial)
+                self._admit(transaction, self.record_writes.end(job))
 
     def _has_own_changes(self, job: Job) -> bool:
         """Whether a job has changed blocks with records of their own."""
@@ -275,15 +229,12 @@
         """
         batch = self.context.replica.job_records.batches.get(name) or BindingBatch(0, {})
         rows = dict(batch.rows)
-        partial = Transaction()
-        partial.batches.add(name)
-        partial.require(role_key(team), self.context.held_roles[team])
-        partial.require(batch_key(name), batch.mod_revision)
+        partial = self.record_writes.batch_conditions(name, team, batch)
         for entry in dirty:
             if not self._has_room_for_condition(transaction, partial):
                 break
             if not self._is_busy(transaction, entry.job):
-                self._update_row(partial, rows, entry.job)
+                self.record_writes.update_row(partial, rows, entry.job)
         if rows == batch.rows:  # recorded already, by a transaction whose answer was lost
             transaction.recorded_blocks |= partial.blocks
             return
@@ -301,16 +252,3 @@
     def _has_room_for_condition(self, transaction: Transaction, partial: Transaction) -> bool:
         """Whether the transaction has room for the condition of another row."""
         return transaction.size_with(partial).conditions < self.limits.current.conditions
-
-    def _update_row(self, partial: Transaction, rows: dict[str, BatchRow], job: Job) -> None:
-        """Update the row of one job."""
-        block = self.buffer.changed[job.id][ONLY_BLOCK]
-        if block.adds_bindings_to(job.blocks.get(ONLY_BLOCK)):
-            partial.require(job_key(job.id), job.mod_revision)
-        if self._is_obsolete(job, block, finishing=False):
-            rows.pop(job.id, None)
-        else:
-            value = encode_block(block, self.buffer.record_format())
-            rows[job.id] = BatchRow(job.id, job.tasks, value)
-        self._carry(partial, BlockId(job.id, ONLY_BLOCK))
-        partial.jobs.add(job.id)
