--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -18,7 +18,8 @@
     teams_at_quota,
     wait_for_state,
 )
-from tests.helpers.faults import inject_fault, run_with_random_faults
+from tests.helpers.faults import inject_fault
+from tests.helpers.random_faults import run_with_random_faults
 
 
 def test_the_quota_holds_for_an_array_that_exceeds_it():
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -6,7 +6,7 @@
 from oakmux.settings import Team
 from tests.fakes import CANCEL_S, LEASE_S, PLACED, spec
 from tests.helpers.clusters import running_machines, teams_at_quota
-from tests.helpers.faults import run_with_random_faults
+from tests.helpers.random_faults import run_with_random_faults
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -13,7 +13,7 @@
 from oakmux.settings import StoreLimits, UpcomingLimits
 from tests.fakes import Simulation, spec
 from tests.fakes.store import exceeds_burst, exceeds_limits
-from tests.helpers.faults import fill_before_outage, run_with_random_faults
+from tests.helpers.random_faults import fill_before_outage, run_with_random_faults
 from tests.helpers.writer import DrivenWriter
 
 SMALL = StoreLimits(80, 20, 8.0, 12)
--- a/tests/test_unsettled_records.py
+++ b/tests/test_unsettled_records.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.helpers.faults import run_with_unanswered_writes
+from tests.helpers.random_faults import run_with_unanswered_writes
 from tests.helpers.writer import DrivenWriter
 
 # Tasks of a job whose block shares a batch, and of one whose block has a record of its own.
