What was refused before a pause is divided after it, not put off again

What callers would see: a job of many records whose transaction was refused, while limits had fallen without notice, and then an outage of more than a minute: its tasks never started. Once the limits were used in full again, the same records made up the refused transaction again, and were put off for a minute each time.

Fix: what was refused and can be divided lowers the limits again; only a record that was refused alone is put off. Comparisons for users' questions lower their limits for the same time as all others, not for good.

Test: test_changes_refused_before_a_pause_are_written_in_parts_after_it; without the division its first case fails (no block of the job is ever written).

--- a/oakmux/core/api/current_reads.py
+++ b/oakmux/core/api/current_reads.py
@@ -19,7 +19,8 @@
 from oakmux.core.context import Context
 from oakmux.core.state.keys import job_key
 from oakmux.core.state.records import Job
-from oakmux.core.state.transaction_limits import REFUSED, max_conditions
+from oakmux.core.state.transaction_limits import REFUSED, TransactionLimits, max_conditions
+from oakmux.core.state.transactions import as_transaction
 
 Continuation = Callable[[Job | None], None]
 """Called with the current job, or None if there is no such job."""
@@ -53,7 +54,14 @@
         self.queued: list[_Read] = []
         self.in_flight = 0
         self.revision_waits: list[_RevisionWait] = []
-        self.max_conditions = max_conditions(context.facts.store.strictest)
+        strictest = context.facts.store.strictest
+        self.limits = TransactionLimits(strictest, lambda: context.now)
+        self.most_jobs = max_conditions(strictest)
+
+    @property
+    def max_conditions(self) -> int:
+        """The number of jobs that one transaction may compare."""
+        return min(self.most_jobs, self.limits.current.conditions)
 
     def records_loaded(self, request_id: RequestId) -> bool:
         """Whether records are loaded; if not, answers that the user should retry."""
@@ -139,7 +147,8 @@
     def _on_comparison(self, batch: list[_Read], status: int, result: Any) -> None:
         self.in_flight -= 1
         if status == REFUSED:
-            self.max_conditions = max(1, min(self.max_conditions, len(batch) // 2))
+            conditions = ((job_key(read.job_id), 0) for read in batch)
+            self.limits.note_refused(as_transaction(conditions, ()))
         failed = set(result[1]) if status == CONFLICT else set()
         for read in batch:
             if status not in (200, CONFLICT):
--- a/oakmux/core/state/transaction_builder.py
+++ b/oakmux/core/state/transaction_builder.py
@@ -21,7 +21,7 @@
 from oakmux.core.state.keys import batch_key, block_key
 from oakmux.core.state.record_writes import RecordWrites
 from oakmux.core.state.records import Job
-from oakmux.core.state.transaction_limits import TransactionLimits
+from oakmux.core.state.transaction_limits import TransactionLimits, is_divisible
 from oakmux.core.state.transactions import BlockId, Put, Transaction
 from oakmux.core.state.write_buffer import WriteBuffer
 
@@ -125,8 +125,12 @@
         return True
 
     def _admit_alone(self, transaction: Transaction, partial: Transaction) -> None:
-        """Add to an empty transaction what can't be made smaller, or defer it."""
-        if not self._admit(transaction, partial):
+        """Add to an empty transaction what fits; if it was refused, divide or defer it."""
+        if self._admit(transaction, partial):
+            return
+        if is_divisible(partial.size):
+            self.limits.note_refused(partial)
+        else:
             self._defer(partial.blocks)
 
     def _defer(self, blocks: Iterable[BlockId]) -> None:
--- a/oakmux/core/state/transaction_limits.py
+++ b/oakmux/core/state/transaction_limits.py
@@ -41,6 +41,11 @@
     return max(1, min(limits.txn_ops, int(limits.write_rps)))
 
 
+def is_divisible(size: TransactionSize) -> bool:
+    """Whether a transaction that was refused could be sent in smaller parts."""
+    return size.writes > 1 or size.conditions > MIN_CONDITIONS
+
+
 class TransactionLimits:
     """The limits on one writer's transactions.
 
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -151,6 +151,24 @@
     assert len(refused) > known
 
 
+# Guards against changes that wait for ever because the store was away for longer after a refusal:
+# once the limits were used in full again, the same records made up the refused transaction again.
+@pytest.mark.parametrize(("job_count", "tasks"), [(1, 400), (12, 5), (12, 400)])
+def test_changes_refused_before_a_pause_are_written_in_parts_after_it(job_count, tasks):
+    driven = DrivenWriter(TEAMS, StoreLimits(1000, 1000, 8.0, 48))
+    fallen = StoreLimits(1000, 1000, 8.0, 2)
+    jobs = [driven.add_job(f"job-{n}", tasks, team=TEAMS[0]) for n in range(job_count)]
+    for job in jobs:
+        for index in range(0, tasks, 60):
+            driven.bind(job, index, f"n-{index}")
+    for sent in driven.flush():
+        assert exceeds_limits(fallen, sent.conditions, sent.writes)
+        driven.answer(sent, 400)
+    driven.context.now += 300.0
+    write_all(driven, fallen)
+    assert not driven.buffer.changed
+
+
 def test_the_limits_are_used_in_full_again_some_time_after_a_refusal():
     now = 0.0
     limits = TransactionLimits(StoreLimits(100, 100, 8.0, 48), lambda: now)
