--- a/tests/fakes/consistency.py
+++ b/tests/fakes/consistency.py
@@ -9,6 +9,7 @@
 from oakmux.core.controller import Controller
 from oakmux.core.scheduling.machine_index import MachineIndex
 from oakmux.core.state.keys import role_key
+from oakmux.core.state.transactions import BlockId
 
 
 class ExceptionRecorder(logging.Handler):
@@ -62,16 +63,22 @@
 
 
 def check_unsettled_records(core: Controller) -> None:
-    """Check that each block with a write in flight is still read from the write buffer."""
+    """Check that changed blocks are due or in flight, and those in flight count as changed."""
     buffer, held_roles = core.scheduler.buffer, core.context.held_roles
-    jobs = core.context.replica.jobs
+    changed = {
+        BlockId(job_id, number) for job_id, blocks in buffer.changed.items() for number in blocks
+    }
+    assert changed == buffer.versions.keys()
+    assert buffer.dirty.keys() <= changed
+    in_flight: set[BlockId] = set()
     for transaction in core.scheduler.writer.in_flight.values():
         for block_id in transaction.blocks:
-            team = jobs[block_id.job_id].team
-            if transaction.conditions.get(role_key(team)) == held_roles.get(team):
-                assert block_id.number in buffer.changed.get(block_id.job_id, ()), (
-                    f"{block_id} counts as recorded while a write of it is in flight"
-                )
+            role = role_key(core.context.replica.jobs[block_id.job_id].team)
+            held = held_roles.get(role.rpartition("/")[2])
+            if held is not None and transaction.conditions.get(role) == held:
+                in_flight.add(block_id)
+    assert in_flight <= changed, "counts as recorded while a write of it is in flight"
+    assert changed <= buffer.dirty.keys() | in_flight, "changed, but neither due nor in flight"
 
 
 def check_machine_index(core: Controller) -> None:
