A job's blocks leave room for one more write in a shared transaction, as before

The check of whole transactions counted exactly and let one write more into a shared transaction than before; which changes share one is a matter of delay, not of limits.

--- a/oakmux/core/state/transaction_builder.py
+++ b/oakmux/core/state/transaction_builder.py
@@ -109,14 +109,17 @@
             return None
         return self.buffer.changed[entry.job.id][ONLY_BLOCK].batch
 
-    def _admit(self, transaction: Transaction, partial: Transaction) -> bool:
+    def _admit(
+        self, transaction: Transaction, partial: Transaction, spare_writes: int = 0
+    ) -> bool:
         """Add what belongs together to a transaction if it then keeps within all limits.
 
-        What the store refused is left out until it changes; everything else is written meanwhile.
+        One that has writes must also have room for `spare_writes`. What the store refused is left
+        out until it changes; everything else is written meanwhile.
         """
         size = transaction.size_with(partial)
         if (
-            (transaction.writes and size.writes > self.shared_writes)
+            (transaction.writes and size.writes + spare_writes > self.shared_writes)
             or not self.limits.allow(size)
             or self.limits.was_refused(partial)
         ):
@@ -148,9 +151,8 @@
         """
         values = self._block_values(entry)
         complete = len(values) == len(entry.numbers) and self._is_completed(entry.job)
-        if not values or self._admit(
-            transaction, self.record_writes.blocks(entry.job, values, complete)
-        ):
+        partial = self.record_writes.blocks(entry.job, values, complete)
+        if not values or self._admit(transaction, partial, spare_writes=0 if complete else 1):
             return
         if not transaction.writes:
             self._admit_alone(transaction, self._fitting_blocks(entry.job, values))
