Log which cancellations peers report, and how far records were known at a submission

The logs did not tell whether the controller had not heard of the cancellation, or had and did not use it.

job_accepted names, for a job with dependencies, the revision that wrote it and the revision up to which the controller had the records; cancellation_reported names each cancellation that a peer tells before the records show it.

--- a/oakmux/core/agents/cancellation_log.py
+++ b/oakmux/core/agents/cancellation_log.py
@@ -17,6 +17,7 @@
 from oakmux.core.agents.tracked_workers import WorkerTable
 from oakmux.core.context import Context
 from oakmux.core.messages import PeerAnswered
+from oakmux.logs import event
 
 
 class CancellationLog:
@@ -146,6 +147,12 @@
                 complete = False  # leases that can't be renewed safely expire
                 break
             self.cancelled[job_id] = not_before
+            event(
+                "cancellation_reported",
+                job=job_id,
+                peer=peer,
+                known_revision=self.context.replica.revision,
+            )
             self.reconcile_job(job_id)
         if complete:
             self.replicated_revision = max(self.replicated_revision, complete_revision)
--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -149,7 +149,7 @@
         def on_answer(status: int, result: Any) -> None:
             if status == 200:
                 self.context.replica.apply(job_key(job_id), value, result[0])
-                _log_accepted(job_id, spec, state)
+                self._log_accepted(job_id, spec, state, result[0])
                 self.answers.accepted(request_id, job_id, state)
             elif status == CONFLICT:
                 self.reads.fetch(
@@ -168,18 +168,24 @@
             0,
         )
 
-
-def _log_accepted(job_id: str, spec: JobSpec, state: str) -> None:
-    dependencies = {"waits_on": ",".join(spec.waits_on)} if spec.waits_on else {}
-    event(
-        "job_accepted",
-        job=job_id,
-        job_class=spec.job_class,
-        team=spec.team,
-        kind=spec.kind,
-        tasks=spec.tasks,
-        gpus=spec.gpus,
-        priority=spec.priority,
-        state=state,
-        **dependencies,
-    )
+    def _log_accepted(self, job_id: str, spec: JobSpec, state: str, revision: int) -> None:
+        """Log an accepted job; with dependencies, also how far the records were known."""
+        dependencies: dict[str, Any] = {}
+        if spec.waits_on:
+            dependencies = {
+                "waits_on": ",".join(spec.waits_on),
+                "revision": revision,
+                "known_revision": self.context.replica.revision,
+            }
+        event(
+            "job_accepted",
+            job=job_id,
+            job_class=spec.job_class,
+            team=spec.team,
+            kind=spec.kind,
+            tasks=spec.tasks,
+            gpus=spec.gpus,
+            priority=spec.priority,
+            state=state,
+            **dependencies,
+        )
