A cancellation that peers report is answered also while the store is out

What callers saw: a job's cancellation was confirmed at one controller; another one, which its peer had told, answered questions, repeated cancellations and repeated submissions about it 503 for as long as the state service could not be asked.

Cause: only the local records were asked whether a job's state is final.

Why the fix works: peers list only cancellations that the store holds, and a cancelled job stays so. Leases rest on lists that are complete up to a time; a user is told here later than the record was written, so such a list holds it.

Evidence: the three cases of test_a_cancellation_that_peers_told_is_answered_while_the_store_is_out fail before (503) and pass now.

--- a/oakmux/core/api/jobs.py
+++ b/oakmux/core/api/jobs.py
@@ -19,7 +19,7 @@
         self.answers = Answers(context)
         self.reads = CurrentReads(context, self.answers)
         self.cancellation = Cancellation(context, self.answers, self.reads)
-        self.view = JobView(context, self.answers, self.cancellation)
+        self.view = JobView(context, self.answers, self.cancellation, cancellations)
         self.submission = Submission(
             context,
             self.answers,
@@ -45,11 +45,10 @@
         )
 
     def _with_current_job(self, request_id: RequestId, job_id: str, resume: Continuation) -> None:
-        """Show a final job at once, since it can't change; otherwise read its current record."""
-        job = self.context.replica.jobs.get(job_id)
-        if job is not None and job.final:
-            self.view.show(request_id, job)
-        elif self.reads.records_loaded(request_id):
+        """Show a final job at once; otherwise read its current record."""
+        if self.view.show_final(request_id, job_id):
+            return
+        if self.reads.records_loaded(request_id):
             self.reads.read(request_id, job_id, resume)
 
     def flush(self) -> None:
--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -48,12 +48,9 @@
     def submit(self, command: messages.SubmitJob) -> None:
         """Accept a job, or show the existing job with its id."""
         request_id, job_id, spec = command.request, command.job_id, command.spec
-        if not self.reads.records_loaded(request_id):
+        if self.view.show_final(request_id, job_id) or not self.reads.records_loaded(request_id):
             return
-        job = self.context.replica.jobs.get(job_id)
-        if job is not None and job.final:
-            self.view.show(request_id, job)
-        elif job is not None or spec is None:
+        if job_id in self.context.replica.jobs or spec is None:
             self._show_current_or_refuse(request_id, job_id, Refusal(400, command.malformed))
         elif not self.context.types:
             self.answers.unavailable(request_id, TYPES_UNKNOWN)
--- a/tests/test_answers_behind_records.py
+++ b/tests/test_answers_behind_records.py
@@ -1,5 +1,7 @@
 """Answers of controllers whose records are behind, about jobs that others cancelled meanwhile."""
 
+from collections.abc import Callable
+
 import pytest
 
 from oakmux.core import messages
@@ -174,3 +176,25 @@
         sim.send_request(BEHIND, messages.SubmitJob, job_id, sim.specs[job_id], "")
         sim.run(0.1)
     assert sim.reported_state["job-129"] == "cancelled"
+
+
+REQUESTS: list[tuple[str, Callable]] = [
+    ("query", lambda sim: (messages.QueryJob, ())),
+    ("cancel", lambda sim: (messages.CancelJob, ())),
+    ("submit", lambda sim: (messages.SubmitJob, (sim.specs["job-1"], ""))),
+]
+
+
+@pytest.mark.parametrize("make", [make for _, make in REQUESTS], ids=[n for n, _ in REQUESTS])
+def test_a_cancellation_that_peers_told_is_answered_while_the_store_is_out(make):
+    """Guards against forgetting what peers told: a confirmed cancellation can't be taken back."""
+    sim = accepted_chain()
+    sim.store.refused = {BEHIND}
+    sim.run(1)
+    cancel_through(sim, CANCELS, "job-1")
+    sim.run(2)
+    sim.store.outage(10.0)
+    command, fields = make(sim)
+    answers = sim.send_request(BEHIND, command, "job-1", *fields)
+    sim.run(0.1)
+    assert [(status, answer[2]) for status, answer in answers] == [(200, "cancelled")]
