Log the machine types and the zone that an accepted job is restricted to

The logs did not tell whether the list was lost when the submission was read, or kept and not asked for when the task was placed.

--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -202,14 +202,19 @@
         )
 
     def _log_accepted(self, job_id: str, spec: JobSpec, state: str, revision: int) -> None:
-        """Log an accepted job; with dependencies, also how far the records were known."""
-        dependencies: dict[str, Any] = {}
+        """Log an accepted job, with the machine types and the zone that it is restricted to.
+
+        With dependencies, the log also shows how far the records were known.
+        """
+        restrictions: dict[str, Any] = {}
+        if spec.types is not None:
+            restrictions["types"] = ",".join(spec.types)
+        if spec.zone is not None:
+            restrictions["zone"] = spec.zone
         if spec.waits_on:
-            dependencies = {
-                "waits_on": ",".join(spec.waits_on),
-                "revision": revision,
-                "known_revision": self.context.replica.revision,
-            }
+            restrictions["waits_on"] = ",".join(spec.waits_on)
+            restrictions["revision"] = revision
+            restrictions["known_revision"] = self.context.replica.revision
         event(
             "job_accepted",
             job=job_id,
@@ -220,5 +225,5 @@
             gpus=spec.gpus,
             priority=spec.priority,
             state=state,
-            **dependencies,
+            **restrictions,
         )
