--- a/oakmux/codec/users.py
+++ b/oakmux/codec/users.py
@@ -77,7 +77,11 @@
 
 
 class _Submission(msgspec.Struct, rename=JOB_FIELDS):
-    """A submission in its wire form, with its types checked."""
+    """A submission in its wire form, with its types checked.
+
+    A field that may be null may also be omitted. Null is not the same as an empty list or text:
+    `types` is null for any machine type, and an empty list allows none.
+    """
 
     id: str
     job_class: str
@@ -181,7 +185,7 @@
         memory_gb=submission.memory_gb,
         image=submission.image,
         image_gb=submission.image_gb,
-        types=submission.types or None,
+        types=submission.types,
         zone=submission.zone,
         one_zone=submission.one_zone,
         spread=submission.spread,
--- a/oakmux/core/model.py
+++ b/oakmux/core/model.py
@@ -30,6 +30,7 @@
     memory_gb: float
     image: str
     image_gb: float
+    # The allowed machine types; None allows any, an empty list none.
     types: list[str] | None
     zone: str | None
     one_zone: bool
