The record of a job's end no longer allows any machine type

What readers of the records saw: the record of a done or cancelled job has null for the machine types, which means any, also where its user allowed only some.

Cause: encode_job leaves lists out that matter only before the start, so that the record fits the value limit, and wrote the loosest value in place of the types.

Why the fix works: an empty list is as short and allows none; null stays null.

Evidence: two of three cases of test_a_record_never_allows_more_machine_types_than_its_job fail before.

--- a/oakmux/core/state/codecs.py
+++ b/oakmux/core/state/codecs.py
@@ -36,9 +36,10 @@
     if spec is None:
         return [state, team, None, submitted_ms, tasks]
     if state != "queued":
-        # Omit fields that matter only before the start, so that the record of the end fits the
-        # value limit.
-        spec = msgspec.structs.replace(spec, types=None, waits_on=())
+        # Empty the lists that matter only before the start, so that the record of the end fits
+        # the value limit. None instead of the types would allow any.
+        types = None if spec.types is None else []
+        spec = msgspec.structs.replace(spec, types=types, waits_on=())
     fields = list(msgspec.to_builtins(spec))
     # Dependencies come last; format 1 doesn't have them.
     return [state, team, fields if spec.waits_on else fields[:-1], submitted_ms, tasks]
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -9,7 +9,8 @@
 from oakmux.codec.cbor import MalformedError
 from oakmux.codec.users import parse_job
 from oakmux.core import messages
-from tests.fakes import Simulation, spec
+from oakmux.core.state.codecs import decode_job, encode_job
+from tests.fakes import TYPE, Simulation, spec
 from tests.helpers.samples import SUBMISSION
 
 SMALL_JOB = {
@@ -92,6 +93,17 @@
     assert job.due_ms == job.submitted_ms
 
 
+@pytest.mark.parametrize("types", [None, [], [TYPE.name]])
+def test_a_record_never_allows_more_machine_types_than_its_job(types):
+    """Guards against records in which a list of machine types was replaced by any."""
+    job = spec(types=types, waits_on=("job-7",))
+    assert decode_job(encode_job("queued", "red", job, 0, 1)).spec == job
+    for state in ("done", "cancelled"):
+        ended = decode_job(encode_job(state, "red", job, 0, 1)).spec
+        assert (ended.types is None) == (types is None)
+        assert set(ended.types or ()) <= set(types or ())
+
+
 @pytest.mark.parametrize("suffix", ["toml", "json"])
 def test_the_command_line_sends_empty_values_as_they_are(tmp_path, monkeypatch, suffix):
     bodies = []
