Requests about schedules: null is omitted, an empty value is not another one

Cause: the fields were taken from a map by or, str() and bool(), for which null, an empty text, an empty list and false are the same, or null a text.

Why the fix works: entry_requests.py gives each field its type. Null is the same as omitted, all else is a value or has the wrong type (400). The parsing of entries leaves api.py for it, rules are checked in every form.

--- a/oakmux/core/state/codecs.py
+++ b/oakmux/core/state/codecs.py
@@ -38,7 +38,7 @@
     if state != "queued":
         # Empty the lists that matter only before the start, so that the record of the end fits
         # the value limit. None instead of the types would allow any.
-        types = None if spec.types is None else []
+        types: list[str] | None = None if spec.types is None else []
         spec = msgspec.structs.replace(spec, types=types, waits_on=())
     fields = list(msgspec.to_builtins(spec))
     # Dependencies come last; format 1 doesn't have them.
--- a/oakmux/schedules/api.py
+++ b/oakmux/schedules/api.py
@@ -19,17 +19,20 @@
 from oakmux.core.state.transactions import Transaction, as_transaction
 from oakmux.logs import event
 from oakmux.schedules import templates, zones
-from oakmux.schedules.firings import Rule, RuleError, cron_rule, mark_at
+from oakmux.schedules.entry_requests import (
+    EntryRequest,
+    parse_entry_request,
+    parse_policy,
+    parse_rule,
+)
+from oakmux.schedules.firings import RuleError, mark_at
 from oakmux.schedules.messages import ServeScheduleRequest
-from oakmux.schedules.queries import RefusedError, ScheduleQueries
+from oakmux.schedules.queries import RefusedError, ScheduleQueries, optional_text
 from oakmux.schedules.records import (
-    CATCH_UPS,
     MANUAL,
     NAME_PATTERN,
-    OVERLAPS,
     Calendar,
     Entry,
-    Policy,
     ScheduleStore,
     Slot,
     calendar_key,
@@ -236,59 +239,30 @@
 
     # --- entries ---
 
-    def _parse_policy(self, args: dict) -> Policy:
-        policy = Policy(
-            str(args.get("overlap", "skip")),
-            str(args.get("catch_up", "all")),
-            int(args.get("window_s", Policy().window_s)),
-            int(args.get("jitter_s", 0)),
-        )
-        if policy.overlap not in OVERLAPS:
-            raise RefusedError(422, f"overlap: one of {', '.join(OVERLAPS)}")
-        if policy.catch_up not in CATCH_UPS:
-            raise RefusedError(422, f"catch_up: one of {', '.join(CATCH_UPS)}")
-        if not 0 < policy.window_s <= constants.CATCH_UP_WINDOW_MAX_S:
-            raise RefusedError(422, f"window_s: 1 to {constants.CATCH_UP_WINDOW_MAX_S}")
-        if not 0 <= policy.jitter_s <= constants.JITTER_MAX_S:
-            raise RefusedError(422, f"jitter_s: 0 to {constants.JITTER_MAX_S}")
-        return policy
-
-    def _parse_entry(self, args: dict) -> Entry:
+    def _parse_entry(self, request: EntryRequest) -> Entry:
         """Return an entry from a request, checked in full."""
-        name = self.queries.check_name(args.get("name"))
-        rule_args = args["rule"]
-        if isinstance(rule_args, dict):
-            rule = cron_rule(str(rule_args["cron"]), str(rule_args.get("zone", "UTC")))
-        else:
-            rule = msgspec.convert(rule_args, Rule)
-            if rule.kind not in ("cron", "calendar"):
-                raise RefusedError(
-                    422, f"unknown kind of rule {rule.kind[: constants.LOG_TEXT_CHARS]!r}"
-                )
-        zones.zone(rule.zone)
-        template = str(args["template"])
+        name = self.queries.check_name(request.name)
+        rule = parse_rule(request.rule)
+        template = request.template
         if template not in self.store.templates:
             raise RefusedError(422, f"no template {template[: constants.LOG_TEXT_CHARS]}")
         if template.partition("/")[0] != name.partition("/")[0]:
             raise RefusedError(422, f"{template} is another team's template")
         self._require_machine_types()
         templates.check(self.context, self.store.templates[template])
-        until, deadline = int(args.get("until") or 0), args.get("deadline_s")
-        if not 0 <= until < 10**11 or (deadline is not None and not 0 < deadline < 1e12):
-            raise RefusedError(422, "until or deadline_s: out of range")
         return Entry(
             name,
             rule,
             template,
-            self._parse_policy(args.get("policy") or {}),
-            until,
-            bool(args.get("paused")),
+            parse_policy(request.policy),
+            request.until or 0,
+            bool(request.paused),
             self.wall_clock.now_ms(),
-            deadline_s=None if deadline is None else float(deadline),
-            note=str(args.get("note", ""))[: constants.NOTE_CHARS],
-            etag=str(args.get("etag", ""))[: constants.ETAG_CHARS],
-            component=str(args.get("component", ""))[: constants.ETAG_CHARS],
-            uid=str(args.get("uid", ""))[: constants.NOTE_CHARS],
+            deadline_s=request.deadline_s,
+            note=(request.note or "")[: constants.NOTE_CHARS],
+            etag=(request.etag or "")[: constants.ETAG_CHARS],
+            component=(request.component or "")[: constants.ETAG_CHARS],
+            uid=(request.uid or "")[: constants.NOTE_CHARS],
         )
 
     def _earliest_now_s(self) -> int:
@@ -326,7 +300,7 @@
         results = []
         for entry_args in self._check_entry_count(args["entries"]):
             try:
-                entry = self._parse_entry(entry_args)
+                entry = self._parse_entry(parse_entry_request(entry_args))
                 results.append(
                     {
                         "name": entry.name,
@@ -349,11 +323,12 @@
 
     def _put(self, request: Any, args: dict) -> None:
         """Store entries, each completely or not at all; the answer lists those stored."""
-        entries = [self._parse_entry(row) for row in self._check_entry_count(args["entries"])]
+        requests = [parse_entry_request(row) for row in self._check_entry_count(args["entries"])]
+        entries = [self._parse_entry(row) for row in requests]
         if len({entry.name for entry in entries}) < len(entries):
             raise RefusedError(422, "two entries of one name")
         # An edit without `paused` keeps the entry's pause as it is.
-        args["silent"] = {row["name"] for row in args["entries"] if "paused" not in row}
+        args["silent"] = {row.name for row in requests if row.paused is None}
         texts = {entries[0].name: str(args["text"])} if "text" in args and entries else {}
         self._put_remaining(request, entries, args, texts, [])
 
@@ -376,7 +351,7 @@
             if old is not None:
                 batch.append(remaining[0])
                 return self._replace_entry(remaining[0], old, args, texts.get(remaining[0].name))
-            if args.get("if_match"):
+            if _expected_etag(args) is not None:
                 raise RefusedError(412, "no such entry")
             number, room = self._choose_shard(len(remaining))
             contents = Transaction()
@@ -490,9 +465,9 @@
     def _replace_entry(self, entry: Entry, old: Entry, args: dict, text: str | None) -> Change:
         """Return the change of an entry. An edit that changes no time keeps the entry's slot."""
         store, key = self.store, entry_key(entry.name)
-        expected_etag = args.get("if_match")
-        if args.get("if_absent") or (expected_etag and expected_etag not in (old.etag, "*")):
-            raise RefusedError(412, f"{entry.name} has changed" if expected_etag else "it exists")
+        if args.get("if_absent"):
+            raise RefusedError(412, "it exists")
+        _check_etag(old, args)
         self._check_unique_uid(entry)
         if entry.name in args["silent"]:
             entry = msgspec.structs.replace(entry, paused=old.paused)
@@ -534,9 +509,7 @@
 
         def build() -> Change:
             entry, _ = self.queries.find_entry(args)
-            expected_etag = args.get("if_match")
-            if expected_etag and expected_etag not in (entry.etag, "*"):
-                raise RefusedError(412, f"{entry.name} has changed")
+            _check_etag(entry, args)
             key = entry_key(entry.name)
             guards = self.store.guards(key)
             writes: list[tuple] = [
@@ -619,10 +592,11 @@
 
     def _put_calendar(self, request: Any, args: dict) -> None:
         name, team = self._parse_name("calendar", args)
+        zone = optional_text(args, "zone")
         calendar = Calendar(
-            str(args.get("title") or name.partition("/")[2])[: constants.NOTE_CHARS],
-            str(args.get("zone") or "UTC"),
-            str(args.get("template") or ""),
+            (optional_text(args, "title") or name.partition("/")[2])[: constants.NOTE_CHARS],
+            "UTC" if zone is None else zone,
+            optional_text(args, "template") or "",
         )
         zones.zone(calendar.zone)
         if calendar.template and calendar.template not in self.store.templates:
@@ -657,3 +631,15 @@
             return self.store.guards(key), [(key,)], 200, {"removed": name}
 
         self._write(request, build)
+
+
+def _expected_etag(args: dict) -> str | None:
+    """Return the ETag that an entry must have, or None if a request names none."""
+    return optional_text(args, "if_match")
+
+
+def _check_etag(entry: Entry, args: dict) -> None:
+    """Refuse a change of an entry that has another ETag than the request names, if it does."""
+    expected_etag = _expected_etag(args)
+    if expected_etag is not None and expected_etag not in (entry.etag, "*"):
+        raise RefusedError(412, f"{entry.name} has changed")
--- a/oakmux/schedules/calendars.py
+++ b/oakmux/schedules/calendars.py
@@ -157,7 +157,10 @@
             value["UNTIL"] = [until.astimezone(zones.zone(rule_zone)).replace(tzinfo=None)]
         elif not isinstance(until, datetime) and isinstance(start, datetime):
             value["UNTIL"] = [datetime.combine(until, time(23, 59, 59))]
-    return str(value.to_ical().decode())
+    text = str(value.to_ical().decode())
+    if not text:
+        raise CalendarError("RRULE: is empty")
+    return text
 
 
 def _override(component: Any, rule_zone: str, zone: str) -> tuple[int, int | None]:
--- a/oakmux/schedules/commands.py
+++ b/oakmux/schedules/commands.py
@@ -290,7 +290,7 @@
         "note": note,
         "deadline_s": deadline_s,
     }
-    if until:
+    if until is not None:
         zones = import_optional("zones")
         try:
             entry["until"] = zones.instant(parse_wall_time(until), zone)
--- a/oakmux/schedules/dav/serve.py
+++ b/oakmux/schedules/dav/serve.py
@@ -432,7 +432,7 @@
             "component": parsed.component,
             "uid": parsed.uid,
         }
-        match = _unquoted_etag(request.headers.get("if-match", ""))
+        match = _expected_etag(request)
         await self._call(
             "put",
             entries=[entry],
@@ -440,14 +440,14 @@
             if_match=match,
             if_absent=request.headers.get("if-none-match", "").strip() == "*",
         )
-        request.reply(201 if not match else 204, ETag=f'"{etag}"')
+        request.reply(201 if match is None else 204, ETag=f'"{etag}"')
 
     async def _delete(self, request: DavRequest, team: str, segments: list[str]) -> None:
         if len(segments) == 3:
             await self._call(
                 "remove",
                 name="/".join(segments),
-                if_match=_unquoted_etag(request.headers.get("if-match", "")),
+                if_match=_expected_etag(request),
             )
         elif len(segments) == 2:
             await self._call("calendar-remove", name="/".join(segments))
@@ -477,9 +477,10 @@
     return f"{ROOT}{quote(calendar)}/{tail}" if calendar else ROOT
 
 
-def _unquoted_etag(header: str) -> str:
-    """Return the ETag in a header without quotes and weak marker."""
-    return header.strip().removeprefix("W/").strip('"')
+def _expected_etag(request: DavRequest) -> str | None:
+    """Return the ETag in the header If-Match, without quotes; None without the header."""
+    header = request.headers.get("if-match")
+    return None if header is None else header.strip().removeprefix("W/").strip('"')
 
 
 def _parse_filter(root: Any) -> dict[str, Any]:
@@ -498,7 +499,9 @@
     ):
         raise DavError(403, xml.error(CAL + "supported-filter"), **XML_HEADERS)
     for component_filter in component_filters:
-        filters["component"] = component_filter.get("name", "")
+        filters["component"] = component_filter.get("name")
+        if not filters["component"]:
+            raise DavError(403, xml.error(CAL + "valid-filter"), **XML_HEADERS)
         for condition in component_filter:
             if (
                 condition.tag == CAL + "prop-filter"
--- a/oakmux/schedules/queries.py
+++ b/oakmux/schedules/queries.py
@@ -21,6 +21,14 @@
         self.status = status
 
 
+def optional_text(args: dict, name: str) -> str | None:
+    """Return a text of a request, or None if it is null or omitted; raises RefusedError."""
+    text = args.get(name)
+    if text is not None and not isinstance(text, str):
+        raise RefusedError(400, f"{name}: not a text")
+    return text
+
+
 class ScheduleQueries:
     """Answers read-only requests from the local copy of the records."""
 
@@ -65,7 +73,7 @@
 
     def templates(self, request: Any, args: dict) -> None:
         """Answer with the templates whose names begin with `prefix`."""
-        prefix = str(args.get("prefix", ""))
+        prefix = optional_text(args, "prefix") or ""
         rows = [
             {
                 "name": name,
@@ -81,7 +89,7 @@
 
     def entries(self, request: Any, args: dict) -> None:
         """Answer with entries, a page at a time."""
-        prefix, after = str(args.get("prefix", "")), str(args.get("after", ""))
+        prefix, after = optional_text(args, "prefix") or "", optional_text(args, "after") or ""
         names = sorted(n for n in self.store.entries if n.startswith(prefix) and n > after)
         rows = [
             self.entry_summary(self.store.entries[name])
@@ -241,9 +249,10 @@
 
     def matches_filter(self, entry: Entry, args: dict) -> bool:
         """Whether an object has the requested component, texts and a firing in the time span."""
-        if args.get("component") and args["component"] != entry.component:
+        component, texts = optional_text(args, "component"), args.get("texts")
+        if component not in (None, entry.component):
             return False
-        for name, text in (args.get("texts") or {}).items():
+        for name, text in ({} if texts is None else texts).items():
             value = {"UID": entry.uid, "SUMMARY": entry.note}[name]
             if str(text).lower() not in value.lower():
                 return False
