Requests about schedules are answered by current records

What callers saw: a pause at a controller whose records are behind was confirmed without a write, since it still showed the entry paused, although another controller had confirmed its resumption: the entry fires. In the same way an edit that changes nothing, 404 for an entry whose storing was confirmed, and old lists.

Cause: ScheduleApi answered from the local records if the store had answered within STORE_STALE_S, so from records up to that old.

Why the fix works: each request waits until the replica has all changes made before it arrived. One query of the store's revision at a time serves all that wait (CurrentRevision); the waiting itself is what job requests use, moved to revision_waits.py. Records that don't come in time: 503, as for jobs.

--- a/oakmux/core/api/cancellation.py
+++ b/oakmux/core/api/cancellation.py
@@ -12,7 +12,8 @@
     Refusal,
     RequestId,
 )
-from oakmux.core.api.current_reads import CONFLICT, CurrentReads
+from oakmux.core.api.current_reads import CurrentReads
+from oakmux.core.api.revision_waits import CONFLICT
 from oakmux.core.context import Context
 from oakmux.core.state.codecs import encode_job
 from oakmux.core.state.keys import job_key
--- a/oakmux/core/api/current_reads.py
+++ b/oakmux/core/api/current_reads.py
@@ -16,6 +16,7 @@
     Answers,
     RequestId,
 )
+from oakmux.core.api.revision_waits import CONFLICT, RevisionWaits
 from oakmux.core.context import Context
 from oakmux.core.state.keys import job_key
 from oakmux.core.state.records import Job
@@ -25,9 +26,6 @@
 Continuation = Callable[[Job | None], None]
 """Called with the current job, or None if there is no such job."""
 
-CONFLICT = 409
-"""Status of a transaction whose conditions failed; the result is (revision, failed keys)."""
-
 
 class _Read(NamedTuple):
     """A request that needs the current record of a job."""
@@ -37,14 +35,6 @@
     resume: Continuation
 
 
-class _RevisionWait(NamedTuple):
-    """A read that resumes once the replica has reached a revision."""
-
-    revision: int
-    deadline: float
-    read: _Read
-
-
 class CurrentReads:
     """Batches reads into few transactions, whose results resume the requests."""
 
@@ -53,7 +43,7 @@
         self.answers = answers
         self.queued: list[_Read] = []
         self.in_flight = 0
-        self.revision_waits: list[_RevisionWait] = []
+        self.revision_waits = RevisionWaits(context, answers)
         strictest = context.facts.store.strictest
         self.limits = TransactionLimits(strictest, lambda: context.now)
         self.most_jobs = max_conditions(strictest)
@@ -104,21 +94,6 @@
         """Call `resume` with a job whose record has changed by `revision`, or refuse."""
         self._fetch_and_resume(revision, _Read(request_id, job_id, resume))
 
-    def resume_waiting(self) -> None:
-        """Resume reads whose revision the replica has reached; refuse those past deadline."""
-        if not self.revision_waits:
-            return
-        context = self.context
-        waits, self.revision_waits = self.revision_waits, []
-        for wait in waits:
-            request_id, job_id, resume = wait.read
-            if context.replica.revision >= wait.revision:
-                resume(context.replica.jobs.get(job_id))
-            elif context.now > wait.deadline:
-                self.answers.unavailable(request_id, RECORDS_NOT_CURRENT)
-            else:
-                self.revision_waits.append(wait)
-
     def send(self) -> None:
         """Send the queued reads, with at most READS_IN_FLIGHT transactions in flight."""
         if len(self.queued) > self.max_conditions and self.in_flight < constants.READS_IN_FLIGHT:
@@ -196,10 +171,8 @@
 
     def _resume_at_revision(self, revision: int, read: _Read) -> None:
         """Resume a read once the watch has delivered all changes up to a revision."""
-        if self.context.replica.revision >= revision:
-            read.resume(self.context.replica.jobs.get(read.job_id))
-        elif len(self.revision_waits) >= constants.MAX_WAITING_REQUESTS:
-            self.answers.unavailable(read.request_id, TOO_MANY_REQUESTS)
-        else:
-            deadline = self.context.now + constants.STORE_TIMEOUT_S
-            self.revision_waits.append(_RevisionWait(revision, deadline, read))
+        self.revision_waits.add(
+            revision,
+            read.request_id,
+            lambda: read.resume(self.context.replica.jobs.get(read.job_id)),
+        )
--- a/oakmux/core/api/jobs.py
+++ b/oakmux/core/api/jobs.py
@@ -53,6 +53,6 @@
 
     def flush(self) -> None:
         """Send the reads and writes collected in a step, and resume waiting requests."""
-        self.reads.resume_waiting()
+        self.reads.revision_waits.resume_due()
         self.cancellation.write_cascade()
         self.reads.send()
--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -12,9 +12,10 @@
     Refusal,
     RequestId,
 )
-from oakmux.core.api.current_reads import CONFLICT, CurrentReads
+from oakmux.core.api.current_reads import CurrentReads
 from oakmux.core.api.dependency_check import DependencyCheck
 from oakmux.core.api.job_view import JobView
+from oakmux.core.api.revision_waits import CONFLICT
 from oakmux.core.context import Context
 from oakmux.core.model import JobSpec
 from oakmux.core.scheduling import quotas
--- a/oakmux/schedules/api.py
+++ b/oakmux/schedules/api.py
@@ -13,6 +13,8 @@
 
 from oakmux import constants
 from oakmux.core import messages
+from oakmux.core.api.answers import Answers
+from oakmux.core.api.revision_waits import CurrentRevision, RevisionWaits
 from oakmux.core.context import Context
 from oakmux.core.state.formats import value_bytes, value_limit
 from oakmux.core.state.transaction_limits import TransactionLimits
@@ -61,6 +63,8 @@
         self.wall_clock = wall_clock
         self.queries = ScheduleQueries(context, store)
         self.limits = TransactionLimits(context.facts.store.strictest, lambda: context.now)
+        self.waits = RevisionWaits(context, Answers(context))
+        self.current = CurrentRevision(context, Answers(context), self.waits)
         self.retries: list[tuple[float, Callable[[], None]]] = []
         self.operations: dict[str, Callable[[Any, dict], None]] = {
             "template": self._put_template,
@@ -86,7 +90,7 @@
     # --- requests ---
 
     def handle_request(self, command: ServeScheduleRequest) -> None:
-        """Serve a request; the answer is sent at once, or after the write if there is one."""
+        """Serve a request from current records; the answer follows the write if there is one."""
         request, operation, args = command.request, command.operation, command.args
         context = self.context
         serve = self.operations.get(operation)
@@ -97,7 +101,8 @@
         elif context.now - context.store_seen_at > constants.STORE_STALE_S:
             self._error(request, RefusedError(503, "no current records"))
         else:
-            self._attempt(request, partial(serve, request, args))
+            action = partial(serve, request, args)
+            self.current.wait(request, lambda: self._run(partial(self._attempt, request, action)))
 
     def _attempt(self, request: Any, action: Callable[[], None]) -> None:
         """Continue a request, or answer why it can't be carried out."""
@@ -116,16 +121,21 @@
         self.context.answer(request, error.status, ("error", str(error)))
 
     def tick(self) -> None:
-        """Retry requests that wait for newer records."""
+        """Continue requests that wait for newer records."""
+        self.waits.resume_due()
         due, self.retries = (
             [row for row in self.retries if row[0] <= self.context.now],
             [row for row in self.retries if row[0] > self.context.now],
         )
         for _, run in due:
-            try:
-                run()
-            except Exception:  # one request must not stop the others
-                log.exception("event=request_failed")
+            self._run(run)
+
+    @staticmethod
+    def _run(run: Callable[[], None]) -> None:
+        try:
+            run()
+        except Exception:  # one request must not stop the others
+            log.exception("event=request_failed")
 
     def _write(
         self,
