A recorded catalogue refuses no job for good

What callers could see: a controller that starts while the cloud is out reads the machine types from the records. These may be older than the cloud's; a job that fits only a newer type was answered 422, which users don't repeat.

Cause: submissions did not ask where the catalogue came from.

Why the fix works: whether the cloud has named the types to this process is kept beside them. Until then a job that fits no known type is answered 503; an unknown team or zone, or a limit, is 422 at once as before.

Evidence: test_a_recorded_catalogue_refuses_no_job_for_good fails before (422). infeasible_reason is two functions now, and names a limit before a missing type.

--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -67,9 +67,9 @@
 
     def _submit_new(self, request_id: RequestId, job_id: str, spec: JobSpec) -> None:
         """Accept a job that is not in the replica."""
-        invalid = self._invalid_reason(job_id, spec)
-        if invalid is not None:
-            self._show_current_or_refuse(request_id, job_id, Refusal(422, invalid))
+        refusal = self._refusal(job_id, spec)
+        if refusal is not None:
+            self._show_current_or_refuse(request_id, job_id, refusal)
         elif spec.waits_on and self.context.replica.format < FORMAT_COMPACT:
             self.answers.unavailable(request_id, DEPENDENCIES_UNSUPPORTED)
         elif self.dependencies.unknown(spec):
@@ -96,14 +96,24 @@
         else:
             self._create(request_id, job_id, spec)
 
-    def _invalid_reason(self, job_id: str, spec: JobSpec) -> str | None:
-        """Return why a job can never be accepted, or None."""
-        return (
-            quotas.infeasible_reason(self.context, spec)
+    def _refusal(self, job_id: str, spec: JobSpec) -> Refusal | None:
+        """Return why a job can't be accepted, or None.
+
+        That it can never run (422) is final for its user, so it is not said by a recorded
+        catalogue, which may be behind the cloud's.
+        """
+        reason = (
+            quotas.disallowed_reason(self.context, spec)
             or self.dependencies.invalid_reason(job_id, spec)
             or self._oversized(spec)
             or self._reserved_id(job_id)
         )
+        if reason is not None:
+            return Refusal(422, reason)
+        reason = quotas.unplaceable_reason(self.context, spec)
+        if reason is None:
+            return None
+        return Refusal(422, reason) if self.context.types_current else Refusal(503, TYPES_UNKNOWN)
 
     def _oversized(self, spec: JobSpec) -> str | None:
         value = encode_job("queued", spec.team, spec, self.context.wall_clock_ms, spec.tasks)
--- a/oakmux/core/context.py
+++ b/oakmux/core/context.py
@@ -51,6 +51,9 @@
         self.wall_start_ms = wall_start_ms
         self.replica = Replica()
         self.types: dict[str, MachineType] = {}
+        # Whether the cloud has named the types to this process; until then they are those of the
+        # records, which may be behind.
+        self.types_current = False
         self.teams: dict[str, Team] = {team.name: team for team in settings.facts.teams}
         self.objectives = Objectives(settings.facts.objectives)
         self.array_share_gpus = _array_share_gpus(settings.facts)
--- a/oakmux/core/controller.py
+++ b/oakmux/core/controller.py
@@ -221,6 +221,7 @@
 
     def _update_machine_types(self, command: messages.UpdateMachineTypes) -> None:
         self.context.types = {machine_type.name: machine_type for machine_type in command.types}
+        self.context.types_current = True
         self.context.types_changed()
 
     # --- health ---
--- a/oakmux/core/scheduling/quotas.py
+++ b/oakmux/core/scheduling/quotas.py
@@ -45,24 +45,39 @@
 
 def infeasible_reason(context: Context, spec: JobSpec) -> str | None:
     """Return why a job can never run, or None if it can."""
+    return disallowed_reason(context, spec) or unplaceable_reason(context, spec)
+
+
+def disallowed_reason(context: Context, spec: JobSpec) -> str | None:
+    """Return why a job can never run whatever the cloud offers, or None."""
     if spec.team not in context.teams:
         return "unknown team"
     if spec.zone is not None and spec.zone not in context.facts.zones:
         return "unknown zone"
+    concurrent = _concurrent_tasks(spec)
+    if exceeds_limit(context, spec.team, spec.cpus * concurrent, spec.gpus * concurrent):
+        return "more than the team's limit"
+    return None
+
+
+def unplaceable_reason(context: Context, spec: JobSpec) -> str | None:
+    """Return why a job fits no machine of the known types in its zones, or None if it does."""
     kinds = [kind for name, kind in context.types.items() if context.fits_type(spec, name)]
     if not kinds:
         return "a task fits no allowed machine type"
     zones = {zone for kind in kinds for zone in kind.zones if spec.zone in (None, zone)}
     if not zones:
         return "no allowed machine type is there in its zone"
-    concurrent = 1 if spec.kind == "array" else spec.tasks
-    if spec.spread and concurrent > 1 and (spec.one_zone or len(zones) < 2):
+    if spec.spread and _concurrent_tasks(spec) > 1 and (spec.one_zone or len(zones) < 2):
         return "tasks that run at the same time can't be spread over one zone"
-    if exceeds_limit(context, spec.team, spec.cpus * concurrent, spec.gpus * concurrent):
-        return "more than the team's limit"
     return None
 
 
+def _concurrent_tasks(spec: JobSpec) -> int:
+    """Return the least number of a job's tasks that must run at the same time."""
+    return 1 if spec.kind == "array" else spec.tasks
+
+
 def usage(context: Context) -> dict[str, Usage]:
     """Return the resources that each team's tasks use by the records; not to be modified."""
     return context.replica.usage.by_team
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -290,3 +290,28 @@
         answers = sim.send_request("h0", messages.SubmitJob, "job-1", spec(zone=zone), "")
         sim.run(0.5)
         assert [row[0] for row in answers] == [status]
+
+
+def test_a_recorded_catalogue_refuses_no_job_for_good():
+    """Guards against 422 by records of machine types that are older than the cloud's."""
+    sim = Simulation(1)
+    sim.run(8)
+    large_type = msgspec.structs.replace(TYPE, name="large", cpus=64.0)
+    sim.cloud_down = True  # the next process reads the types from the records
+    sim.crash("h0", 0.5)
+    sim.run(3)
+    sim.specs["job-1"] = spec(types=["large"], cpus=32.0, gpus=0.0)
+
+    def submitted(job) -> list[int]:
+        answers = sim.send_request("h0", messages.SubmitJob, "job-1", job, "")
+        sim.run(0.5)
+        return [status for status, _ in answers]
+
+    assert submitted(sim.specs["job-1"]) == [503]
+    assert submitted(spec(team="nobody")) == [422]
+    sim.reported_state.clear()
+    sim.cloud_down = False
+    sim.command("h0", messages.UpdateMachineTypes([TYPE, large_type]))
+    assert submitted(spec(types=["none"])) == [422]
+    sim.reported_state.clear()
+    assert submitted(sim.specs["job-1"]) == [201]
