Submissions: a refusal of a plain write lowers no limits of reads; names

A submission that the store refuses (400) for its value alone has one condition; noting it as refused would have lowered the conditions of all comparisons to three for 60 s. Only writes with conditions on dependencies are noted. The cancellation log is called so in core/api, beside Cancellation.

--- a/oakmux/core/api/dependency_check.py
+++ b/oakmux/core/api/dependency_check.py
@@ -17,9 +17,9 @@
 class DependencyCheck:
     """Looks up dependencies in the records and in what peers report as cancelled."""
 
-    def __init__(self, context: Context, cancellations: CancellationLog) -> None:
+    def __init__(self, context: Context, cancellation_log: CancellationLog) -> None:
         self.context = context
-        self.cancellations = cancellations
+        self.cancellation_log = cancellation_log
 
     def invalid_reason(self, job_id: str, spec: JobSpec) -> str | None:
         """Return why a job can't depend on those that it names, or None.
@@ -46,7 +46,7 @@
         """Whether a dependency, direct or through others, is known to be cancelled."""
         cascade_cancelled = self.context.replica.dependencies.cascade_cancelled
         return any(
-            name in cascade_cancelled or self.cancellations.is_cancelled(name)
+            name in cascade_cancelled or self.cancellation_log.is_cancelled(name)
             for name in (*spec.waits_on, *unfinished)
         )
 
--- a/oakmux/core/api/job_view.py
+++ b/oakmux/core/api/job_view.py
@@ -15,12 +15,12 @@
         context: Context,
         answers: Answers,
         cancellation: Cancellation,
-        cancellations: CancellationLog,
+        cancellation_log: CancellationLog,
     ) -> None:
         self.context = context
         self.answers = answers
         self.cancellation = cancellation
-        self.cancellations = cancellations
+        self.cancellation_log = cancellation_log
 
     def show_final(self, request_id: RequestId, job_id: str) -> bool:
         """Answer with a job's state if it is known to be final; return whether it is.
@@ -31,7 +31,7 @@
         job = self.context.replica.jobs.get(job_id)
         if job is not None and job.final:
             self.answers.job(request_id, job)
-        elif self.cancellations.is_cancelled(job_id):
+        elif self.cancellation_log.is_cancelled(job_id):
             self.answers.cancelled(request_id, job_id)
         else:
             return False
--- a/oakmux/core/api/jobs.py
+++ b/oakmux/core/api/jobs.py
@@ -14,18 +14,18 @@
 class JobApi:
     """Handles users' requests; each is answered exactly once."""
 
-    def __init__(self, context: Context, cancellations: CancellationLog) -> None:
+    def __init__(self, context: Context, cancellation_log: CancellationLog) -> None:
         self.context = context
         self.answers = Answers(context)
         self.reads = CurrentReads(context, self.answers)
         self.cancellation = Cancellation(context, self.answers, self.reads)
-        self.view = JobView(context, self.answers, self.cancellation, cancellations)
+        self.view = JobView(context, self.answers, self.cancellation, cancellation_log)
         self.submission = Submission(
             context,
             self.answers,
             self.reads,
             self.view,
-            DependencyCheck(context, cancellations),
+            DependencyCheck(context, cancellation_log),
         )
 
     def query(self, command: QueryJob) -> None:
--- a/oakmux/core/api/submission.py
+++ b/oakmux/core/api/submission.py
@@ -159,7 +159,7 @@
             elif status == CONFLICT:
                 self._on_conflict(request_id, job_id, spec, *result)
             else:
-                if status == REFUSED:
+                if status == REFUSED and len(conditions) > 1:
                     self.reads.limits.note_refused(as_transaction(conditions, writes))
                 self.answers.unavailable(request_id, WRITE_UNCONFIRMED)
 
@@ -213,13 +213,14 @@
         )
 
     def _log_accepted(self, job_id: str, spec: JobSpec, state: str, revision: int) -> None:
-        """Log an accepted job, with the machine types and the zone that it is restricted to.
+        """Log an accepted job, with the known types and the zone that it is restricted to.
 
         With dependencies, the log also shows how far the records were known.
         """
         restrictions: dict[str, Any] = {}
         if spec.types is not None:
-            restrictions["types"] = ",".join(spec.types)
+            known_types = (name for name in spec.types if name in self.context.types)
+            restrictions["types"] = ",".join(known_types)
         if spec.zone is not None:
             restrictions["zone"] = spec.zone
         if spec.waits_on:
