--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,5 +1,7 @@
 """The protocol rules under random faults, and proof that each check can fail."""
 
+import os
+
 import pytest
 
 from oakmux.core.agents import termination
@@ -9,8 +11,12 @@
 from tests.helpers.random_faults import run_with_random_faults
 
 
+# A longer soak is started by hand with FAULT_SEEDS=300.
+SOAK_SEEDS = range(100, 100 + int(os.environ.get("FAULT_SEEDS", "0")))
+
+
 # Seeds 18 and 24 guard against `orphaned`: jobs accepted behind a cancelled one (review/7).
-@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6, 18, 24])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6, 18, 24, *SOAK_SEEDS])
 def test_rules_hold_under_random_faults(seed):
     sim = run_with_random_faults(seed)
     assert sim.repeated_starts == []
