--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -10,7 +10,6 @@
 from tests.helpers.clusters import running_machines, teams_at_quota
 from tests.helpers.random_faults import run_with_random_faults
 
-
 # A longer soak is started by hand with FAULT_SEEDS=300.
 SOAK_SEEDS = range(100, 100 + int(os.environ.get("FAULT_SEEDS", "0")))
 
